Serve one statement end to end through separate processes

Cause: there was nothing yet; the frame for all further work is the whole path. A caller's HTTP statement is checked against its key, handed over pynng to the home of its group, run at a database server over PostgreSQL's protocol, and answered with a signed session token. Configuration and keys come from the platform by watch.

Ruled out: pynng's Req/Rep, which resends a request by itself and so may run it twice; polyamorous Pair1 with our own request ids is used.

Conclusion: the path stands; rates, homes, failover and keys are thin and open.

--- /dev/null
+++ b/mangoramp/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers: HTTP in, one final answer out."""
--- /dev/null
+++ b/mangoramp/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The database servers, spoken to in the PostgreSQL protocol."""
--- /dev/null
+++ b/mangoramp/endpoints/group.py
@@ -0,0 +1,201 @@
+"""One database group as its home sees it: statuses, pools and positions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+import asyncpg
+
+from ..errors import FaultError
+from ..events import SERVER_BACK, SERVER_LOST, emit
+from ..platform.objects import GroupObject, ServerState
+from ..policy.freshness import Freshness, Mark
+from ..policy.position import Lineage, Position
+from ..policy.quorum import ServerStatus, confirmed_at, is_acknowledged
+from ..policy.routing import Candidate
+from .connection import Pool, connect
+from .run import read_status, wait_status
+
+STATUS_WAIT_S = 0.1
+STATUS_TIMEOUT_S = 1.0
+RETRY_S = 0.1
+STALE_S = 1.5
+
+
+class Group:
+    """Follows the servers of one group.
+
+    Args:
+        spec: The group as the platform has it.
+        pool_size: The most work connections to each server.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self,
+        spec: GroupObject,
+        *,
+        pool_size: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.spec = spec
+        self.statuses: dict[str, ServerStatus] = {}
+        self.pools: dict[str, Pool] = {}
+        self.freshness = Freshness()
+        self._pool_size = pool_size
+        self._clock = clock
+        self._changed = asyncio.Event()
+        self._watchers: dict[str, asyncio.Task[None]] = {}
+        self.update(spec)
+
+    @property
+    def lineage(self) -> Lineage:
+        """Where the group's terms began."""
+        return Lineage(tuple((s.term, s.position) for s in self.spec.starts))
+
+    @property
+    def primary(self) -> ServerStatus | None:
+        """The primary, if it answers and says that it is one in the group's term."""
+        status = self.statuses.get(self.spec.primary)
+        if status is None or not status.is_primary or not self.is_live(status.name):
+            return None
+        return status if status.term == self.spec.term else None
+
+    def update(self, spec: GroupObject) -> None:
+        """Take over the group as the platform has it now."""
+        if spec.term < self.spec.term:
+            return
+        self.spec = spec
+        known = {server.name: server for server in spec.servers}
+        for name in [n for n in self.pools if self.pools[n].server != known.get(n)]:
+            self._drop(name)
+        for server in spec.servers:
+            if server.name not in self.pools:
+                self._add(server)
+        self._touch()
+
+    def close(self) -> None:
+        """Stop following and close the connections."""
+        for name in list(self.pools):
+            self._drop(name)
+
+    def is_live(self, name: str) -> bool:
+        """Whether a server has answered lately."""
+        status = self.statuses.get(name)
+        return status is not None and self._clock() - status.asked_at < STALE_S
+
+    def candidates(self) -> list[Candidate]:
+        """The servers that may get reads now."""
+        return [
+            self._candidate(server)
+            for server in self.spec.servers
+            if not server.leaving and self._is_current(server.name)
+        ]
+
+    def as_of(self, position: Position) -> float | None:
+        """The moment up to which a position is known to be complete, in seconds."""
+        return self.freshness.as_of(position, self.lineage)
+
+    def acknowledged(self, position: Position) -> bool:
+        """Whether a majority holds a write in the term in which it was run."""
+        statuses = self.statuses.values()
+        size = len(self.spec.servers)
+        return is_acknowledged(position, position.term, statuses, size)
+
+    async def changed(self, deadline: float) -> bool:
+        """Wait for the next news of a server.
+
+        Args:
+            deadline: When to stop waiting, on this group's clock.
+
+        Returns:
+            False if the deadline came first.
+        """
+        left = deadline - self._clock()
+        if left <= 0:
+            return False
+        try:
+            await asyncio.wait_for(self._changed.wait(), left)
+        except TimeoutError:
+            return False
+        return True
+
+    def _candidate(self, server: ServerState) -> Candidate:
+        status = self.statuses[server.name]
+        return Candidate(
+            name=server.name,
+            failure_domain=server.failure_domain,
+            is_primary=server.name == self.spec.primary,
+            position=status.position,
+            as_of=self.as_of(status.position),
+            busy=self.pools[server.name].busy,
+            slots=server.slots,
+        )
+
+    def _is_current(self, name: str) -> bool:
+        status = self.statuses.get(name)
+        if status is None or not self.is_live(name):
+            return False
+        if name == self.spec.primary:
+            return status.is_primary and status.term == self.spec.term
+        return self.lineage.contains(status.tail)
+
+    def _add(self, server: ServerState) -> None:
+        self.pools[server.name] = Pool(server, size=self._pool_size)
+        self._watchers[server.name] = asyncio.ensure_future(self._watch(server))
+
+    def _drop(self, name: str) -> None:
+        self._watchers.pop(name).cancel()
+        self.pools.pop(name).close()
+        self.statuses.pop(name, None)
+
+    async def _watch(self, server: ServerState) -> None:
+        lost = False
+        while True:
+            try:
+                conn = await connect(server, role="status")
+            except FaultError as exc:
+                if not lost:
+                    emit(SERVER_LOST, server=server.name, reason=exc.fault.message)
+                lost = True
+                await asyncio.sleep(RETRY_S)
+                continue
+            if lost:
+                emit(SERVER_BACK, server=server.name)
+            lost = False
+            await self._watch_on(conn, server.name)
+            await asyncio.sleep(RETRY_S)
+
+    async def _watch_on(self, conn: asyncpg.Connection, name: str) -> None:
+        try:
+            now = self._clock()
+            last = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
+            self._take(replace(last, name=name))
+            while True:
+                now = self._clock()
+                last = await wait_status(conn, last, asked_at=now, wait_s=STATUS_WAIT_S)
+                self._take(replace(last, name=name))
+        except (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError):
+            return
+        finally:
+            conn.terminate()
+
+    def _take(self, status: ServerStatus) -> None:
+        self.statuses[status.name] = status
+        primary = self.statuses.get(self.spec.primary)
+        if primary is not None and primary.term == self.spec.term:
+            self._mark(primary)
+        self._touch()
+
+    def _mark(self, primary: ServerStatus) -> None:
+        size = len(self.spec.servers)
+        at = confirmed_at(primary, self.statuses.values(), size)
+        if at is not None:
+            self.freshness.mark(Mark(at, primary.tail))
+
+    def _touch(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/mangoramp/events.py
@@ -0,0 +1,71 @@
+"""The catalogue of numbered log events, and the one way to log them."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One numbered kind of log line.
+
+    Attributes:
+        number: Stable number, never reused.
+        level: The loguru level.
+        text: What the line says, in a few words.
+    """
+
+    number: int
+    level: str
+    text: str
+
+
+PROXY_STARTED = Event(100, "INFO", "proxy started")
+PROXY_STOPPING = Event(101, "INFO", "proxy stopping")
+PROXY_STOPPED = Event(102, "INFO", "proxy stopped")
+REQUEST_ROUTED = Event(200, "INFO", "request routed to a server")
+REQUEST_FORWARDED = Event(201, "INFO", "request forwarded to the home of its group")
+REQUEST_REFUSED = Event(202, "INFO", "request refused")
+WRITE_CONFIRMED = Event(203, "DEBUG", "write held by a majority")
+HOME_PLACED = Event(300, "INFO", "home of a group placed")
+GROUP_CHANGED = Event(301, "INFO", "group object taken over")
+TABLE_CHANGED = Event(302, "INFO", "table version in force")
+PLATFORM_LOST = Event(400, "WARNING", "platform does not answer")
+PLATFORM_BACK = Event(401, "INFO", "platform answers again")
+SERVER_LOST = Event(410, "WARNING", "database server does not answer")
+SERVER_BACK = Event(411, "INFO", "database server answers again")
+CONNECTION_CLOSED = Event(412, "INFO", "connection to a database server closed")
+FAILOVER_STEP = Event(500, "WARNING", "failover step")
+
+CATALOGUE: tuple[Event, ...] = tuple(
+    value for value in list(globals().values()) if isinstance(value, Event)
+)
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Log one event.
+
+    Args:
+        event: An event of the catalogue.
+        **fields: The facts of this line; never a key or a parameter.
+    """
+    logger.bind(event=event.number, **fields).log(event.level, event.text)
+
+
+def configure(*, level: str = "INFO", json: bool = True) -> None:
+    """Set up the process's log.
+
+    Args:
+        level: The lowest level that is written.
+        json: One JSON object a line if true, else text for people.
+    """
+    logger.remove()
+    text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
+    if json:
+        logger.add(sys.stderr, level=level, serialize=True)
+    else:
+        logger.add(sys.stderr, level=level, format=text)
--- /dev/null
+++ b/mangoramp/homes.py
@@ -0,0 +1,118 @@
+"""Finds the home of a group in this failure domain, here or at a peer."""
+
+from __future__ import annotations
+
+from .catalog import Catalog
+from .endpoints.group import Group
+from .errors import Code, Fault, Outcome, Step
+from .events import HOME_PLACED, REQUEST_FORWARDED, emit
+from .home import Home, Limits
+from .policy._rendezvous import rendezvous
+from .proxies.link import Link
+from .proxies.messages import Message, Refused, RunStatement
+from .settings import ProxySettings
+
+CONTROL_CONNECTIONS = 1
+RETRY_AFTER_S = 0.5
+FORWARD_MARGIN_S = 0.2
+
+
+class Homes:
+    """The homes that run here, and the way to those that do not.
+
+    Args:
+        cfg: The proxy's settings.
+        catalog: What is known from the platform.
+    """
+
+    def __init__(self, cfg: ProxySettings, catalog: Catalog) -> None:
+        self._cfg = cfg
+        self._catalog = catalog
+        self._homes: dict[str, Home] = {}
+        self._links: dict[str, Link] = {}
+        self._placed: dict[str, str] = {}
+
+    async def send(self, req: RunStatement) -> Message:
+        """Have a request run at the home of its group."""
+        owner = self.owner(req.group)
+        if owner is None:
+            return _refused(Code.NO_HOME, "the group has no home here now")
+        if owner == self._cfg.name:
+            return await self.serve(req)
+        emit(REQUEST_FORWARDED, group=req.group, peer=owner)
+        timeout_s = req.timeout_s + FORWARD_MARGIN_S
+        answer = await self._link(owner).call(req, timeout_s=timeout_s)
+        return answer.lash(
+            lambda fault: answer.from_value(Refused(fault=fault))
+        ).unwrap()
+
+    async def serve(self, req: Message) -> Message:
+        """Run a request at a home that is here."""
+        if not isinstance(req, RunStatement):
+            return _refused(Code.BAD_REQUEST, "this message is no request")
+        if self.owner(req.group) != self._cfg.name:
+            return _refused(Code.NO_HOME, "the group's home is not here")
+        return await self._home(req.group).serve(req)
+
+    def owner(self, group: str) -> str | None:
+        """The instance that is the group's home in this failure domain."""
+        members = [
+            instance.name
+            for instance in self._catalog.instances.values()
+            if instance.failure_domain == self._cfg.failure_domain
+            and not instance.leaving
+        ]
+        owner = rendezvous(group, members)
+        if owner is not None and self._placed.get(group) != owner:
+            self._placed[group] = owner
+            emit(HOME_PLACED, group=group, instance=owner, considered=members)
+        return owner
+
+    def refresh(self) -> None:
+        """Take over changes of the groups."""
+        for name, home in list(self._homes.items()):
+            spec = self._catalog.groups.get(name)
+            if spec is None:
+                self._homes.pop(name).close()
+            else:
+                home.group.update(spec)
+
+    def close(self) -> None:
+        """Close every home and link."""
+        for home in self._homes.values():
+            home.close()
+        for link in self._links.values():
+            link.close()
+
+    def _home(self, name: str) -> Home:
+        if name not in self._homes:
+            spec = self._catalog.groups[name]
+            connections = min(server.connections for server in spec.servers)
+            share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
+            group = Group(spec, pool_size=max(1, share))
+            self._homes[name] = Home(
+                group, lambda customer: self._limits(customer, name)
+            )
+        return self._homes[name]
+
+    def _limits(self, customer: str, group: str) -> Limits | None:
+        row = self._catalog.row(customer, group)
+        if row is None:
+            return None
+        domains = self._cfg.failure_domains
+        return Limits(row.rate / domains, max(1.0, row.burst / domains))
+
+    def _link(self, peer: str) -> Link:
+        address = self._catalog.instances[peer].address
+        known = self._links.get(peer)
+        if known is not None and known.address == address:
+            return known
+        if known is not None:
+            known.close()
+        self._links[peer] = Link(peer, address)
+        return self._links[peer]
+
+
+def _refused(code: Code, message: str) -> Refused:
+    fault = Fault(code, message, Step.FORWARD, "", Outcome.NOT_RUN, RETRY_AFTER_S)
+    return Refused(fault=fault)
--- /dev/null
+++ b/mangoramp/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators: the table, the keys and the status."""
--- /dev/null
+++ b/mangoramp/platform/objects.py
@@ -0,0 +1,125 @@
+"""The objects that the system keeps on the platform."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ServerState(msgspec.Struct, frozen=True):
+    """One database server of a group.
+
+    Attributes:
+        name: The server's name, unique in its group.
+        host: Its address.
+        port: Its port.
+        failure_domain: Where it runs.
+        leaving: Whether it is to get no new work.
+        slots: Statements it runs at the same time.
+        connections: Connections it accepts.
+    """
+
+    name: str
+    host: str
+    port: int
+    failure_domain: str
+    leaving: bool = False
+    slots: int = 2
+    connections: int = 16
+
+
+class TermStart(msgspec.Struct, frozen=True):
+    """Where in the log a term began.
+
+    Attributes:
+        term: The term.
+        position: The primary's position at its promotion.
+    """
+
+    term: int
+    position: int
+
+
+class GroupObject(msgspec.Struct, frozen=True):
+    """A database group, in the kind ``group``.
+
+    Attributes:
+        name: The group's name.
+        term: The current term.
+        primary: The primary's name; empty while a failover runs.
+        servers: All servers of the group.
+        starts: Where each term began, oldest first.
+    """
+
+    name: str
+    term: int
+    primary: str
+    servers: tuple[ServerState, ...]
+    starts: tuple[TermStart, ...] = ()
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row of the operators' table.
+
+    Attributes:
+        customer: Whom the row is for.
+        group: For which database group.
+        weight: The customer's share when servers are busy.
+        rate: Requests a second over the whole fleet.
+        burst: Requests at once over the whole fleet.
+        read_age_s: Age of data that reads accept, in seconds.
+    """
+
+    customer: str
+    group: str
+    weight: float
+    rate: float
+    burst: float
+    read_age_s: float
+
+
+class TableShard(msgspec.Struct, frozen=True):
+    """A part of the operators' table, in the kind ``table``."""
+
+    rows: tuple[Row, ...]
+
+
+class KeyObject(msgspec.Struct, frozen=True):
+    """A customer's key, in the kind ``key``, named by its public id.
+
+    Attributes:
+        customer: Whose key it is.
+        salt: Salt of the hash, in hexadecimal.
+        digest: Hash of the key, in hexadecimal.
+    """
+
+    customer: str
+    salt: str
+    digest: str
+
+
+class SigningKey(msgspec.Struct, frozen=True):
+    """A key that signs session tokens, in the kind ``signing-key``.
+
+    Attributes:
+        secret: The key, in hexadecimal.
+        created_s: When it was made, in seconds since 1970.
+    """
+
+    secret: str
+    created_s: float
+
+
+class InstanceObject(msgspec.Struct, frozen=True):
+    """An instance of the system, in the kind ``instance``.
+
+    Attributes:
+        name: The instance's name.
+        failure_domain: Where it runs.
+        address: Where its peers reach it, as a pynng URL.
+        leaving: Whether it is shutting down.
+    """
+
+    name: str
+    failure_domain: str
+    address: str
+    leaving: bool = False
--- /dev/null
+++ b/mangoramp/policy/quorum.py
@@ -0,0 +1,94 @@
+"""What a majority of a group's servers is known to hold."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .position import Position
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStatus:
+    """What a database server last said of itself.
+
+    Attributes:
+        name: The server's name.
+        incarnation: Changes with each start of the server.
+        term: The highest term it was moved to.
+        log_term: The term of the last entry it holds.
+        held: How many entries it holds.
+        applied: How many entries its answers show.
+        is_primary: Whether it takes writes in its term.
+        asked_at: When it was asked, in seconds; what it says was true then or later.
+    """
+
+    name: str
+    incarnation: str
+    term: int
+    log_term: int
+    held: int
+    applied: int
+    is_primary: bool
+    asked_at: float
+
+    @property
+    def position(self) -> Position:
+        """What the server's answers show."""
+        return Position(self.log_term, self.applied)
+
+    @property
+    def tail(self) -> Position:
+        """What the server holds."""
+        return Position(self.log_term, self.held)
+
+
+def majority(size: int) -> int:
+    """How many of ``size`` servers are a majority."""
+    return size // 2 + 1
+
+
+def is_acknowledged(
+    position: Position, term: int, statuses: Iterable[ServerStatus], size: int
+) -> bool:
+    """Whether a majority holds a position in the term in which it was run.
+
+    Args:
+        position: The write's position.
+        term: The term in which it was run.
+        statuses: What the group's servers said after the write.
+        size: How many servers the group has.
+    """
+    holders = [
+        status
+        for status in statuses
+        if status.term == term
+        and status.log_term == term
+        and status.held >= position.offset
+    ]
+    return len(holders) >= majority(size)
+
+
+def confirmed_at(
+    primary: ServerStatus, statuses: Iterable[ServerStatus], size: int
+) -> float | None:
+    """The last moment at which a primary is known to have been the primary.
+
+    At that moment a majority had not moved past its term, so nothing acknowledged
+    before is missing from the position that the primary answered with.
+
+    Args:
+        primary: What the primary said.
+        statuses: What all servers of the group said, the primary among them.
+        size: How many servers the group has.
+
+    Returns:
+        The moment in seconds, None if there is none.
+    """
+    if not primary.is_primary:
+        return None
+    asked = [s.asked_at for s in statuses if s.term <= primary.term]
+    if len(asked) < majority(size):
+        return None
+    asked.sort(reverse=True)
+    return min(primary.asked_at, asked[majority(size) - 1])
--- /dev/null
+++ b/mangoramp/proxies/__init__.py
@@ -0,0 +1,1 @@
+"""The other proxies: requests and heartbeats over pynng."""
--- /dev/null
+++ b/mangoramp/proxies/messages.py
@@ -0,0 +1,85 @@
+"""The messages between proxies, encoded as MessagePack."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import Fault
+from ..policy.position import Position
+from ..policy.statement import Kind
+
+Param = str | int | float | bool | None
+
+
+class Envelope(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """What every message carries.
+
+    Attributes:
+        id: The request's id; an answer bears that of its request.
+    """
+
+    id: int = 0
+
+
+class RunStatement(Envelope, frozen=True):
+    """Run one statement on a group.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        kind: Whether it reads or writes.
+        sql: The statement.
+        params: Its parameters.
+        seen: The position that the session has seen.
+        max_age_s: Age of data that a read accepts, in seconds.
+        timeout_s: Seconds left to the request.
+        idempotency_key: The caller's, empty if there is none.
+        failure_domain: Where the request came in.
+    """
+
+    customer: str
+    group: str
+    kind: Kind
+    sql: str
+    params: tuple[Param, ...]
+    seen: Position
+    max_age_s: float
+    timeout_s: float
+    idempotency_key: str = ""
+    failure_domain: str = ""
+
+
+class Rows(Envelope, frozen=True):
+    """The answer to a statement.
+
+    Attributes:
+        columns: The names of the columns.
+        rows: The rows as JSON.
+        count: How many rows there are, or were changed.
+        position: What the session has seen now.
+        server: The server that gave the answer.
+        replica: Whether that server is a replica.
+        age_s: The proven age of the data, in seconds.
+        repeated: Whether this is the first answer to the same idempotency key.
+    """
+
+    columns: tuple[str, ...]
+    rows: bytes
+    count: int
+    position: Position
+    server: str
+    replica: bool = False
+    age_s: float = 0.0
+    repeated: bool = False
+
+
+class Refused(Envelope, frozen=True):
+    """A final answer that is a fault."""
+
+    fault: Fault
+
+
+Message = RunStatement | Rows | Refused
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Message).decode
--- /dev/null
+++ b/mangoramp/proxy.py
@@ -0,0 +1,107 @@
+"""The proxy daemon: wires the packages together and holds no rule of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from prometheus_client import CollectorRegistry
+from returns.result import Success
+from tornado.httpserver import HTTPServer
+
+from .callers.app import MAX_BODY_BYTES, callers_application
+from .callers.health import health_application
+from .catalog import KIND_INSTANCE, Catalog
+from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
+from .homes import Homes
+from .ingress import Ingress
+from .platform.client import PlatformClient
+from .platform.objects import InstanceObject
+from .proxies.link import LinkServer
+from .settings import ProxySettings
+
+REGISTER_RETRY_S = 0.2
+
+
+class Proxy:
+    """One proxy.
+
+    Args:
+        cfg: Its settings.
+    """
+
+    def __init__(self, cfg: ProxySettings) -> None:
+        self.cfg = cfg
+        self.registry = CollectorRegistry()
+        self.ready = False
+        self._client = PlatformClient(cfg.platform)
+        self.catalog = Catalog(self._client)
+        self.homes = Homes(cfg, self.catalog)
+        self.catalog.on_change = self.homes.refresh
+        self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
+        self._http: list[HTTPServer] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._links: LinkServer | None = None
+
+    async def start(self) -> None:
+        """Listen, learn what the platform holds, then be ready."""
+        self._links = LinkServer(self.cfg.peer_address, self.homes.serve)
+        self._tasks = [
+            asyncio.ensure_future(self._links.run()),
+            asyncio.ensure_future(self.catalog.run()),
+        ]
+        self._listen()
+        await self._register()
+        await self.catalog.ready()
+        self.ready = True
+        emit(PROXY_STARTED, name=self.cfg.name, failure_domain=self.cfg.failure_domain)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        emit(PROXY_STOPPING, name=self.cfg.name)
+        self.ready = False
+        for server in self._http:
+            server.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._links is not None:
+            self._links.close()
+        self.homes.close()
+        self._client.close()
+        for server in self._http:
+            await server.close_all_connections()
+        emit(PROXY_STOPPED, name=self.cfg.name)
+
+    def _listen(self) -> None:
+        cfg = self.cfg
+        callers = HTTPServer(
+            callers_application(self._ingress), max_body_size=MAX_BODY_BYTES
+        )
+        callers.listen(cfg.listen_port, address=cfg.listen_host)
+        health = HTTPServer(health_application(self.registry, lambda: self.ready))
+        health.listen(cfg.metrics_port, address=cfg.listen_host)
+        self._http = [callers, health]
+
+    async def _register(self) -> None:
+        cfg = self.cfg
+        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address)
+        while True:
+            found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
+            if isinstance(found, Success):
+                known = found.unwrap()
+                if known.value == mine:
+                    return
+                await self._client.put(
+                    KIND_INSTANCE, cfg.name, mine, version=known.version
+                )
+                continue
+            await asyncio.sleep(REGISTER_RETRY_S)
+
+
+async def run_until_stopped(proxy: Proxy, stopped: asyncio.Event) -> None:
+    """Run a proxy until an event is set."""
+    await proxy.start()
+    with contextlib.suppress(asyncio.CancelledError):
+        await stopped.wait()
+    await proxy.stop()
--- /dev/null
+++ b/mangoramp/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for database servers, for development and tests."""
--- /dev/null
+++ b/mangoramp/standins/fleet.py
@@ -0,0 +1,136 @@
+"""A small fleet in one process: platform, database servers and proxies."""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Success
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from ..catalog import KIND_GROUP, KIND_TABLE
+from ..operators.keys import give_key, make_signing_key
+from ..platform.client import PlatformClient
+from ..platform.objects import GroupObject, Row, ServerState, TableShard, TermStart
+from ..proxy import Proxy
+from ..settings import ProxySettings
+from .endpoint import Endpoint, EndpointOptions
+from .platform import Platform
+
+HOST = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """What a fleet consists of.
+
+    Attributes:
+        group: The database group's name.
+        domains: The failure domains; each has a server and ``proxies`` proxies.
+        proxies: Proxies in each failure domain.
+        rows: The operators' table.
+    """
+
+    group: str = "register"
+    domains: tuple[str, ...] = ("d1", "d2", "d3")
+    proxies: int = 1
+    rows: tuple[Row, ...] = (Row("tala", "register", 1.0, 300.0, 300.0, 1.0),)
+
+
+class Fleet:
+    """The processes of a deployment, all in this one.
+
+    Args:
+        options: What the fleet consists of.
+    """
+
+    def __init__(self, options: FleetOptions | None = None) -> None:
+        self.options = options or FleetOptions()
+        self.platform = Platform()
+        self.endpoints: dict[str, Endpoint] = {}
+        self.proxies: dict[str, Proxy] = {}
+        self.keys: dict[str, str] = {}
+        self._dir = tempfile.TemporaryDirectory(prefix="mangoramp-")
+        self._platform_http = HTTPServer(self.platform.application())
+        self.client: PlatformClient
+
+    async def start(self) -> None:
+        """Start everything and wait until the proxies are ready."""
+        port = free_ports(1)[0]
+        self._platform_http.listen(port, address=HOST)
+        self.client = PlatformClient(f"http://{HOST}:{port}")
+        await self._start_endpoints()
+        await self._fill_platform()
+        for domain in self.options.domains:
+            for number in range(self.options.proxies):
+                name = f"{domain}-p{number}"
+                self.proxies[name] = await self._start_proxy(name, domain, port)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for endpoint in self.endpoints.values():
+            await endpoint.stop()
+        self.client.close()
+        self._platform_http.stop()
+        await self._platform_http.close_all_connections()
+        self._dir.cleanup()
+
+    def url(self, proxy: str) -> str:
+        """Where a proxy takes statements for the fleet's group."""
+        port = self.proxies[proxy].cfg.listen_port
+        return f"http://{HOST}:{port}/v1/groups/{self.options.group}/statements"
+
+    async def _start_endpoints(self) -> None:
+        for number, domain in enumerate(self.options.domains):
+            path = Path(self._dir.name) / f"{domain}.db"
+            options = EndpointOptions(f"{domain}-s", path, primary=number == 0)
+            self.endpoints[domain] = Endpoint(options)
+            await self.endpoints[domain].start()
+        first, *others = self.endpoints.values()
+        for endpoint in others:
+            endpoint.follow(1, (HOST, first.port))
+
+    async def _fill_platform(self) -> None:
+        servers = tuple(
+            ServerState(f"{domain}-s", HOST, endpoint.port, domain)
+            for domain, endpoint in self.endpoints.items()
+        )
+        name = self.options.group
+        group = GroupObject(name, 1, servers[0].name, servers, (TermStart(1, 0),))
+        await self.client.put(KIND_GROUP, name, group, version=0)
+        shard = TableShard(self.options.rows)
+        await self.client.put(KIND_TABLE, "0", shard, version=0)
+        await make_signing_key(self.client)
+        for row in self.options.rows:
+            given = await give_key(self.client, row.customer)
+            if isinstance(given, Success):
+                self.keys[row.customer] = given.unwrap().key
+
+    async def _start_proxy(self, name: str, domain: str, platform_port: int) -> Proxy:
+        callers, metrics, peers = free_ports(3)
+        cfg = ProxySettings(
+            name=name,
+            failure_domain=domain,
+            platform=f"http://{HOST}:{platform_port}",
+            listen_host=HOST,
+            listen_port=callers,
+            metrics_port=metrics,
+            peer_address=f"tcp://{HOST}:{peers}",
+            failure_domains=len(self.options.domains),
+        )
+        proxy = Proxy(cfg)
+        await proxy.start()
+        return proxy
+
+
+def free_ports(count: int) -> list[int]:
+    """Find ports on loopback that nobody listens on."""
+    socks = [bind_sockets(0, address=HOST)[0] for _ in range(count)]
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
--- /dev/null
+++ b/mangoramp/standins/platform.py
@@ -0,0 +1,224 @@
+"""A stand-in for the platform's object API, held in memory.
+
+``GET /v1/objects/{kind}?since=N&wait=S`` lists and watches, ``GET``, ``PUT`` and
+``DELETE /v1/objects/{kind}/{name}`` read and change; a change needs ``If-Match`` with
+the version last seen, 0 for an object that must not exist yet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable
+from typing import Any
+
+import msgspec
+import tornado.web
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_S = 30.0
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """One object as the platform holds it; a deleted one has no value."""
+
+    kind: str
+    name: str
+    version: int
+    value: msgspec.Raw | None
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """The objects of a kind that changed after a version."""
+
+    version: int
+    objects: tuple[Stored, ...]
+
+
+class PlatformFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Switches for the platform's failures.
+
+    Attributes:
+        down: Answer 503 to everything.
+        late_s: Seconds by which each answer is late.
+        lose_answers: How many of the next changes to make without answering.
+    """
+
+    down: bool = False
+    late_s: float = 0.0
+    lose_answers: int = 0
+
+
+class Platform:
+    """The objects, their versions and those who wait for changes."""
+
+    def __init__(self) -> None:
+        self.faults = PlatformFaults()
+        self.calls: dict[str, int] = defaultdict(int)
+        self._objects: dict[str, dict[str, Stored]] = defaultdict(dict)
+        self._version = 0
+        self._changed = asyncio.Event()
+
+    def application(self) -> tornado.web.Application:
+        """The HTTP application of the object API and its fault switches."""
+        args = {"platform": self}
+        return tornado.web.Application(
+            [
+                (r"/v1/objects/([^/]+)", KindHandler, args),
+                (r"/v1/objects/([^/]+)/([^/]+)", ObjectHandler, args),
+                (r"/faults", FaultHandler, args),
+                (r"/calls", CallsHandler, args),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    def get(self, kind: str, name: str) -> Stored | None:
+        """Read one object."""
+        return self._objects[kind].get(name)
+
+    def put(self, kind: str, name: str, version: int, value: bytes | None) -> bool:
+        """Change one object if its version is still the one given.
+
+        Args:
+            kind: The object's kind.
+            name: The object's name.
+            version: The version it must have, 0 for none.
+            value: The new value as JSON, None to delete it.
+
+        Returns:
+            Whether the change was made.
+        """
+        current = self.get(kind, name)
+        exists = current is not None and current.value is not None
+        if version != (current.version if current is not None and exists else 0):
+            return False
+        self._version += 1
+        raw = None if value is None else msgspec.Raw(value)
+        self._objects[kind][name] = Stored(kind, name, self._version, raw)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
+
+    def since(self, kind: str, version: int) -> Listing:
+        """List the objects of a kind that changed after a version."""
+        found = [o for o in self._objects[kind].values() if o.version > version]
+        if version == 0:
+            found = [o for o in found if o.value is not None]
+        return Listing(self._version, tuple(sorted(found, key=lambda o: o.version)))
+
+    async def watch(self, kind: str, version: int, wait_s: float) -> Listing:
+        """List as :meth:`since` does, waiting for the first change."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + min(wait_s, MAX_WAIT_S)
+        while True:
+            listing = self.since(kind, version)
+            left = deadline - loop.time()
+            if listing.objects or left <= 0 or self.faults.down:
+                return listing
+            await self._wait(left)
+
+    async def _wait(self, timeout_s: float) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    def wake(self) -> None:
+        """Let every watch look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class PlatformHandler(tornado.web.RequestHandler):
+    """What the handlers share: the platform and its failures."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Remember the platform."""
+        self.platform = platform
+
+    async def prepare(self) -> None:
+        """Count the call, and fail it where a switch says so."""
+        method = self.request.method or ""
+        self.platform.calls[method] += 1
+        await asyncio.sleep(self.platform.faults.late_s)
+        if self.platform.faults.down:
+            self.send_error(503)
+
+    def answer(self, value: Any) -> None:
+        """Send a JSON answer."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(value))
+
+
+class KindHandler(PlatformHandler):
+    """Lists and watches the objects of a kind."""
+
+    async def get(self, kind: str) -> None:
+        """List the objects of a kind, waiting for a change if asked to."""
+        since = int(self.get_query_argument("since", "0"))
+        wait_s = float(self.get_query_argument("wait", "0"))
+        listing = await self.platform.watch(kind, since, wait_s)
+        if self.platform.faults.down:
+            self.send_error(503)
+            return
+        self.answer(listing)
+
+
+class ObjectHandler(PlatformHandler):
+    """Reads and changes one object."""
+
+    def get(self, kind: str, name: str) -> None:
+        """Read the object."""
+        found = self.platform.get(kind, name)
+        if found is None or found.value is None:
+            self.send_error(404)
+            return
+        self.answer(found)
+
+    def put(self, kind: str, name: str) -> None:
+        """Create or replace the object."""
+        if len(self.request.body) > MAX_VALUE_BYTES:
+            self.send_error(413)
+            return
+        self._change(kind, name, self.request.body)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Delete the object."""
+        self._change(kind, name, None)
+
+    def _change(self, kind: str, name: str, value: bytes | None) -> None:
+        version = int(self.request.headers.get("If-Match", "0"))
+        if not self.platform.put(kind, name, version, value):
+            self.send_error(412)
+            return
+        if self.platform.faults.lose_answers:
+            self.platform.faults.lose_answers -= 1
+            self.detach().close()
+            return
+        self.answer(self.platform.get(kind, name))
+
+
+class FaultHandler(tornado.web.RequestHandler):
+    """Sets the platform's switches: ``PUT /faults`` with all of them."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Remember the platform."""
+        self.platform = platform
+
+    def put(self) -> None:
+        """Take over the switches of the body."""
+        body = self.request.body
+        self.platform.faults = msgspec.json.decode(body, type=PlatformFaults)
+        self.platform.wake()
+
+
+class CallsHandler(tornado.web.RequestHandler):
+    """Shows how many calls there were: ``GET /calls``."""
+
+    def initialize(self, platform: Platform) -> None:
+        """Remember the platform."""
+        self.platform = platform
+
+    def get(self) -> Awaitable[None]:
+        """Answer the counts by HTTP method."""
+        return self.finish(msgspec.json.encode(self.platform.calls))
--- /dev/null
+++ b/mangoramp/standins/store.py
@@ -0,0 +1,180 @@
+"""The stand-in's data: a replicated log over sqlite3, with terms and positions."""
+
+from __future__ import annotations
+
+import sqlite3
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+Params = tuple[str | None, ...]
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One statement of a committed transaction."""
+
+    sql: str
+    params: tuple[str | None, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One committed transaction in the log.
+
+    Attributes:
+        position: Its place in the log, from 1.
+        term: The term in which it was run.
+        body: The changes, encoded as JSON.
+    """
+
+    position: int
+    term: int
+    body: bytes
+
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS standin_log (
+    position INTEGER PRIMARY KEY, term INTEGER NOT NULL, body BLOB NOT NULL);
+CREATE TABLE IF NOT EXISTS standin_meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL);
+"""
+
+
+class Store:
+    """A log and the database that results from it, in one sqlite3 file.
+
+    Args:
+        path: The file; what it held before is taken up again.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._conn = self.connect()
+        self._conn.executescript(SCHEMA)
+        self.term = self._read_meta("term")
+        self.applied = self._read_meta("applied")
+        self.held, self.log_term = self._read_tail()
+
+    def connect(self, *, read_only: bool = False) -> sqlite3.Connection:
+        """Open a connection to the database file."""
+        conn = sqlite3.connect(self._path, isolation_level=None)
+        conn.execute("PRAGMA journal_mode=WAL")
+        conn.execute("PRAGMA synchronous=OFF")
+        if read_only:
+            conn.execute("PRAGMA query_only=1")
+        return conn
+
+    def set_term(self, term: int) -> None:
+        """Move to a term and remember it."""
+        self.term = term
+        self._write_meta(self._conn, "term", term)
+
+    def commit(self, conn: sqlite3.Connection, changes: tuple[Change, ...]) -> int:
+        """Append the changes of a transaction and commit it.
+
+        Args:
+            conn: The connection in whose open transaction the changes were run.
+            changes: Its changes in order.
+
+        Returns:
+            The position of the new entry.
+        """
+        position = self.held + 1
+        self._append(conn, Entry(position, self.term, msgspec.json.encode(changes)))
+        self._write_meta(conn, "applied", position)
+        conn.execute("COMMIT")
+        self.held, self.log_term, self.applied = position, self.term, position
+        return position
+
+    def receive(self, entries: list[Entry]) -> None:
+        """Hold entries that came from the primary, without applying them."""
+        self._conn.execute("BEGIN IMMEDIATE")
+        for entry in entries:
+            self._append(self._conn, entry)
+        self._conn.execute("COMMIT")
+        self.held, self.log_term = entries[-1].position, entries[-1].term
+
+    def apply_next(self) -> None:
+        """Apply the first entry that is held and not yet applied."""
+        entry = self.entries(self.applied, 1)[0]
+        self._conn.execute("BEGIN IMMEDIATE")
+        for change in msgspec.json.decode(entry.body, type=tuple[Change, ...]):
+            self._conn.execute(change.sql, change.params)
+        self._write_meta(self._conn, "applied", entry.position)
+        self._conn.execute("COMMIT")
+        self.applied = entry.position
+
+    def entries(self, after: int, limit: int) -> list[Entry]:
+        """Read entries of the log.
+
+        Args:
+            after: The position before the first entry wanted.
+            limit: The most entries to return.
+        """
+        rows = self._conn.execute(
+            "SELECT position, term, body FROM standin_log"
+            " WHERE position > ? ORDER BY position LIMIT ?",
+            (after, limit),
+        )
+        return [Entry(*row) for row in rows]
+
+    def term_at(self, position: int) -> int:
+        """The term of the entry at a position, 0 before the first."""
+        row = self._conn.execute(
+            "SELECT term FROM standin_log WHERE position = ?", (position,)
+        ).fetchone()
+        return row[0] if row else 0
+
+    def truncate(self, after: int) -> None:
+        """Drop the entries after a position and rebuild the data without them."""
+        self._conn.execute("DELETE FROM standin_log WHERE position > ?", (after,))
+        self.held, self.log_term = self._read_tail()
+        if self.applied > after:
+            self._rebuild()
+
+    def column_types(self) -> dict[str, str]:
+        """The declared type of each column, by the column's name."""
+        rows = self._conn.execute(
+            "SELECT c.name, c.type FROM sqlite_master AS m, pragma_table_info(m.name)"
+            " AS c WHERE m.type = 'table'"
+        )
+        return {name.lower(): kind.upper() for name, kind in rows}
+
+    def close(self) -> None:
+        """Close the store's own connection."""
+        self._conn.close()
+
+    def _rebuild(self) -> None:
+        self._conn.execute("PRAGMA foreign_keys=OFF")
+        names = self._conn.execute(
+            "SELECT type, name FROM sqlite_master WHERE type IN ('table', 'view')"
+            " AND name NOT LIKE 'standin_%' AND name NOT LIKE 'sqlite_%'"
+        ).fetchall()
+        for kind, name in names:
+            self._conn.execute(f'DROP {kind} "{name}"')
+        self.applied = 0
+        while self.applied < self.held:
+            self.apply_next()
+        self._write_meta(self._conn, "applied", self.applied)
+
+    def _append(self, conn: sqlite3.Connection, entry: Entry) -> None:
+        conn.execute(
+            "INSERT INTO standin_log VALUES (?, ?, ?)",
+            (entry.position, entry.term, entry.body),
+        )
+
+    def _read_tail(self) -> tuple[int, int]:
+        row = self._conn.execute(
+            "SELECT position, term FROM standin_log ORDER BY position DESC LIMIT 1"
+        ).fetchone()
+        return (row[0], row[1]) if row else (0, 0)
+
+    def _read_meta(self, name: str) -> int:
+        row = self._conn.execute(
+            "SELECT value FROM standin_meta WHERE name = ?", (name,)
+        ).fetchone()
+        return row[0] if row else 0
+
+    @staticmethod
+    def _write_meta(conn: sqlite3.Connection, name: str, value: int) -> None:
+        conn.execute("INSERT OR REPLACE INTO standin_meta VALUES (?, ?)", (name, value))
