Split the home into admission, reader and writer; one way to the peers

Cause: the rates, the reads, the writes and the peers will each grow, and stood in one module. Requests between proxies are now told apart by singledispatch, so that further kinds of message register beside the first. Ruled out: one class per request kind in home.py, which would have grown past one job. Conclusion: each concern has its module.

--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from returns.result import Success
+
+from .admission import Admission, Limits
 from .catalog import Catalog
 from .endpoints.group import Group
 from .errors import Code, Fault, Outcome, Step
 from .events import HOME_PLACED, REQUEST_FORWARDED, emit
-from .home import Home, Limits
+from .home import Home
 from .policy._rendezvous import rendezvous
-from .proxies.link import Link
+from .proxies.links import Links
 from .proxies.messages import Message, Refused, RunStatement
 from .settings import ProxySettings
 
@@ -23,13 +26,14 @@
     Args:
         cfg: The proxy's settings.
         catalog: What is known from the platform.
+        links: The way to the other proxies.
     """
 
-    def __init__(self, cfg: ProxySettings, catalog: Catalog) -> None:
+    def __init__(self, cfg: ProxySettings, catalog: Catalog, links: Links) -> None:
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
-        self._links: dict[str, Link] = {}
+        self._links = links
         self._placed: dict[str, str] = {}
 
     async def send(self, req: RunStatement) -> Message:
@@ -41,15 +45,14 @@
             return await self.serve(req)
         emit(REQUEST_FORWARDED, group=req.group, peer=owner)
         timeout_s = req.timeout_s + FORWARD_MARGIN_S
-        answer = await self._link(owner).call(req, timeout_s=timeout_s)
-        return answer.lash(
-            lambda fault: answer.from_value(Refused(fault=fault))
-        ).unwrap()
+        answer = await self._links.call(owner, req, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Refused(fault=answer.failure())
+        reply: Message = answer.unwrap()
+        return reply
 
-    async def serve(self, req: Message) -> Message:
+    async def serve(self, req: RunStatement) -> Message:
         """Run a request at a home that is here."""
-        if not isinstance(req, RunStatement):
-            return _refused(Code.BAD_REQUEST, "this message is no request")
         if self.owner(req.group) != self._cfg.name:
             return _refused(Code.NO_HOME, "the group's home is not here")
         return await self._home(req.group).serve(req)
@@ -78,11 +81,9 @@
                 home.group.update(spec)
 
     def close(self) -> None:
-        """Close every home and link."""
+        """Close every home."""
         for home in self._homes.values():
             home.close()
-        for link in self._links.values():
-            link.close()
 
     def _home(self, name: str) -> Home:
         if name not in self._homes:
@@ -90,9 +91,8 @@
             connections = min(server.connections for server in spec.servers)
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
-            self._homes[name] = Home(
-                group, lambda customer: self._limits(customer, name)
-            )
+            admission = Admission(name, lambda customer: self._limits(customer, name))
+            self._homes[name] = Home(group, admission)
         return self._homes[name]
 
     def _limits(self, customer: str, group: str) -> Limits | None:
@@ -100,17 +100,7 @@
         if row is None:
             return None
         domains = self._cfg.failure_domains
-        return Limits(row.rate / domains, max(1.0, row.burst / domains))
-
-    def _link(self, peer: str) -> Link:
-        address = self._catalog.instances[peer].address
-        known = self._links.get(peer)
-        if known is not None and known.address == address:
-            return known
-        if known is not None:
-            known.close()
-        self._links[peer] = Link(peer, address)
-        return self._links[peer]
+        return Limits(row.rate / domains, max(1.0, row.burst / domains), row.weight)
 
 
 def _refused(code: Code, message: str) -> Refused:
--- /dev/null
+++ b/mangoramp/proxies/links.py
@@ -0,0 +1,59 @@
+"""The links to all other proxies, opened as they are needed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result
+
+from ..errors import Code, Fault, Step
+from .link import Link
+from .messages import Message
+
+
+class Links:
+    """Sends requests to other proxies by their names.
+
+    Args:
+        address_of: Tells where a proxy listens, None if it is not known.
+    """
+
+    def __init__(self, address_of: Callable[[str], str | None]) -> None:
+        self._address_of = address_of
+        self._links: dict[str, Link] = {}
+
+    async def call(
+        self, peer: str, req: Message, *, timeout_s: float
+    ) -> Result[Message, Fault]:
+        """Send a request to a proxy and wait for its answer.
+
+        Args:
+            peer: The proxy's name.
+            req: The request.
+            timeout_s: Seconds to wait.
+
+        Returns:
+            The answer. A fault says ``not_run`` only if nothing was sent.
+        """
+        link = self._link(peer)
+        if link is None:
+            message = f"the proxy {peer} is not known"
+            fault = Fault(Code.NO_HOME, message, Step.FORWARD, peer)
+            return Failure(fault)
+        return await link.call(req, timeout_s=timeout_s)
+
+    def close(self) -> None:
+        """Close every link."""
+        for link in self._links.values():
+            link.close()
+
+    def _link(self, peer: str) -> Link | None:
+        address = self._address_of(peer)
+        known = self._links.get(peer)
+        if known is not None and known.address == address:
+            return known
+        if known is not None:
+            self._links.pop(peer).close()
+        if address is not None:
+            self._links[peer] = Link(peer, address)
+        return self._links.get(peer)
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from functools import singledispatch
 
 from prometheus_client import CollectorRegistry
 from returns.result import Success
@@ -12,12 +13,15 @@
 from .callers.app import MAX_BODY_BYTES, callers_application
 from .callers.health import health_application
 from .catalog import KIND_INSTANCE, Catalog
+from .errors import Code, Fault, Step
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
+from .proxies.links import Links
+from .proxies.messages import Message, Refused, RunStatement
 from .settings import ProxySettings
 
 REGISTER_RETRY_S = 0.2
@@ -36,18 +40,21 @@
         self.ready = False
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog(self._client)
-        self.homes = Homes(cfg, self.catalog)
+        self._links = Links(self._address_of)
+        self.homes = Homes(cfg, self.catalog, self._links)
         self.catalog.on_change = self.homes.refresh
         self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._links: LinkServer | None = None
+        self._peers: LinkServer | None = None
+        self._answer = singledispatch(_refuse_unknown)
+        self._answer.register(RunStatement, self.homes.serve)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
-        self._links = LinkServer(self.cfg.peer_address, self.homes.serve)
+        self._peers = LinkServer(self.cfg.peer_address, self._answer)
         self._tasks = [
-            asyncio.ensure_future(self._links.run()),
+            asyncio.ensure_future(self._peers.run()),
             asyncio.ensure_future(self.catalog.run()),
         ]
         self._listen()
@@ -65,9 +72,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._links is not None:
-            self._links.close()
+        if self._peers is not None:
+            self._peers.close()
         self.homes.close()
+        self._links.close()
         self._client.close()
         for server in self._http:
             await server.close_all_connections()
@@ -83,6 +91,10 @@
         health.listen(cfg.metrics_port, address=cfg.listen_host)
         self._http = [callers, health]
 
+    def _address_of(self, peer: str) -> str | None:
+        instance = self.catalog.instances.get(peer)
+        return instance.address if instance is not None else None
+
     async def _register(self) -> None:
         cfg = self.cfg
         mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address)
@@ -99,6 +111,11 @@
             await asyncio.sleep(REGISTER_RETRY_S)
 
 
+async def _refuse_unknown(req: Message) -> Message:
+    message = "this message is no request"
+    return Refused(fault=Fault(Code.BAD_REQUEST, message, Step.FORWARD))
+
+
 async def run_until_stopped(proxy: Proxy, stopped: asyncio.Event) -> None:
     """Run a proxy until an event is set."""
     await proxy.start()
--- /dev/null
+++ b/mangoramp/reader.py
@@ -0,0 +1,98 @@
+"""Runs reads: at a server that shows enough, with the answer checked again."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from .endpoints.group import Group
+from .endpoints.run import RowSet, read_status, run
+from .events import REQUEST_ROUTED, emit
+from .faults import no_server, unproven
+from .policy.position import Position
+from .policy.quorum import ServerStatus
+from .policy.routing import Chosen, ReadNeed, choose_reader
+from .proxies.messages import Rows, RunStatement
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class Reader:
+    """Runs the reads of one group.
+
+    Args:
+        group: The group's servers.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self, group: Group, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._group = group
+        self._clock = clock
+
+    async def read(self, req: RunStatement, deadline: float) -> Rows:
+        """Run one read.
+
+        Args:
+            req: The request.
+            deadline: When its time is over, on this reader's clock.
+
+        Raises:
+            FaultError: No server showed enough in time, or it refused the read.
+        """
+        need = ReadNeed(req.seen, self._clock() - req.max_age_s, req.failure_domain)
+        chosen = await self._choose(need, req, deadline)
+        rows, status = await self._read_at(chosen.server, req)
+        if not self._group.lineage.covers(status.position, req.seen):
+            raise unproven("the server fell behind the session", chosen.server)
+        as_of = await self._proven(status.position, need.as_of, deadline)
+        age_s = max(0.0, self._clock() - as_of)
+        return answer(rows, status, age_s=age_s)
+
+    async def _choose(
+        self, need: ReadNeed, req: RunStatement, deadline: float
+    ) -> Chosen:
+        group = self._group
+        while True:
+            choice = choose_reader(need, group.candidates(), group.lineage)
+            emit(
+                REQUEST_ROUTED,
+                group=req.group,
+                customer=req.customer,
+                choice=str(choice),
+            )
+            if isinstance(choice, Chosen):
+                return choice
+            if not await group.changed(deadline):
+                raise no_server("; ".join(choice.reasons) or "no server answers")
+
+    async def _read_at(
+        self, name: str, req: RunStatement
+    ) -> tuple[RowSet, ServerStatus]:
+        async with self._group.pools[name].lease() as conn:
+            rows = await run(conn, req.sql, req.params, server=name)
+            now = self._clock()
+            status = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
+        return rows, status
+
+    async def _proven(self, seen: Position, need: float, deadline: float) -> float:
+        while True:
+            as_of = self._group.as_of(seen)
+            if as_of is not None and as_of >= need:
+                return as_of
+            if not await self._group.changed(deadline):
+                raise unproven("the age of the answer was not proven in time")
+
+
+def answer(rows: RowSet, status: ServerStatus, *, age_s: float) -> Rows:
+    """Build the answer from a server's rows and its status after them."""
+    return Rows(
+        columns=rows.columns,
+        rows=rows.rows,
+        count=rows.count,
+        position=status.position,
+        server=status.name,
+        replica=not status.is_primary,
+        age_s=age_s,
+    )
