Answer reads only from what outlasts a failover; a pure view of a group

Cause: a read at an isolated primary within its age could show a write that no other server holds and that a failover takes back: a revision seen and then gone. Reads are now answered once a majority holds all they show, in the current term; a promotion opens its term with an entry of its own, so that entries of older terms become certain. Status rows carry term_start: what a primary held when its term began.

Ruled out: counting entries of older terms by majority alone (a server with a later term may still replace them); reading only from replicas (a group of five could still show entries of a minority).

--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -12,17 +12,16 @@
 from ..errors import FaultError
 from ..events import SERVER_BACK, SERVER_LOST, emit
 from ..platform.objects import GroupObject, ServerState
-from ..policy.freshness import Freshness, Mark
 from ..policy.position import Lineage, Position
-from ..policy.quorum import ServerStatus, confirmed_at, is_acknowledged
+from ..policy.quorum import ServerStatus
 from ..policy.routing import Candidate
+from ..policy.view import Configuration, GroupView, Member
 from .connection import Pool, connect
 from .run import read_status, wait_status
 
 STATUS_WAIT_S = 0.1
 STATUS_TIMEOUT_S = 1.0
 RETRY_S = 0.1
-STALE_S = 1.5
 
 
 class Group:
@@ -42,9 +41,8 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.spec = spec
-        self.statuses: dict[str, ServerStatus] = {}
+        self.view = GroupView(configuration(spec))
         self.pools: dict[str, Pool] = {}
-        self.freshness = Freshness()
         self._pool_size = pool_size
         self._clock = clock
         self._changed = asyncio.Event()
@@ -54,19 +52,21 @@
     @property
     def lineage(self) -> Lineage:
         """Where the group's terms began."""
-        return Lineage(tuple((s.term, s.position) for s in self.spec.starts))
+        return self.view.cfg.lineage
+
+    @property
+    def statuses(self) -> dict[str, ServerStatus]:
+        """What each server last said."""
+        return self.view.statuses
 
     @property
     def primary(self) -> ServerStatus | None:
         """The primary, if it answers and says that it is one in the group's term."""
-        status = self.statuses.get(self.spec.primary)
-        if status is None or not status.is_primary or not self.is_live(status.name):
-            return None
-        return status if status.term == self.spec.term else None
+        return self.view.primary(self._clock())
 
     def update(self, spec: GroupObject) -> None:
         """Take over the group as the platform has it now."""
-        if spec.term < self.spec.term:
+        if not self.view.configure(configuration(spec)):
             return
         self.spec = spec
         known = {server.name: server for server in spec.servers}
@@ -82,28 +82,22 @@
         for name in list(self.pools):
             self._drop(name)
 
-    def is_live(self, name: str) -> bool:
-        """Whether a server has answered lately."""
-        status = self.statuses.get(name)
-        return status is not None and self._clock() - status.asked_at < STALE_S
-
     def candidates(self) -> list[Candidate]:
         """The servers that may get reads now."""
-        return [
-            self._candidate(server)
-            for server in self.spec.servers
-            if not server.leaving and self._is_current(server.name)
-        ]
+        busy = {name: pool.busy for name, pool in self.pools.items()}
+        return self.view.candidates(self._clock(), busy)
 
     def as_of(self, position: Position) -> float | None:
         """The moment up to which a position is known to be complete, in seconds."""
-        return self.freshness.as_of(position, self.lineage)
+        return self.view.as_of(position)
 
     def acknowledged(self, position: Position) -> bool:
         """Whether a majority holds a write in the term in which it was run."""
-        statuses = self.statuses.values()
-        size = len(self.spec.servers)
-        return is_acknowledged(position, position.term, statuses, size)
+        return self.view.is_acknowledged(position)
+
+    def committed(self, position: Position) -> bool:
+        """Whether everything up to a position is certain to outlast a failover."""
+        return self.view.is_committed(position)
 
     async def changed(self, deadline: float) -> bool:
         """Wait for the next news of a server.
@@ -123,26 +117,6 @@
             return False
         return True
 
-    def _candidate(self, server: ServerState) -> Candidate:
-        status = self.statuses[server.name]
-        return Candidate(
-            name=server.name,
-            failure_domain=server.failure_domain,
-            is_primary=server.name == self.spec.primary,
-            position=status.position,
-            as_of=self.as_of(status.position),
-            busy=self.pools[server.name].busy,
-            slots=server.slots,
-        )
-
-    def _is_current(self, name: str) -> bool:
-        status = self.statuses.get(name)
-        if status is None or not self.is_live(name):
-            return False
-        if name == self.spec.primary:
-            return status.is_primary and status.term == self.spec.term
-        return self.lineage.contains(status.tail)
-
     def _add(self, server: ServerState) -> None:
         self.pools[server.name] = Pool(server, size=self._pool_size)
         self._watchers[server.name] = asyncio.ensure_future(self._watch(server))
@@ -150,7 +124,7 @@
     def _drop(self, name: str) -> None:
         self._watchers.pop(name).cancel()
         self.pools.pop(name).close()
-        self.statuses.pop(name, None)
+        self.view.statuses.pop(name, None)
 
     async def _watch(self, server: ServerState) -> None:
         lost = False
@@ -184,18 +158,18 @@
             conn.terminate()
 
     def _take(self, status: ServerStatus) -> None:
-        self.statuses[status.name] = status
-        primary = self.statuses.get(self.spec.primary)
-        if primary is not None and primary.term == self.spec.term:
-            self._mark(primary)
+        self.view.take(status)
         self._touch()
 
-    def _mark(self, primary: ServerStatus) -> None:
-        size = len(self.spec.servers)
-        at = confirmed_at(primary, self.statuses.values(), size)
-        if at is not None:
-            self.freshness.mark(Mark(at, primary.tail))
-
     def _touch(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def configuration(spec: GroupObject) -> Configuration:
+    """Read a group's configuration from its platform object."""
+    members = tuple(
+        Member(s.name, s.failure_domain, s.slots, s.leaving) for s in spec.servers
+    )
+    starts = tuple((start.term, start.position) for start in spec.starts)
+    return Configuration(spec.term, spec.primary, members, Lineage(starts))
--- a/mangoramp/policy/quorum.py
+++ b/mangoramp/policy/quorum.py
@@ -21,6 +21,7 @@
         applied: How many entries its answers show.
         is_primary: Whether it takes writes in its term.
         asked_at: When it was asked, in seconds; what it says was true then or later.
+        term_start: Of a primary, the entries that it held when its term began.
     """
 
     name: str
@@ -31,6 +32,7 @@
     applied: int
     is_primary: bool
     asked_at: float
+    term_start: int = 0
 
     @property
     def position(self) -> Position:
@@ -69,6 +71,27 @@
     return len(holders) >= majority(size)
 
 
+def committed(
+    term: int, statuses: Iterable[ServerStatus], size: int
+) -> Position | None:
+    """The last position that is certain to outlast a failover.
+
+    Only entries of the current term count: one of an older term may be held by a
+    majority and still be replaced by a server with a later one. A primary opens its
+    term with an entry of its own, which makes all before it certain.
+
+    Args:
+        term: The group's current term.
+        statuses: What all servers of the group said.
+        size: How many servers the group has.
+    """
+    held = [s.held for s in statuses if s.term == term and s.log_term == term]
+    if len(held) < majority(size):
+        return None
+    held.sort(reverse=True)
+    return Position(term, held[majority(size) - 1])
+
+
 def confirmed_at(
     primary: ServerStatus, statuses: Iterable[ServerStatus], size: int
 ) -> float | None:
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -15,6 +15,7 @@
 from .proxies.messages import Rows, RunStatement
 
 STATUS_TIMEOUT_S = 1.0
+PROOF_S = 1.0
 
 
 class Reader:
@@ -77,12 +78,14 @@
         return rows, status
 
     async def _proven(self, seen: Position, need: float, deadline: float) -> float:
+        give_up = self._clock() + PROOF_S
         while True:
             as_of = self._group.as_of(seen)
-            if as_of is not None and as_of >= need:
+            fresh = as_of is not None and as_of >= need
+            if as_of is not None and fresh and self._group.committed(seen):
                 return as_of
-            if not await self._group.changed(deadline):
-                raise unproven("the age of the answer was not proven in time")
+            if not await self._group.changed(min(deadline, give_up)):
+                raise unproven("the answer was not proven fresh and lasting in time")
 
 
 def answer(rows: RowSet, status: ServerStatus, *, age_s: float) -> Rows:
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -169,6 +169,7 @@
             store.held,
             store.applied,
             self.primary,
+            store.term_start,
         )
 
     def touch(self) -> None:
@@ -196,11 +197,18 @@
         self.touch()
 
     def promote(self, term: int) -> None:
-        """Become the primary of a term to which this server was fenced."""
+        """Become the primary of a term to which this server was fenced.
+
+        The term opens with an entry that changes nothing, as a PostgreSQL server
+        writes one at its promotion.
+        """
         if term != self.store.term:
             raise PgError("55000", f"promotion for term {term} in {self.store.term}")
+        if self.primary:
+            return
         while self.store.applied < self.store.held:
             self.store.apply_next()
+        self.store.open_term()
         self.primary = True
         self.primary_address = None
         self.touch()
@@ -601,6 +609,7 @@
     ResultColumn("held", INT8),
     ResultColumn("applied", INT8),
     ResultColumn("is_primary", BOOL),
+    ResultColumn("term_start", INT8),
 ]
 LOG_COLUMNS = [
     ResultColumn("position", INT8),
--- a/mangoramp/standins/store.py
+++ b/mangoramp/standins/store.py
@@ -53,6 +53,7 @@
         self._conn.executescript(SCHEMA)
         self.term = self._read_meta("term")
         self.applied = self._read_meta("applied")
+        self.term_start = self._read_meta("term_start")
         self.held, self.log_term = self._read_tail()
 
     def connect(self, *, read_only: bool = False) -> sqlite3.Connection:
@@ -86,6 +87,13 @@
         self.held, self.log_term, self.applied = position, self.term, position
         return position
 
+    def open_term(self) -> None:
+        """Remember where the current term begins and open it with an empty entry."""
+        self.term_start = self.held
+        self._write_meta(self._conn, "term_start", self.term_start)
+        self._conn.execute("BEGIN IMMEDIATE")
+        self.commit(self._conn, ())
+
     def receive(self, entries: list[Entry]) -> None:
         """Hold entries that came from the primary, without applying them."""
         self._conn.execute("BEGIN IMMEDIATE")
