Follow a group's history through the terms that it went through

Each term now also keeps the term before it, and the history is followed from its end; status rows and the group object carry it (term_previous, TermStart.previous, required). Also: ports of the stand-ins come from below the system's outgoing ports; a fleet of processes had waited 20 s for one of its listeners while other fleets ran.

Ruled out: comparing offsets of later terms only (it is what failed); keeping the last term alone (positions of sessions in older terms could not be judged).

--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -12,7 +12,7 @@
 from ..errors import FaultError
 from ..events import SERVER_BACK, SERVER_LOST, emit
 from ..platform.objects import GroupObject, ServerState
-from ..policy.position import Lineage, Position
+from ..policy.position import Lineage, Origin, Position
 from ..policy.quorum import ServerStatus
 from ..policy.routing import Candidate
 from ..policy.view import Configuration, GroupView, Member
@@ -95,10 +95,6 @@
         """Whether a majority holds a write in the term in which it was run."""
         return self.view.is_acknowledged(position)
 
-    def committed(self, position: Position) -> bool:
-        """Whether everything up to a position is certain to outlast a failover."""
-        return self.view.is_committed(position)
-
     async def changed(self, deadline: float) -> bool:
         """Wait for the next news of a server.
 
@@ -171,5 +167,5 @@
     members = tuple(
         Member(s.name, s.failure_domain, s.slots, s.leaving) for s in spec.servers
     )
-    starts = tuple((start.term, start.position) for start in spec.starts)
-    return Configuration(spec.term, spec.primary, members, Lineage(starts))
+    origins = tuple(Origin(s.term, s.previous, s.position) for s in spec.starts)
+    return Configuration(spec.term, spec.primary, members, Lineage(origins))
--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -32,11 +32,13 @@
 
     Attributes:
         term: The term.
-        position: The primary's position at its promotion.
+        position: How many entries the primary held at its promotion.
+        previous: The term of the last of those entries, 0 if there was none.
     """
 
     term: int
     position: int
+    previous: int
 
 
 class GroupObject(msgspec.Struct, frozen=True):
@@ -47,14 +49,14 @@
         term: The current term.
         primary: The primary's name; empty while a failover runs.
         servers: All servers of the group.
-        starts: Where each term began, oldest first.
+        starts: Where each term began, oldest first; never empty.
     """
 
     name: str
     term: int
     primary: str
     servers: tuple[ServerState, ...]
-    starts: tuple[TermStart, ...] = ()
+    starts: tuple[TermStart, ...]
 
 
 class Row(msgspec.Struct, frozen=True):
--- a/mangoramp/policy/position.py
+++ b/mangoramp/policy/position.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -22,38 +23,78 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Lineage:
-    """Where each term of a group began.
+class Origin:
+    """Where a term began.
 
     Attributes:
-        starts: The offset at which each term began, by term, oldest first.
+        term: The term.
+        previous: The term of the last entry that its primary held at its promotion.
+        offset: How many entries its primary held then.
     """
 
-    starts: tuple[tuple[int, int], ...] = ()
+    term: int
+    previous: int
+    offset: int
+
+
+@dataclass(frozen=True)
+class Lineage:
+    """How a group's history runs through its terms.
 
-    def end_of(self, term: int) -> int | None:
-        """The offset at which the next term cut a term off, None while it lasts."""
-        for later, start in self.starts:
-            if later > term:
-                return start
-        return None
+    A failover may pass over a term: its primary's entries, which no majority held, are
+    then not part of the history, though a later term has more entries.
+
+    Attributes:
+        origins: Where each term began, oldest first.
+    """
+
+    origins: tuple[Origin, ...]
+
+    @cached_property
+    def ends(self) -> dict[int, int | None]:
+        """Where each term of the history was cut off, None for the last one."""
+        found: dict[int, int | None] = {}
+        origin, end = self.origins[-1], None
+        while origin.term not in found:
+            found[origin.term] = end
+            end = origin.offset
+            before = self._by_term.get(origin.previous)
+            if before is None:
+                found[origin.previous] = end
+                break
+            origin = before
+        return found
 
     def contains(self, position: Position) -> bool:
         """Whether a position is part of the group's history.
 
         A replaced primary may hold entries that no other server has; they are not.
         """
-        end = self.end_of(position.term)
+        if position.term not in self.ends:
+            return False
+        end = self.ends[position.term]
         return end is None or position.offset <= end
 
     def covers(self, have: Position, want: Position) -> bool:
-        """Whether a server at ``have`` shows everything up to ``want``."""
+        """Whether a server at ``have`` shows all that is left of ``want``."""
         if not self.contains(have):
             return False
-        if want.term > have.term:
+        left = self._left_of(want)
+        if left is None or left.term > have.term:
             return False
-        if want.term == have.term:
-            return want.offset <= have.offset
-        end = self.end_of(want.term)
-        offset = want.offset if end is None else min(want.offset, end)
-        return offset <= have.offset
+        return left.offset <= have.offset
+
+    @cached_property
+    def _by_term(self) -> dict[int, Origin]:
+        return {origin.term: origin for origin in self.origins}
+
+    def _left_of(self, position: Position) -> Position | None:
+        while position.term not in self.ends:
+            origin = self._by_term.get(position.term)
+            if origin is None:
+                return None
+            offset = min(position.offset, origin.offset)
+            position = Position(origin.previous, offset)
+        end = self.ends[position.term]
+        offset = position.offset if end is None else min(position.offset, end)
+        return Position(position.term, offset)
--- a/mangoramp/policy/quorum.py
+++ b/mangoramp/policy/quorum.py
@@ -22,6 +22,7 @@
         is_primary: Whether it takes writes in its term.
         asked_at: When it was asked, in seconds; what it says was true then or later.
         term_start: Of a primary, the entries that it held when its term began.
+        term_previous: Of a primary, the term of the last of those entries.
     """
 
     name: str
@@ -33,6 +34,7 @@
     is_primary: bool
     asked_at: float
     term_start: int = 0
+    term_previous: int = 0
 
     @property
     def position(self) -> Position:
--- a/mangoramp/policy/view.py
+++ b/mangoramp/policy/view.py
@@ -8,7 +8,7 @@
 from .freshness import Freshness, Mark
 from .position import START, Lineage, Position
 from .quorum import ServerStatus, committed, confirmed_at, is_acknowledged
-from .routing import Candidate
+from .routing import Candidate, ReadNeed
 
 STALE_S = 1.5
 
@@ -128,6 +128,25 @@
         """Whether everything up to a position is certain to outlast a failover."""
         return self.cfg.lineage.covers(self.committed, position)
 
+    def unproven(self, need: ReadNeed, position: Position) -> str:
+        """Why an answer may not be handed on yet.
+
+        Args:
+            need: What the read asked.
+            position: What the server showed after the read.
+
+        Returns:
+            The reason, empty if the answer is good.
+        """
+        if not self.cfg.lineage.covers(position, need.seen):
+            return "the server is behind the session"
+        as_of = self.as_of(position)
+        if as_of is None or as_of < need.as_of:
+            return "the age of the answer is not proven"
+        if not self.is_committed(position):
+            return "the answer shows what a failover might take back"
+        return ""
+
     def _candidate(self, member: Member, busy: int) -> Candidate:
         position = self.statuses[member.name].position
         return Candidate(
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -9,7 +9,6 @@
 from .endpoints.run import RowSet, read_status, run
 from .events import REQUEST_ROUTED, emit
 from .faults import no_server, unproven
-from .policy.position import Position
 from .policy.quorum import ServerStatus
 from .policy.routing import Chosen, ReadNeed, choose_reader
 from .proxies.messages import Rows, RunStatement
@@ -45,10 +44,7 @@
         need = ReadNeed(req.seen, self._clock() - req.max_age_s, req.failure_domain)
         chosen = await self._choose(need, req, deadline)
         rows, status = await self._read_at(chosen.server, req)
-        if not self._group.lineage.covers(status.position, req.seen):
-            raise unproven("the server fell behind the session", chosen.server)
-        as_of = await self._proven(status.position, need.as_of, deadline)
-        age_s = max(0.0, self._clock() - as_of)
+        age_s = await self._prove(need, status, deadline)
         return answer(rows, status, age_s=age_s)
 
     async def _choose(
@@ -77,15 +73,17 @@
             status = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
         return rows, status
 
-    async def _proven(self, seen: Position, need: float, deadline: float) -> float:
-        give_up = self._clock() + PROOF_S
-        while True:
-            as_of = self._group.as_of(seen)
-            fresh = as_of is not None and as_of >= need
-            if as_of is not None and fresh and self._group.committed(seen):
-                return as_of
-            if not await self._group.changed(min(deadline, give_up)):
-                raise unproven("the answer was not proven fresh and lasting in time")
+    async def _prove(
+        self, need: ReadNeed, status: ServerStatus, deadline: float
+    ) -> float:
+        view = self._group.view
+        give_up = min(deadline, self._clock() + PROOF_S)
+        while why := view.unproven(need, status.position):
+            behind = not view.cfg.lineage.covers(status.position, need.seen)
+            if behind or not await self._group.changed(give_up):
+                raise unproven(why, status.name)
+        as_of = view.as_of(status.position)
+        return max(0.0, self._clock() - (as_of or 0.0))
 
 
 def answer(rows: RowSet, status: ServerStatus, *, age_s: float) -> Rows:
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -170,6 +170,7 @@
             store.applied,
             self.primary,
             store.term_start,
+            store.term_previous,
         )
 
     def touch(self) -> None:
@@ -610,6 +611,7 @@
     ResultColumn("applied", INT8),
     ResultColumn("is_primary", BOOL),
     ResultColumn("term_start", INT8),
+    ResultColumn("term_previous", INT8),
 ]
 LOG_COLUMNS = [
     ResultColumn("position", INT8),
--- a/mangoramp/standins/fleet.py
+++ b/mangoramp/standins/fleet.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
+import os
+import socket
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
 from returns.result import Success
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 
 from ..catalog import KIND_GROUP, KIND_TABLE
 from ..operators.keys import give_key, make_signing_key
@@ -20,6 +22,11 @@
 from .platform import Platform
 
 HOST = "127.0.0.1"
+PORTS = range(20_000, 32_000)
+PORT_STRIDE = 97
+
+_offset = os.getpid() * PORT_STRIDE % len(PORTS)
+_ports = itertools.cycle([*PORTS[_offset:], *PORTS[:_offset]])
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +107,7 @@
             for domain, endpoint in self.endpoints.items()
         )
         name = self.options.group
-        group = GroupObject(name, 1, servers[0].name, servers, (TermStart(1, 0),))
+        group = GroupObject(name, 1, servers[0].name, servers, (TermStart(1, 0, 0),))
         await self.client.put(KIND_GROUP, name, group, version=0)
         shard = TableShard(self.options.rows)
         await self.client.put(KIND_TABLE, "0", shard, version=0)
@@ -128,9 +135,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports on loopback that nobody listens on."""
-    socks = [bind_sockets(0, address=HOST)[0] for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Find ports on loopback that nobody listens on.
+
+    They lie below those that the system gives to outgoing connections, which could
+    otherwise take one before its listener does.
+    """
+    return list(itertools.islice(filter(_is_free, _ports), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/mangoramp/standins/store.py
+++ b/mangoramp/standins/store.py
@@ -54,6 +54,7 @@
         self.term = self._read_meta("term")
         self.applied = self._read_meta("applied")
         self.term_start = self._read_meta("term_start")
+        self.term_previous = self._read_meta("term_previous")
         self.held, self.log_term = self._read_tail()
 
     def connect(self, *, read_only: bool = False) -> sqlite3.Connection:
@@ -89,8 +90,9 @@
 
     def open_term(self) -> None:
         """Remember where the current term begins and open it with an empty entry."""
-        self.term_start = self.held
+        self.term_start, self.term_previous = self.held, self.log_term
         self._write_meta(self._conn, "term_start", self.term_start)
+        self._write_meta(self._conn, "term_previous", self.term_previous)
         self._conn.execute("BEGIN IMMEDIATE")
         self.commit(self._conn, ())
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -120,7 +120,7 @@
             "term": 1,
             "primary": "s0",
             "servers": servers,
-            "starts": [{"term": 1, "position": 0}],
+            "starts": [{"term": 1, "position": 0, "previous": 0}],
         }
         path = self.folder / "seed.yaml"
         path.write_text(yaml.safe_dump({"groups": [group]}))
--- /dev/null
+++ b/tests/test_position.py
@@ -0,0 +1,26 @@
+from mangoramp.policy.position import START, Lineage, Origin, Position
+
+
+class TestLineage:
+    one = Lineage((Origin(1, 0, 0),))
+    skipped = Lineage(
+        (Origin(1, 0, 0), Origin(2, 0, 0), Origin(3, 1, 1), Origin(4, 2, 5))
+    )
+
+    def test_one_term_compares_offsets(self):
+        assert self.one.covers(Position(1, 3), Position(1, 3))
+        assert not self.one.covers(Position(1, 2), Position(1, 3))
+        assert self.one.covers(START, START)
+
+    def test_a_term_that_a_failover_passed_over_is_not_history(self):
+        assert not self.skipped.contains(Position(3, 2))
+        assert not self.skipped.contains(Position(1, 1))
+        assert self.skipped.contains(Position(2, 5))
+        assert not self.skipped.contains(Position(2, 6))
+
+    def test_what_is_left_of_a_passed_over_term_is_covered(self):
+        assert self.skipped.covers(Position(4, 6), Position(3, 2))
+
+    def test_a_term_not_known_yet_is_not_covered(self):
+        assert not self.skipped.covers(Position(4, 9), Position(5, 1))
+        assert not self.skipped.contains(Position(5, 1))
