--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from loguru import logger
 
+_encode = msgspec.json.Encoder(enc_hook=str).encode
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -66,6 +69,19 @@
     logger.remove()
     text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
     if json:
-        logger.add(sys.stderr, level=level, serialize=True)
+        logger.add(_write_json, level=level, format="")
     else:
         logger.add(sys.stderr, level=level, format=text)
+
+
+def _write_json(message: Any) -> None:
+    record = message.record
+    line = {
+        "time": record["time"].timestamp(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    sys.stderr.write(_encode(line).decode() + "\n")
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -26,6 +26,7 @@
 from pg_mimic.stream import ConnectionClosed
 from pg_mimic.types import BOOL, BYTEA, FLOAT8, INT8, TEXT
 
+from ._buffer import AnswerWriter
 from .store import Change, Entry, Params, Store
 
 PULL_WAIT_MS = 500
@@ -95,7 +96,7 @@
 
     async def _handle_client(self, reader: Any, writer: Any) -> None:
         with contextlib.suppress(ConnectionError):
-            await super()._handle_client(reader, writer)
+            await super()._handle_client(reader, AnswerWriter(writer))
 
 
 class Endpoint:
