--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..policy.table import Row as Row
+
 
 class ServerState(msgspec.Struct, frozen=True):
     """One database server of a group.
@@ -57,26 +59,6 @@
     starts: tuple[TermStart, ...] = ()
 
 
-class Row(msgspec.Struct, frozen=True):
-    """A row of the operators' table.
-
-    Attributes:
-        customer: Whom the row is for.
-        group: For which database group.
-        weight: The customer's share when servers are busy.
-        rate: Requests a second over the whole fleet.
-        burst: Requests at once over the whole fleet.
-        read_age_s: Age of data that reads accept, in seconds.
-    """
-
-    customer: str
-    group: str
-    weight: float
-    rate: float
-    burst: float
-    read_age_s: float
-
-
 class TableShard(msgspec.Struct, frozen=True):
     """A part of the operators' table, in the kind ``table``."""
 
