Conditional imports of the table, keys' commands, and read-back of lost answers

Cause: an import took the version from the platform itself, so the second of two operators overwrote the first without a word; a lost answer was a failure.

--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -51,6 +51,7 @@
     NO_HOME = "no_home"
     TIMEOUT = "timeout"
     CONNECTION_LOST = "connection_lost"
+    CONFLICT = "conflict"
     INTERNAL = "internal"
 
 
@@ -72,6 +73,7 @@
     Code.NO_HOME: 503,
     Code.TIMEOUT: 504,
     Code.CONNECTION_LOST: 502,
+    Code.CONFLICT: 409,
     Code.INTERNAL: 500,
 }
 
--- /dev/null
+++ b/mangoramp/operators/output.py
@@ -0,0 +1,70 @@
+"""What the operators' commands share: calls, exit codes, and how they print."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from enum import IntEnum
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Result
+
+from ..errors import Code, Fault, Outcome
+from ..platform.client import PlatformClient
+
+T = TypeVar("T")
+
+
+class Exit(IntEnum):
+    """The exit codes of all commands."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNKNOWN = 4
+
+
+def call(
+    url: str, action: Callable[[PlatformClient], Awaitable[Result[T, Fault]]]
+) -> Result[T, Fault]:
+    """Do one action with a client of the platform."""
+    return asyncio.run(_call(url, action))
+
+
+def fail(fault: Fault) -> Exit:
+    """Print a fault and tell the exit code that it stands for."""
+    print(f"mangoramp: {fault.message}", file=sys.stderr)
+    if fault.outcome is Outcome.UNKNOWN and fault.code is not Code.NO_SERVER:
+        return Exit.UNKNOWN
+    if fault.code is Code.CONFLICT:
+        return Exit.CONFLICT
+    return Exit.USAGE if fault.code is Code.BAD_REQUEST else Exit.FAILED
+
+
+def print_json(value: object) -> None:
+    """Print a value for programs."""
+    text: Any = json.loads(msgspec.json.encode(value))
+    print(json.dumps(text, indent=2, ensure_ascii=False))
+
+
+def print_table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print rows for people, in columns."""
+    lines = [[str(cell) for cell in line] for line in (head, *rows)]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(head))]
+    for line in lines:
+        cells = [c.ljust(w) for c, w in zip(line, widths, strict=True)]
+        print("  ".join(cells).rstrip())
+
+
+async def _call(
+    url: str, action: Callable[[PlatformClient], Awaitable[Result[T, Fault]]]
+) -> Result[T, Fault]:
+    client = PlatformClient(url)
+    try:
+        return await action(client)
+    finally:
+        client.close()
--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -72,11 +72,13 @@
         customer: Whose key it is.
         salt: Salt of the hash, in hexadecimal.
         digest: Hash of the key, in hexadecimal.
+        created_s: When it was given, in seconds since 1970.
     """
 
     customer: str
     salt: str
     digest: str
+    created_s: float = 0.0
 
 
 class SigningKey(msgspec.Struct, frozen=True):
@@ -99,9 +101,11 @@
         failure_domain: Where it runs.
         address: Where its peers reach it, as a pynng URL.
         leaving: Whether it is shutting down.
+        admin: Where its status is shown, as ``http://host:port``.
     """
 
     name: str
     failure_domain: str
     address: str
     leaving: bool = False
+    admin: str = ""
--- /dev/null
+++ b/mangoramp/standins/commands.py
@@ -0,0 +1,87 @@
+"""The commands ``mangoramp standin platform|seed|endpoint``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from pathlib import Path
+
+from returns.result import Success
+from tornado.httpserver import HTTPServer
+
+from ..operators.output import Exit, call, fail
+from ..signals import stop_signal
+from .endpoint import Endpoint, EndpointOptions, control_application
+from .platform import Platform
+from .seed import seed
+
+
+def add_standin_commands(parser: argparse.ArgumentParser) -> None:
+    """Add the kinds of stand-ins."""
+    kinds = parser.add_subparsers(required=True, metavar="KIND")
+    platform = kinds.add_parser("platform", help="the platform's object API")
+    platform.add_argument("--port", type=int, required=True)
+    platform.set_defaults(run=_platform)
+    fill = kinds.add_parser("seed", help="fill the platform's stand-in from a file")
+    fill.add_argument("--platform", required=True)
+    fill.add_argument("--file", type=Path, required=True)
+    fill.set_defaults(run=_seed)
+    endpoint = kinds.add_parser("endpoint", help="a database server")
+    endpoint.add_argument("--name", required=True)
+    endpoint.add_argument("--path", type=Path, required=True)
+    endpoint.add_argument("--port", type=int, required=True)
+    endpoint.add_argument("--control-port", type=int, required=True)
+    endpoint.add_argument("--slots", type=int, default=2)
+    endpoint.add_argument("--connections", type=int, default=16)
+    endpoint.add_argument("--connect-s", type=float, default=0.0)
+    endpoint.add_argument("--statement-s", type=float, default=0.0)
+    endpoint.add_argument("--primary", action="store_true")
+    endpoint.add_argument("--follow", type=int, metavar="PORT")
+    endpoint.set_defaults(run=_endpoint)
+
+
+def _platform(args: argparse.Namespace) -> Exit:
+    asyncio.run(_run_platform(args.port))
+    return Exit.OK
+
+
+def _seed(args: argparse.Namespace) -> Exit:
+    done = call(args.platform, lambda client: seed(client, args.file))
+    if not isinstance(done, Success):
+        return fail(done.failure())
+    print(f"{done.unwrap()} groups created")
+    return Exit.OK
+
+
+def _endpoint(args: argparse.Namespace) -> Exit:
+    options = EndpointOptions(
+        name=args.name,
+        path=args.path,
+        port=args.port,
+        slots=args.slots,
+        connections=args.connections,
+        connect_s=args.connect_s,
+        statement_s=args.statement_s,
+        primary=args.primary,
+    )
+    asyncio.run(_run_endpoint(options, args.control_port, args.follow))
+    return Exit.OK
+
+
+async def _run_platform(port: int) -> None:
+    server = HTTPServer(Platform().application())
+    server.listen(port, address="127.0.0.1")
+    await stop_signal().wait()
+
+
+async def _run_endpoint(
+    options: EndpointOptions, control_port: int, follow: int | None
+) -> None:
+    endpoint = Endpoint(options)
+    await endpoint.start()
+    if follow is not None:
+        endpoint.follow(1, (options.host, follow))
+    control = HTTPServer(control_application(endpoint))
+    control.listen(control_port, address=options.host)
+    await stop_signal().wait()
+    await endpoint.stop()
