--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -1,15 +1,25 @@
 """The settings of a proxy, read from YAML and checked before anything starts."""
 
-from __future__ import annotations
+# No postponed annotations here: cattrs would lose the rules in them.
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-import cattrs
 import yaml
-from cattrs.gen import make_dict_structure_fn
 from returns.result import Failure, Result, Success
 
+from .settings_types import Choice, Pattern, Range, UniqueKeysLoader, structure
+
+IP = r"(\d{1,3}\.){3}\d{1,3}"
+NAME_TEXT = "1 to 63 letters, digits, dots, dashes or underscores"
+Name = Annotated[str, Pattern(r"[A-Za-z0-9][\w.-]{0,62}", NAME_TEXT)]
+Port = Annotated[int, Range(1, 65_535, "port")]
+Host = Annotated[str, Pattern(IP, "an IP number, as 127.0.0.1")]
+Url = Annotated[str, Pattern(r"https?://[^\s/:]+:\d{1,5}/?", "http://host:port")]
+Peer = Annotated[str, Pattern(rf"tcp://{IP}:\d{{1,5}}", "tcp://IP:port")]
+Level = Annotated[str, Choice(("DEBUG", "INFO", "WARNING", "ERROR"))]
+
 
 @dataclass(frozen=True, slots=True)
 class LogSettings:
@@ -20,7 +30,7 @@
         json: One JSON object a line if true, else text.
     """
 
-    level: str = "INFO"
+    level: Level = "INFO"
     json: bool = True
 
 
@@ -34,29 +44,27 @@
         platform: The platform's address, as ``http://host:port``.
         listen_host: Address for callers.
         listen_port: Port for callers.
-        metrics_port: Port for metrics, on the same address.
+        metrics_port: Port for health, metrics and status, on the same address.
         peer_address: Where other proxies reach this one, as ``tcp://ip:port``.
         failure_domains: How many failure domains share each server's connections.
         log: How the process logs.
     """
 
-    name: str
-    failure_domain: str
-    platform: str
-    listen_host: str
-    listen_port: int
-    metrics_port: int
-    peer_address: str
-    failure_domains: int = 3
+    name: Name
+    failure_domain: Name
+    platform: Url
+    listen_host: Host
+    listen_port: Port
+    metrics_port: Port
+    peer_address: Peer
+    failure_domains: Annotated[int, Range(1, 64, "failure domains")] = 3
     log: LogSettings = LogSettings()
 
-
-def _converter() -> cattrs.Converter:
-    conv = cattrs.Converter(forbid_extra_keys=True)
-    for type_ in (LogSettings, ProxySettings):
-        hook = make_dict_structure_fn(type_, conv, _cattrs_forbid_extra_keys=True)
-        conv.register_structure_hook(type_, hook)
-    return conv
+    @property
+    def admin_address(self) -> str:
+        """Where health, metrics and status are shown, as ``http://ip:port``."""
+        host = self.peer_address.removeprefix("tcp://").rpartition(":")[0]
+        return f"http://{host}:{self.metrics_port}"
 
 
 def load_settings(path: Path) -> Result[ProxySettings, tuple[str, ...]]:
@@ -69,10 +77,21 @@
         The settings, or every mistake in the file.
     """
     try:
-        raw = yaml.safe_load(path.read_text())
-    except (OSError, yaml.YAMLError) as exc:
-        return Failure((str(exc),))
-    try:
-        return Success(_converter().structure(raw, ProxySettings))
-    except cattrs.BaseValidationError as exc:
-        return Failure(tuple(cattrs.transform_error(exc)))
+        raw = yaml.load(path.read_text(encoding="utf-8"), UniqueKeysLoader)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
+        return Failure((f"{path}: {exc}",))
+    found = structure(raw, ProxySettings)
+    return found.bind(_check_ports)
+
+
+def _check_ports(cfg: ProxySettings) -> Result[ProxySettings, tuple[str, ...]]:
+    peer_port = int(cfg.peer_address.rpartition(":")[2])
+    ports = {"listen_port": cfg.listen_port, "metrics_port": cfg.metrics_port}
+    mistakes = []
+    if cfg.listen_port == cfg.metrics_port:
+        found = f"{cfg.metrics_port}, as listen_port"
+        mistakes.append(f"metrics_port: found {found}, allowed: a port of its own")
+    if peer_port in ports.values() or not 0 < peer_port <= 65_535:
+        found = f"port {peer_port}"
+        mistakes.append(f"peer_address: found {found}, allowed: a port of its own")
+    return Failure(tuple(mistakes)) if mistakes else Success(cfg)
--- a/mangoramp/standins/commands.py
+++ b/mangoramp/standins/commands.py
@@ -4,6 +4,8 @@
 
 import argparse
 import asyncio
+import sys
+from dataclasses import replace
 from pathlib import Path
 
 from returns.result import Success
@@ -13,7 +15,7 @@
 from ..signals import stop_signal
 from .endpoint import Endpoint, EndpointOptions, control_application
 from .platform import Platform
-from .seed import seed
+from .seed import Seed, read_seed, seed
 
 
 def add_standin_commands(parser: argparse.ArgumentParser) -> None:
@@ -29,7 +31,8 @@
     endpoint = kinds.add_parser("endpoint", help="a database server")
     endpoint.add_argument("--name", required=True)
     endpoint.add_argument("--path", type=Path, required=True)
-    endpoint.add_argument("--port", type=int, required=True)
+    endpoint.add_argument("--seed", type=Path, help="take all else from a seed file")
+    endpoint.add_argument("--port", type=int, default=0)
     endpoint.add_argument("--control-port", type=int, required=True)
     endpoint.add_argument("--slots", type=int, default=2)
     endpoint.add_argument("--connections", type=int, default=16)
@@ -64,10 +67,39 @@
         statement_s=args.statement_s,
         primary=args.primary,
     )
-    asyncio.run(_run_endpoint(options, args.control_port, args.follow))
+    follow = args.follow
+    if args.seed is not None:
+        found = _from_seed(read_seed(args.seed), options)
+        if found is None:
+            print(f"mangoramp: no server {args.name} in {args.seed}", file=sys.stderr)
+            return Exit.USAGE
+        options, follow = found
+    asyncio.run(_run_endpoint(options, args.control_port, follow))
     return Exit.OK
 
 
+def _from_seed(
+    wanted: Seed, options: EndpointOptions
+) -> tuple[EndpointOptions, int | None] | None:
+    for group in wanted.groups:
+        ports = {server.name: server.port for server in group.servers}
+        for server in group.servers:
+            if server.name != options.name:
+                continue
+            primary = server.name == group.primary
+            filled = replace(
+                options,
+                host=server.host,
+                port=server.port,
+                slots=server.slots,
+                connections=server.connections,
+                connect_s=wanted.connect_s,
+                primary=primary,
+            )
+            return filled, None if primary else ports.get(group.primary)
+    return None
+
+
 async def _run_platform(port: int) -> None:
     server = HTTPServer(Platform().application())
     server.listen(port, address="127.0.0.1")
--- a/mangoramp/standins/seed.py
+++ b/mangoramp/standins/seed.py
@@ -15,9 +15,20 @@
 
 
 class Seed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a seed file holds."""
+    """What a seed file holds.
+
+    Attributes:
+        groups: The database groups.
+        connect_s: Seconds that a new connection to a stand-in server takes.
+    """
 
     groups: tuple[GroupObject, ...]
+    connect_s: float = 0.0
+
+
+def read_seed(path: Path) -> Seed:
+    """Read a seed file."""
+    return msgspec.yaml.decode(path.read_bytes(), type=Seed)
 
 
 async def seed(client: PlatformClient, path: Path) -> Result[int, Fault]:
@@ -30,7 +41,7 @@
     Returns:
         How many groups were created.
     """
-    wanted = msgspec.yaml.decode(path.read_bytes(), type=Seed)
+    wanted = read_seed(path)
     created = 0
     for group in wanted.groups:
         made = await client.put(KIND_GROUP, group.name, group, version=0)
