One error form for bad input, a session ahead is refused at once, no key in any log

Cause: deep JSON, integers over 64 bits and unknown methods had no form of their own (405 came as 400; RecursionError and msgpack's overflow as 500); a body over the limit was tornado's bare 400; infinite Retry-After; a session that names a future position waited for its time-out; loguru's diagnose would show keys in tracebacks; refusals logged SQL.

--- a/mangoramp/callers/app.py
+++ b/mangoramp/callers/app.py
@@ -2,28 +2,42 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated
 
 import msgspec
 import tornado.web
+from msgspec import Meta
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Outcome, Step
 from ..ingress import Ingress, StatementAnswer, StatementRequest
-from ..proxies.messages import Param
+from .base import (
+    MAX_BODY_BYTES,
+    MAX_DISCARDED_BYTES,
+    MAX_TIMEOUT_S,
+    MIN_TIMEOUT_S,
+    BaseHandler,
+    FaultBody,
+)
 
-MAX_BODY_BYTES = 1_000_000
 DEFAULT_TIMEOUT_S = 10.0
-MAX_TIMEOUT_S = 60.0
+MAX_AGE_S = 86_400.0
+MAX_PARAMS = 32_767
+MAX_INT = 2**63 - 1
 TOKEN_HEADER = "Mangoramp-Session"
 TOKEN_COOKIE = "mangoramp-session"
 
+Int64 = Annotated[int, Meta(ge=-MAX_INT - 1, le=MAX_INT)]
+Text = Annotated[str, Meta(pattern="^[^\0]*$")]
+Param = Text | Int64 | float | bool | None
+Params = Annotated[tuple[Param, ...], Meta(max_length=MAX_PARAMS)]
+
 
 class StatementBody(msgspec.Struct, forbid_unknown_fields=True):
     """The body of a statement's request."""
 
     sql: str
-    params: tuple[Param, ...] = ()
+    params: Params = ()
 
 
 class AnswerBody(msgspec.Struct):
@@ -39,73 +53,6 @@
     repeated: bool
 
 
-class FaultBody(msgspec.Struct):
-    """The one error form."""
-
-    outcome: Outcome
-    code: Code
-    message: str
-    step: Step
-    peer: str
-    retry_after_s: float | None
-    sqlstate: str
-
-
-class BaseHandler(tornado.web.RequestHandler):
-    """What all handlers share: one form for answers and one for errors."""
-
-    def answer(self, status: int, body: Any) -> None:
-        """Send a JSON answer."""
-        self.set_status(status)
-        self.set_header("Content-Type", "application/json")
-        self.finish(msgspec.json.encode(body))
-
-    def refuse(self, fault: Fault) -> None:
-        """Send a fault in the one error form."""
-        if fault.retry_after_s is not None:
-            self.set_header("Retry-After", f"{fault.retry_after_s:.3f}")
-        body = FaultBody(
-            outcome=fault.outcome,
-            code=fault.code,
-            message=fault.message,
-            step=fault.step,
-            peer=fault.peer,
-            retry_after_s=fault.retry_after_s,
-            sqlstate=fault.sqlstate,
-        )
-        self.answer(fault.status, body)
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answer what tornado refused, or what broke here, in the one error form."""
-        if status_code < 500:
-            self.set_status(status_code)
-            self.refuse(Fault(Code.BAD_REQUEST, self._reason, Step.PARSE))
-            return
-        message = "the proxy failed"
-        unknown = Outcome.UNKNOWN
-        self.refuse(Fault(Code.INTERNAL, message, Step.RUN, outcome=unknown))
-
-    @property
-    def key(self) -> str:
-        """The caller's key, empty if none was shown."""
-        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
-        return key.strip() if scheme.lower() == "bearer" else ""
-
-    def seconds(self, name: str, *, most: float) -> Result[float | None, Fault]:
-        """Read a header that holds seconds, None if it is not there."""
-        text = self.request.headers.get(name)
-        if text is None:
-            return Success(None)
-        try:
-            value = float(text)
-        except ValueError:
-            value = -1.0
-        if not 0 <= value <= most:
-            message = f"{name} must be a number from 0 to {most:g}, not {text!r}"
-            return Failure(Fault(Code.BAD_REQUEST, message, Step.PARSE))
-        return Success(value)
-
-
 class StatementHandler(BaseHandler):
     """``POST /v1/groups/{group}/statements``."""
 
@@ -142,36 +89,29 @@
         self.answer(200, body)
 
     def _request(self, group: str) -> Result[StatementRequest, Fault]:
-        try:
-            body = msgspec.json.decode(self.request.body, type=StatementBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            message = f"the body is refused: {exc}"
-            return Failure(Fault(Code.BAD_REQUEST, message, Step.PARSE))
-        max_age = self.seconds("Mangoramp-Max-Age", most=86_400)
-        timeout = self.seconds("Mangoramp-Timeout", most=MAX_TIMEOUT_S)
-        for header in (max_age, timeout):
-            if not isinstance(header, Success):
-                return Failure(header.failure())
-        return Success(self._build(group, body, max_age.unwrap(), timeout.unwrap()))
-
-    def _build(
-        self,
-        group: str,
-        body: StatementBody,
-        max_age_s: float | None,
-        timeout_s: float | None,
-    ) -> StatementRequest:
+        body = self.decode_body(StatementBody)
+        max_age = self.seconds("Mangoramp-Max-Age", most=MAX_AGE_S)
+        timeout = self.seconds(
+            "Mangoramp-Timeout", least=MIN_TIMEOUT_S, most=MAX_TIMEOUT_S
+        )
+        once = self.idempotency_key()
+        for part in (body, max_age, timeout, once):
+            if not isinstance(part, Success):
+                return Failure(part.failure())
+        timeout_s = timeout.unwrap()
         headers = self.request.headers
         token = headers.get(TOKEN_HEADER) or self.get_cookie(TOKEN_COOKIE) or ""
-        return StatementRequest(
-            group=group,
-            key=self.key,
-            sql=body.sql,
-            params=body.params,
-            token=token,
-            idempotency_key=headers.get("Idempotency-Key", ""),
-            max_age_s=max_age_s,
-            timeout_s=DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s,
+        return Success(
+            StatementRequest(
+                group=group,
+                key=self.key,
+                sql=body.unwrap().sql,
+                params=body.unwrap().params,
+                token=token,
+                idempotency_key=once.unwrap(),
+                max_age_s=max_age.unwrap(),
+                timeout_s=DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s,
+            )
         )
 
 
@@ -180,7 +120,7 @@
 
     def prepare(self) -> None:
         """Refuse."""
-        self.refuse(Fault(Code.GROUP_UNKNOWN, "there is no such route", Step.PARSE))
+        self.refuse(Fault(Code.ROUTE_UNKNOWN, "there is no such route", Step.PARSE))
 
 
 def callers_application(ingress: Ingress) -> tornado.web.Application:
@@ -195,3 +135,13 @@
         default_handler_class=NotFoundHandler,
         log_function=lambda handler: None,
     )
+
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_DISCARDED_BYTES",
+    "BaseHandler",
+    "FaultBody",
+    "StatementHandler",
+    "callers_application",
+]
--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -41,6 +41,8 @@
     FORBIDDEN = "forbidden"
     SESSION_INVALID = "session_invalid"
     SESSION_AHEAD = "session_ahead"
+    ROUTE_UNKNOWN = "route_unknown"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     GROUP_UNKNOWN = "group_unknown"
     TRANSACTION_UNKNOWN = "transaction_unknown"
     KEY_REUSED = "idempotency_key_reused"
@@ -63,6 +65,8 @@
     Code.FORBIDDEN: 403,
     Code.SESSION_INVALID: 400,
     Code.SESSION_AHEAD: 409,
+    Code.ROUTE_UNKNOWN: 404,
+    Code.METHOD_NOT_ALLOWED: 405,
     Code.GROUP_UNKNOWN: 404,
     Code.TRANSACTION_UNKNOWN: 404,
     Code.KEY_REUSED: 409,
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import logging
+import re
 import sys
 from dataclasses import dataclass
 from typing import Any
 
 from loguru import logger
 
+KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
+MAX_SAID_CHARS = 500
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -27,6 +32,8 @@
 PROXY_STARTED = Event(100, "INFO", "proxy started")
 PROXY_STOPPING = Event(101, "INFO", "proxy stopping")
 PROXY_STOPPED = Event(102, "INFO", "proxy stopped")
+LIBRARY_MESSAGE = Event(103, "WARNING", "message of a library")
+HANDLER_FAILED = Event(104, "ERROR", "handler of a request failed")
 REQUEST_ROUTED = Event(200, "INFO", "request routed to a server")
 REQUEST_FORWARDED = Event(201, "INFO", "request forwarded to the home of its group")
 REQUEST_REFUSED = Event(202, "INFO", "request refused")
@@ -65,7 +72,16 @@
     """
     logger.remove()
     text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
+    # With diagnose, tracebacks would show the values of variables, keys among them.
     if json:
-        logger.add(sys.stderr, level=level, serialize=True)
+        logger.add(sys.stderr, level=level, serialize=True, diagnose=False)
     else:
-        logger.add(sys.stderr, level=level, format=text)
+        logger.add(sys.stderr, level=level, format=text, diagnose=False)
+    logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
+
+
+class _LibraryHandler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a library's message as an event, without any key in it."""
+        said = KEY_LIKE.sub("mr_...", record.getMessage())
+        emit(LIBRARY_MESSAGE, library=record.name, said=said[:MAX_SAID_CHARS])
--- a/mangoramp/faults.py
+++ b/mangoramp/faults.py
@@ -13,6 +13,13 @@
     return FaultError(fault)
 
 
+def session_ahead(group: str) -> FaultError:
+    """The session has seen what the group is not known to hold."""
+    message = f"the session is ahead of the group {group}"
+    step = Step.SESSION
+    return FaultError(Fault(Code.SESSION_AHEAD, message, step, retry_after_s=1.0))
+
+
 def unproven(why: str, peer: str = "") -> FaultError:
     """A read was run, but its answer is not proven good enough."""
     return _unknown(Code.NO_SERVER, why, Step.CONFIRM, peer)
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
@@ -9,12 +12,17 @@
 from .catalog import Catalog
 from .errors import Code, Fault, Outcome, Step
 from .events import REQUEST_REFUSED, emit
+from .faults import session_ahead
 from .homes import Homes
 from .policy.keys import check_key
-from .policy.session import Session, decode_session, encode_session
+from .policy.position import Position
+from .policy.session import Session, decode_session, encode_session, is_ahead_of_term
 from .policy.statement import classify
 from .proxies.messages import Param, Refused, Rows, RunStatement
 
+TERM_WAIT_S = 1.0
+TERM_POLL_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class StatementRequest:
@@ -56,52 +64,91 @@
         catalog: What is known from the platform.
         homes: The way to the groups' homes.
         failure_domain: Where this proxy runs.
+        clock: Tells the time in seconds.
     """
 
-    def __init__(self, catalog: Catalog, homes: Homes, failure_domain: str) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        homes: Homes,
+        failure_domain: str,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
+        self._clock = clock
 
     async def run(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
         """Run one statement for a caller."""
         answer = await self._checked(req)
         if isinstance(answer, Failure):
-            fault = answer.failure()
-            emit(
-                REQUEST_REFUSED,
-                group=req.group,
-                code=fault.code,
-                step=fault.step,
-                peer=fault.peer,
-                outcome=fault.outcome,
-                reason=fault.message,
-            )
+            self._log_refusal(req.group, answer.failure())
         return answer
 
-    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
-        customer = check_key(req.key, self._catalog.keys)
+    def open_session(self, key: str, token: str) -> Result[Session, Fault]:
+        """Check a caller's key, and its session token against the key's customer.
+
+        Args:
+            key: The caller's key.
+            token: The session token, empty for a new session.
+        """
+        customer = check_key(key, self._catalog.keys)
         if not isinstance(customer, Success):
             return Failure(customer.failure())
         keys = self._catalog.signing_keys
         if keys is None:
             return Failure(Fault(Code.INTERNAL, "no signing key yet", Step.SESSION))
-        session = decode_session(req.token, customer.unwrap(), keys)
+        return decode_session(token, customer.unwrap(), keys)
+
+    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
+        session = self.open_session(req.key, req.token)
         if not isinstance(session, Success):
             return Failure(session.failure())
         prepared = self._prepare(req, session.unwrap())
         if not isinstance(prepared, Success):
             return Failure(prepared.failure())
+        if not await self._reached(req.group, prepared.unwrap().seen):
+            return Failure(session_ahead(req.group).fault)
         answer = await self._homes.send(prepared.unwrap())
         if isinstance(answer, Refused):
             return Failure(answer.fault)
-        if not isinstance(answer, Rows):
+        keys = self._catalog.signing_keys
+        if not isinstance(answer, Rows) or keys is None:
             message = "the home's answer is none"
             unknown = Outcome.UNKNOWN
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
         seen = session.unwrap().merged(req.group, answer.position)
         return Success(StatementAnswer(answer, encode_session(seen, keys)))
 
+    async def _reached(self, group: str, seen: Position) -> bool:
+        """Wait a little for the platform to tell of a term that a session has seen."""
+        give_up = self._clock() + TERM_WAIT_S
+        while is_ahead_of_term(seen, self._term(group)):
+            if self._clock() >= give_up:
+                return False
+            await asyncio.sleep(TERM_POLL_S)
+        return True
+
+    def _term(self, group: str) -> int:
+        spec = self._catalog.groups.get(group)
+        return 0 if spec is None else spec.term
+
+    def _log_refusal(self, group: str, fault: Fault) -> None:
+        known = group in self._catalog.groups
+        secret = fault.code in (Code.STATEMENT_FAILED, Code.BAD_REQUEST)
+        emit(
+            REQUEST_REFUSED,
+            group=group if known else "",
+            code=fault.code,
+            step=fault.step,
+            peer=fault.peer,
+            outcome=fault.outcome,
+            sqlstate=fault.sqlstate,
+            reason="" if secret or not known else fault.message,
+        )
+
     def _prepare(
         self, req: StatementRequest, session: Session
     ) -> Result[RunStatement, Fault]:
--- a/mangoramp/policy/session.py
+++ b/mangoramp/policy/session.py
@@ -12,7 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Step
-from .position import START, Position
+from .position import START, Lineage, Position
+from .quorum import ServerStatus
 
 MAX_TOKEN_CHARS = 4096
 MAX_GROUPS = 64
@@ -104,6 +105,30 @@
     return Success(Session(customer, seen))
 
 
+def is_ahead_of_term(seen: Position, term: int) -> bool:
+    """Whether a session has seen a term that a group is not known to have reached."""
+    return seen.term > term
+
+
+def is_ahead_of_log(
+    seen: Position, primary: ServerStatus | None, lineage: Lineage, *, since: float
+) -> bool:
+    """Whether a session names a place in the log that its group has not reached.
+
+    A log only grows while a term lasts, so a primary that was asked after the session
+    came, and has less, proves it.
+
+    Args:
+        seen: What the session has seen.
+        primary: What the primary last said, None if it is not known.
+        lineage: Where the group's terms began.
+        since: When the session came, in seconds.
+    """
+    if primary is None or primary.asked_at < since:
+        return False
+    return not lineage.covers(primary.tail, seen) and seen.term <= primary.term
+
+
 def _sign(body: bytes, secret: bytes) -> bytes:
     return hmac.digest(secret, body, "sha256")[:DIGEST_BYTES]
 
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 from tornado.httpserver import HTTPServer
 
-from .callers.app import MAX_BODY_BYTES, callers_application
+from .callers.app import MAX_DISCARDED_BYTES, callers_application
 from .callers.health import health_application
 from .catalog import KIND_INSTANCE, Catalog
 from .errors import Code, Fault, Step
@@ -84,7 +84,7 @@
     def _listen(self) -> None:
         cfg = self.cfg
         callers = HTTPServer(
-            callers_application(self._ingress), max_body_size=MAX_BODY_BYTES
+            callers_application(self._ingress), max_body_size=MAX_DISCARDED_BYTES
         )
         callers.listen(cfg.listen_port, address=cfg.listen_host)
         health = HTTPServer(health_application(self.registry, lambda: self.ready))
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -8,10 +8,11 @@
 from .endpoints.group import Group
 from .endpoints.run import RowSet, read_status, run
 from .events import REQUEST_ROUTED, emit
-from .faults import no_server, unproven
+from .faults import no_server, session_ahead, unproven
 from .policy.position import Position
 from .policy.quorum import ServerStatus
 from .policy.routing import Chosen, ReadNeed, choose_reader
+from .policy.session import is_ahead_of_log
 from .proxies.messages import Rows, RunStatement
 
 STATUS_TIMEOUT_S = 1.0
@@ -55,7 +56,10 @@
         self, need: ReadNeed, req: RunStatement, deadline: float
     ) -> Chosen:
         group = self._group
+        started = self._clock()
         while True:
+            if is_ahead_of_log(need.seen, group.primary, group.lineage, since=started):
+                raise session_ahead(req.group)
             choice = choose_reader(need, group.candidates(), group.lineage)
             emit(
                 REQUEST_ROUTED,
