--- a/mangoramp/callers/health.py
+++ b/mangoramp/callers/health.py
@@ -1,9 +1,10 @@
-"""The routes open to all: health, readiness and metrics."""
+"""The routes open to all: health, readiness, metrics and status."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import msgspec
 import tornado.web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
@@ -43,14 +44,37 @@
         self.finish(generate_latest(self.registry))
 
 
+class StatusHandler(tornado.web.RequestHandler):
+    """``GET /v1/status``: what the proxy knows and does, as JSON."""
+
+    def initialize(self, report: Callable[[], msgspec.Struct]) -> None:
+        """Remember how to tell."""
+        self.report = report
+
+    def get(self) -> None:
+        """Answer the status."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(self.report()))
+
+
 def health_application(
-    registry: CollectorRegistry, is_ready: Callable[[], bool]
+    registry: CollectorRegistry,
+    is_ready: Callable[[], bool],
+    report: Callable[[], msgspec.Struct],
 ) -> tornado.web.Application:
-    """The application for health, readiness and metrics."""
+    """The application for health, readiness, metrics and status.
+
+    Args:
+        registry: The metrics.
+        is_ready: Tells whether the process takes requests.
+        report: Tells what the process knows and does.
+    """
     return tornado.web.Application(
         [
             ("/health", HealthHandler),
             ("/ready", ReadyHandler, {"is_ready": is_ready}),
             ("/metrics", MetricsHandler, {"registry": registry}),
-        ]
+            ("/v1/status", StatusHandler, {"report": report}),
+        ],
+        log_function=lambda handler: None,
     )
--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from .events import GROUP_CHANGED, TABLE_CHANGED, emit
@@ -24,6 +25,7 @@
 KIND_KEY = "key"
 KIND_SIGNING_KEY = "signing-key"
 KIND_INSTANCE = "instance"
+SIGNING_KEY_SETTLES_S = 30.0
 
 
 class Catalog:
@@ -54,12 +56,24 @@
         """The version of the table that is in force."""
         return max((shard.version for shard in self._shards.values()), default=0)
 
+    @property
+    def heard_at(self) -> float | None:
+        """When the platform last answered every watch, None if it never has."""
+        oldest = min(watch.heard_at for watch in self._watches)
+        return oldest if oldest >= 0 else None
+
     @property
     def signing_keys(self) -> SigningKeys | None:
         """The keys that sign session tokens, None before there are any."""
         if not self._signing:
             return None
-        current = max(self._signing, key=lambda i: (self._signing[i].created_s, i))
+        # A new key signs only after every proxy has had the time to learn it.
+        settled_s = time.time() - SIGNING_KEY_SETTLES_S
+        settled = [i for i in self._signing if self._signing[i].created_s < settled_s]
+        if settled:
+            current = max(settled, key=lambda i: (self._signing[i].created_s, i))
+        else:
+            current = min(self._signing, key=lambda i: (self._signing[i].created_s, i))
         secrets = {i: bytes.fromhex(k.secret) for i, k in self._signing.items()}
         return SigningKeys(secrets, current)
 
--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -13,6 +13,7 @@
 from .demo import demo
 from .operators.key_commands import add_key_commands
 from .operators.output import Exit
+from .operators.status_command import add_status_command
 from .operators.table_commands import add_table_commands
 from .proxy import Proxy, run_until_stopped
 from .settings import ProxySettings, load_settings
@@ -52,6 +53,7 @@
     check.set_defaults(run=_check)
     add_table_commands(commands.add_parser("table", help="the operators' table"))
     add_key_commands(commands.add_parser("keys", help="customers' keys"))
+    add_status_command(commands.add_parser("status", help="the state of the fleet"))
     show = commands.add_parser("demo", help="run a small fleet in this process")
     show.set_defaults(run=_demo)
     add_standin_commands(commands.add_parser("standin", help="run a stand-in"))
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -36,6 +36,11 @@
         self._links = links
         self._placed: dict[str, str] = {}
 
+    @property
+    def running(self) -> dict[str, Group]:
+        """The groups whose homes run here, by name."""
+        return {name: home.group for name, home in self._homes.items()}
+
     async def send(self, req: RunStatement) -> Message:
         """Have a request run at the home of its group."""
         owner = self.owner(req.group)
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -16,7 +16,13 @@
 from .homes import Homes
 from .policy.keys import check_key
 from .policy.position import Position
-from .policy.session import Session, decode_session, encode_session, is_ahead_of_term
+from .policy.session import (
+    MAX_GROUPS,
+    Session,
+    decode_session,
+    encode_session,
+    is_ahead_of_term,
+)
 from .policy.statement import classify
 from .proxies.messages import Param, Refused, Rows, RunStatement
 
@@ -159,6 +165,9 @@
         if row is None:
             message = f"the table has no row for this customer and {req.group}"
             return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        if req.group not in session.seen and len(session.seen) >= MAX_GROUPS:
+            message = f"a session spans {MAX_GROUPS} groups at most: start a new one"
+            return Failure(Fault(Code.BAD_REQUEST, message, Step.SESSION))
         asked = row.read_age_s if req.max_age_s is None else req.max_age_s
         return classify(req.sql).map(
             lambda kind: RunStatement(
--- a/mangoramp/policy/session.py
+++ b/mangoramp/policy/session.py
@@ -15,7 +15,7 @@
 from .position import START, Lineage, Position
 from .quorum import ServerStatus
 
-MAX_TOKEN_CHARS = 4096
+MAX_TOKEN_CHARS = 16_384
 MAX_GROUPS = 64
 DIGEST_BYTES = 16
 
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -17,6 +17,7 @@
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .operators.report import ProxyReport, report
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
@@ -81,13 +82,19 @@
             await server.close_all_connections()
         emit(PROXY_STOPPED, name=self.cfg.name)
 
+    def report(self) -> ProxyReport:
+        """What this proxy knows and does."""
+        return report(self.cfg, self.catalog, self.homes, ready=self.ready)
+
     def _listen(self) -> None:
         cfg = self.cfg
         callers = HTTPServer(
             callers_application(self._ingress), max_body_size=MAX_DISCARDED_BYTES
         )
         callers.listen(cfg.listen_port, address=cfg.listen_host)
-        health = HTTPServer(health_application(self.registry, lambda: self.ready))
+        health = HTTPServer(
+            health_application(self.registry, lambda: self.ready, self.report)
+        )
         health.listen(cfg.metrics_port, address=cfg.listen_host)
         self._http = [callers, health]
 
@@ -97,7 +104,9 @@
 
     async def _register(self) -> None:
         cfg = self.cfg
-        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address)
+        mine = InstanceObject(
+            cfg.name, cfg.failure_domain, cfg.peer_address, admin=cfg.admin_address
+        )
         while True:
             found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
             if isinstance(found, Success):
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,6 +21,8 @@
 from mangoramp.proxies.messages import Rows
 from mangoramp.standins.fleet import Fleet, FleetOptions
 
+from .caller import Caller
+
 CUSTOMERS = ("tala", "norte")
 SIGNING = SigningKeys({"k1": b"1" * 32}, "k1")
 PATH = "/v1/groups/register/statements"
@@ -344,8 +346,6 @@
         assert "A-1" not in lines.getvalue()
 
     async def _walk(self, fleet):
-        from .caller import Caller
-
         caller = Caller(fleet.keys["tala"])
         url = fleet.url("d2-p0")
         create = "CREATE TABLE sheet (id TEXT PRIMARY KEY, revision INTEGER)"
