--- a/mangoramp/callers/app.py
+++ b/mangoramp/callers/app.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from collections.abc import Sequence
+from typing import Annotated, Any
 
 import msgspec
 import tornado.web
@@ -12,6 +13,7 @@
 from ..errors import Code, Fault, Outcome, Step
 from ..ingress import Ingress, StatementAnswer, StatementRequest
 from .base import (
+    DEFAULT_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_TIMEOUT_S,
@@ -20,13 +22,11 @@
     FaultBody,
 )
 
-DEFAULT_TIMEOUT_S = 10.0
 MAX_AGE_S = 86_400.0
 MAX_PARAMS = 32_767
 MAX_INT = 2**63 - 1
-TOKEN_HEADER = "Mangoramp-Session"
-TOKEN_COOKIE = "mangoramp-session"
 
+Route = tuple[str, type[tornado.web.RequestHandler], dict[str, Any]]
 Int64 = Annotated[int, Meta(ge=-MAX_INT - 1, le=MAX_INT)]
 Text = Annotated[str, Meta(pattern="^[^\0]*$")]
 Param = Text | Int64 | float | bool | None
@@ -74,8 +74,7 @@
 
     def _answer_rows(self, answer: StatementAnswer) -> None:
         rows = answer.rows
-        self.set_header(TOKEN_HEADER, answer.token)
-        self.set_cookie(TOKEN_COOKIE, answer.token, httponly=True, samesite="Strict")
+        self.show_token(answer.token)
         body = AnswerBody(
             outcome=Outcome.DONE,
             columns=rows.columns,
@@ -99,15 +98,13 @@
             if not isinstance(part, Success):
                 return Failure(part.failure())
         timeout_s = timeout.unwrap()
-        headers = self.request.headers
-        token = headers.get(TOKEN_HEADER) or self.get_cookie(TOKEN_COOKIE) or ""
         return Success(
             StatementRequest(
                 group=group,
                 key=self.key,
                 sql=body.unwrap().sql,
                 params=body.unwrap().params,
-                token=token,
+                token=self.token,
                 idempotency_key=once.unwrap(),
                 max_age_s=max_age.unwrap(),
                 timeout_s=DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s,
@@ -123,21 +120,28 @@
         self.refuse(Fault(Code.ROUTE_UNKNOWN, "there is no such route", Step.PARSE))
 
 
-def callers_application(ingress: Ingress) -> tornado.web.Application:
+def callers_application(
+    ingress: Ingress, routes: Sequence[Route] = ()
+) -> tornado.web.Application:
     """The application for callers.
 
     Args:
         ingress: Where requests go.
+        routes: Further routes.
     """
     args = {"ingress": ingress}
     return tornado.web.Application(
-        [(r"/v1/groups/([^/]+)/statements", StatementHandler, args)],
+        [(r"/v1/groups/([^/]+)/statements", StatementHandler, args), *routes],
         default_handler_class=NotFoundHandler,
         log_function=lambda handler: None,
     )
 
 
 __all__ = [
+    "DEFAULT_TIMEOUT_S",
+    "MAX_TIMEOUT_S",
+    "Route",
+    "StatementBody",
     "MAX_BODY_BYTES",
     "MAX_DISCARDED_BYTES",
     "BaseHandler",
--- a/mangoramp/callers/base.py
+++ b/mangoramp/callers/base.py
@@ -15,8 +15,11 @@
 from ..events import HANDLER_FAILED, emit
 
 T = TypeVar("T")
+TOKEN_HEADER = "Mangoramp-Session"
+TOKEN_COOKIE = "mangoramp-session"
 MAX_BODY_BYTES = 1_000_000
 MAX_DISCARDED_BYTES = 4_000_000
+DEFAULT_TIMEOUT_S = 10.0
 MAX_TIMEOUT_S = 60.0
 MIN_TIMEOUT_S = 0.001
 SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
@@ -120,6 +123,17 @@
         place = f"{tb.tb_frame.f_code.co_qualname}:{tb.tb_lineno}"
         emit(HANDLER_FAILED, error=type(value).__name__, place=place)
 
+    def show_token(self, token: str) -> None:
+        """Give the session's next token, as a header and as a cookie."""
+        self.set_header(TOKEN_HEADER, token)
+        self.set_cookie(TOKEN_COOKIE, token, httponly=True, samesite="Strict")
+
+    @property
+    def token(self) -> str:
+        """The caller's session token, empty if there is none."""
+        headers = self.request.headers
+        return headers.get(TOKEN_HEADER) or self.get_cookie(TOKEN_COOKIE) or ""
+
     @property
     def key(self) -> str:
         """The caller's key, empty if none was shown."""
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -14,6 +14,7 @@
 from .events import REQUEST_REFUSED, emit
 from .faults import session_ahead
 from .homes import Homes
+from .platform.objects import Row
 from .policy.keys import check_key
 from .policy.position import Position
 from .policy.session import (
@@ -90,10 +91,10 @@
         """Run one statement for a caller."""
         answer = await self._checked(req)
         if isinstance(answer, Failure):
-            self._log_refusal(req.group, answer.failure())
+            self.refused(req.group, answer.failure())
         return answer
 
-    def open_session(self, key: str, token: str) -> Result[Session, Fault]:
+    def session(self, key: str, token: str) -> Result[Session, Fault]:
         """Check a caller's key, and its session token against the key's customer.
 
         Args:
@@ -108,11 +109,44 @@
             return Failure(Fault(Code.INTERNAL, "no signing key yet", Step.SESSION))
         return decode_session(token, customer.unwrap(), keys)
 
+    def row(self, customer: str, group: str) -> Result[Row, Fault]:
+        """Find the table's row for a customer and a group."""
+        if group not in self._catalog.groups:
+            message = f"there is no database group {group!r}"
+            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
+        row = self._catalog.row(customer, group)
+        if row is None:
+            message = f"the table has no row for this customer and {group}"
+            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        return Success(row)
+
+    def token(self, session: Session, group: str, position: Position) -> str:
+        """The token of a session that has also seen a position."""
+        keys = self._catalog.signing_keys
+        seen = session.merged(group, position)
+        return "" if keys is None else encode_session(seen, keys)
+
+    def refused(self, group: str, fault: Fault) -> None:
+        """Log a refusal, without what the caller wrote."""
+        known = group in self._catalog.groups
+        secret = fault.code in (Code.STATEMENT_FAILED, Code.BAD_REQUEST)
+        emit(
+            REQUEST_REFUSED,
+            group=group if known else "",
+            code=fault.code,
+            step=fault.step,
+            peer=fault.peer,
+            outcome=fault.outcome,
+            sqlstate=fault.sqlstate,
+            reason="" if secret or not known else fault.message,
+        )
+
     async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
-        session = self.open_session(req.key, req.token)
-        if not isinstance(session, Success):
-            return Failure(session.failure())
-        prepared = self._prepare(req, session.unwrap())
+        found = self.session(req.key, req.token)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        session = found.unwrap()
+        prepared = self._prepare(req, session)
         if not isinstance(prepared, Success):
             return Failure(prepared.failure())
         if not await self._reached(req.group, prepared.unwrap().seen):
@@ -120,13 +154,12 @@
         answer = await self._homes.send(prepared.unwrap())
         if isinstance(answer, Refused):
             return Failure(answer.fault)
-        keys = self._catalog.signing_keys
-        if not isinstance(answer, Rows) or keys is None:
+        if not isinstance(answer, Rows):
             message = "the home's answer is none"
             unknown = Outcome.UNKNOWN
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
-        seen = session.unwrap().merged(req.group, answer.position)
-        return Success(StatementAnswer(answer, encode_session(seen, keys)))
+        token = self.token(session, req.group, answer.position)
+        return Success(StatementAnswer(answer, token))
 
     async def _reached(self, group: str, seen: Position) -> bool:
         """Wait a little for the platform to tell of a term that a session has seen."""
@@ -141,30 +174,13 @@
         spec = self._catalog.groups.get(group)
         return 0 if spec is None else spec.term
 
-    def _log_refusal(self, group: str, fault: Fault) -> None:
-        known = group in self._catalog.groups
-        secret = fault.code in (Code.STATEMENT_FAILED, Code.BAD_REQUEST)
-        emit(
-            REQUEST_REFUSED,
-            group=group if known else "",
-            code=fault.code,
-            step=fault.step,
-            peer=fault.peer,
-            outcome=fault.outcome,
-            sqlstate=fault.sqlstate,
-            reason="" if secret or not known else fault.message,
-        )
-
     def _prepare(
         self, req: StatementRequest, session: Session
     ) -> Result[RunStatement, Fault]:
-        if req.group not in self._catalog.groups:
-            message = f"there is no database group {req.group!r}"
-            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
-        row = self._catalog.row(session.customer, req.group)
-        if row is None:
-            message = f"the table has no row for this customer and {req.group}"
-            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        found = self.row(session.customer, req.group)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        row = found.unwrap()
         if req.group not in session.seen and len(session.seen) >= MAX_GROUPS:
             message = f"a session spans {MAX_GROUPS} groups at most: start a new one"
             return Failure(Fault(Code.BAD_REQUEST, message, Step.SESSION))
