--- a/mangoramp/policy/session.py
+++ b/mangoramp/policy/session.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Step
-from .position import START, Lineage, Position
+from .position import START, Position
 from .quorum import ServerStatus
 
 MAX_TOKEN_CHARS = 16_384
@@ -111,7 +111,7 @@
 
 
 def is_ahead_of_log(
-    seen: Position, primary: ServerStatus | None, lineage: Lineage, *, since: float
+    seen: Position, primary: ServerStatus | None, *, since: float
 ) -> bool:
     """Whether a session names a place in the log that its group has not reached.
 
@@ -121,12 +121,11 @@
     Args:
         seen: What the session has seen.
         primary: What the primary last said, None if it is not known.
-        lineage: Where the group's terms began.
         since: When the session came, in seconds.
     """
     if primary is None or primary.asked_at < since:
         return False
-    return not lineage.covers(primary.tail, seen) and seen.term <= primary.term
+    return seen.term == primary.log_term and seen.offset > primary.held
 
 
 def _sign(body: bytes, secret: bytes) -> bytes:
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -14,7 +14,7 @@
     unique_by=lambda row: row.name,
     max_size=20,
 )
-PROPERTY = settings(derandomize=True, deadline=None, max_examples=150)
+PROPERTY = settings(derandomize=True, deadline=None, max_examples=80)
 
 
 def mistakes(*lines):
