--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -11,6 +11,7 @@
 import re
 import sqlite3
 import uuid
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -32,6 +33,7 @@
 PULL_LIMIT = 200
 PULL_RETRY_S = 0.05
 APPLY_POLL_S = 0.005
+HEARD = 10_000
 READ_WORDS = frozenset({"SELECT", "WITH", "VALUES", "EXPLAIN"})
 CONTROL_WORDS = frozenset(
     {"BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD"}
@@ -116,6 +118,7 @@
         self.slots = asyncio.Semaphore(options.slots)
         self.sessions: set[EndpointSession] = set()
         self.received: list[str] = []
+        self.heard: deque[str] = deque(maxlen=HEARD)
         self._changed = asyncio.Event()
         self._held_at: dict[int, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -326,6 +329,7 @@
         """Open the session's own database connection."""
         read_only = connection.startup_params.get("default_transaction_read_only")
         self._protocol = connection
+        self.endpoint.heard.append(repr(connection.startup_params))
         self._conn = self.endpoint.store.connect(read_only=read_only == "on")
         self.endpoint.sessions.add(self)
 
@@ -493,6 +497,7 @@
         await session.gate()
         endpoint = session.endpoint
         endpoint.received.append(sql)
+        endpoint.heard.append(repr(self._params))
         found = FUNCTION.match(sql)
         if found:
             rows = await FUNCTIONS[found[1]](endpoint, self._params)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -339,8 +339,9 @@
             await fleet.stop()
             logger.remove(sink)
         held = [fleet.platform.since(k, 0) for k in ("key", "group", "instance")]
-        seen = [e.received for e in fleet.endpoints.values()]
-        assert any(seen)
+        seen = [[*e.received, *e.heard] for e in fleet.endpoints.values()]
+        assert "application_name" in repr(seen)
+        assert "A-1" in repr(seen)
         secret = fleet.keys["tala"].rsplit("_", 1)[1]
         assert secret not in lines.getvalue() + repr(seen) + repr(held)
         assert "A-1" not in lines.getvalue()
