--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from prometheus_client import CollectorRegistry
 from returns.result import Failure, Result, Success
 
 from .catalog import Catalog
@@ -14,6 +15,7 @@
 from .events import REQUEST_REFUSED, emit
 from .faults import session_ahead
 from .homes import Homes
+from .metrics import Metrics, make_metrics
 from .platform.objects import Row
 from .policy.keys import check_key
 from .policy.position import Position
@@ -24,7 +26,7 @@
     encode_session,
     is_ahead_of_term,
 )
-from .policy.statement import classify
+from .policy.statement import Kind, classify
 from .proxies.messages import Param, Refused, Rows, RunStatement
 
 TERM_WAIT_S = 1.0
@@ -71,6 +73,7 @@
         catalog: What is known from the platform.
         homes: The way to the groups' homes.
         failure_domain: Where this proxy runs.
+        metrics: Counts requests.
         clock: Tells the time in seconds.
     """
 
@@ -80,8 +83,10 @@
         homes: Homes,
         failure_domain: str,
         *,
+        metrics: Metrics | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._metrics = metrics or make_metrics(CollectorRegistry())
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
@@ -89,9 +94,12 @@
 
     async def run(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
         """Run one statement for a caller."""
+        started = self._clock()
         answer = await self._checked(req)
         if isinstance(answer, Failure):
-            self.refused(req.group, answer.failure())
+            self.refused(req.group, answer.failure(), key=req.key)
+        else:
+            self._metrics.times.labels(req.group).observe(self._clock() - started)
         return answer
 
     def session(self, key: str, token: str) -> Result[Session, Fault]:
@@ -126,9 +134,17 @@
         seen = session.merged(group, position)
         return "" if keys is None else encode_session(seen, keys)
 
-    def refused(self, group: str, fault: Fault) -> None:
-        """Log a refusal, without what the caller wrote."""
+    def refused(self, group: str, fault: Fault, *, key: str = "") -> None:
+        """Count and log a refusal, without what the caller wrote.
+
+        Args:
+            group: The group that the caller named.
+            fault: Why it is refused.
+            key: The caller's key, empty if it is not to be looked up.
+        """
         known = group in self._catalog.groups
+        customer = check_key(key, self._catalog.keys).value_or("")
+        self._metrics.refused(group if known else "", customer, fault)
         secret = fault.code in (Code.STATEMENT_FAILED, Code.BAD_REQUEST)
         emit(
             REQUEST_REFUSED,
@@ -158,6 +174,9 @@
             message = "the home's answer is none"
             unknown = Outcome.UNKNOWN
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
+        reads = prepared.unwrap().kind is Kind.READ
+        replica = answer.replica if reads else None
+        self._metrics.done(req.group, session.customer, replica=replica)
         token = self.token(session, req.group, answer.position)
         return Success(StatementAnswer(answer, token))
 
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -17,6 +17,7 @@
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .metrics import ReportCollector, make_metrics
 from .operators.report import ProxyReport, report
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
@@ -38,13 +39,17 @@
     def __init__(self, cfg: ProxySettings) -> None:
         self.cfg = cfg
         self.registry = CollectorRegistry()
+        self.metrics = make_metrics(self.registry)
+        self.registry.register(ReportCollector(self.report))
         self.ready = False
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog(self._client)
         self._links = Links(self._address_of)
         self.homes = Homes(cfg, self.catalog, self._links)
         self.catalog.on_change = self.homes.refresh
-        self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
+        self._ingress = Ingress(
+            self.catalog, self.homes, cfg.failure_domain, metrics=self.metrics
+        )
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,63 @@
+import re
+
+from prometheus_client import CollectorRegistry
+from tornado.httpclient import AsyncHTTPClient
+
+from mangoramp.errors import Code, Fault, Step
+from mangoramp.metrics import MAX_CUSTOMERS, OTHERS, make_metrics
+from mangoramp.standins.fleet import Fleet, FleetOptions
+
+from .caller import Caller
+
+LINE = re.compile(r"^(\w+)(\{.*?\})? (\S+)$", re.MULTILINE)
+
+
+async def scraped(proxy):
+    url = f"{proxy.cfg.admin_address}/metrics"
+    text = (await AsyncHTTPClient().fetch(url)).body.decode()
+    return {name + labels: float(value) for name, labels, value in LINE.findall(text)}
+
+
+class TestMetrics:
+    async def test_counts_what_callers_saw(self):
+        fleet = Fleet(FleetOptions())
+        await fleet.start()
+        try:
+            found = await self._walk(fleet)
+        finally:
+            await fleet.stop()
+        requests = "mangoramp_requests_total"
+        failed = '{code="statement_failed",group="register",outcome="not_run"}'
+        assert found[requests + '{code="",group="register",outcome="done"}'] == 4
+        assert found[requests + failed] == 1
+        unknown = '{code="group_unknown",group="",outcome="not_run"}'
+        assert found[requests + unknown] == 1
+        reads = [v for k, v in found.items() if k.startswith("mangoramp_reads_total")]
+        assert sum(reads) == 3
+        assert found['mangoramp_request_seconds_count{group="register"}'] == 4
+        tala = 'mangoramp_customer_requests_total{customer="tala",outcome="done"}'
+        assert found[tala] == 4
+        assert found["mangoramp_table_version"] > 0
+        assert found["mangoramp_ready"] == 1
+        assert found['mangoramp_group_term{group="register"}'] == 1
+        assert found['mangoramp_server_live{group="register",server="d1-s"}'] == 1
+        assert fleet.keys["tala"] not in repr(found)
+
+    async def _walk(self, fleet):
+        caller, url = Caller(fleet.keys["tala"]), fleet.url("d1-p0")
+        await caller.post(url, "CREATE TABLE sheet (id TEXT)")
+        for _ in range(3):
+            await caller.post(url, "SELECT id FROM sheet")
+        await caller.post(url, "SELECT id FROM nowhere")
+        await caller.post(url.replace("register", "none"), "SELECT 1")
+        return await scraped(fleet.proxies["d1-p0"])
+
+    def test_has_a_bounded_number_of_customers(self):
+        registry = CollectorRegistry()
+        metrics = make_metrics(registry)
+        fault = Fault(Code.OVER_RATE, "", Step.ADMIT)
+        for number in range(MAX_CUSTOMERS + 10):
+            metrics.refused("g", f"c{number}", fault)
+        labels = {"customer": OTHERS, "outcome": "not_run"}
+        name = "mangoramp_customer_requests_total"
+        assert registry.get_sample_value(name, labels) == 10
