--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -5,13 +5,19 @@
 import logging
 import re
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 from loguru import logger
 
+if TYPE_CHECKING:
+    from loguru import Message
+
 KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
 MAX_SAID_CHARS = 500
+TEXT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,15 +77,29 @@
         json: One JSON object a line if true, else text for people.
     """
     logger.remove()
-    text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
     # With diagnose, tracebacks would show the values of variables, keys among them.
     if json:
-        logger.add(sys.stderr, level=level, serialize=True, diagnose=False)
+        logger.add(_write_json, level=level, diagnose=False)
     else:
-        logger.add(sys.stderr, level=level, format=text, diagnose=False)
+        logger.add(sys.stderr, level=level, format=TEXT, diagnose=False)
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
 
 
+def json_line(record: Mapping[str, Any]) -> str:
+    """One line of the log as JSON: time, level, event, text and the line's facts."""
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "text": record["message"],
+        **record["extra"],
+    }
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _write_json(message: Message) -> None:
+    sys.stderr.write(json_line(message.record) + "\n")
+
+
 class _LibraryHandler(logging.Handler):
     def emit(self, record: logging.LogRecord) -> None:
         """Log a library's message as an event, without any key in it."""
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,46 @@
+import json
+import logging
+
+import pytest
+
+from mangoramp import events
+from mangoramp.policy.position import Position
+
+
+@pytest.fixture
+def written(capsys):
+    """Reads what was logged; the suite's own log settings come back afterwards."""
+    yield lambda: capsys.readouterr().err
+    events.configure(level="ERROR", json=False)
+
+
+class TestConfigure:
+    def test_writes_one_json_object_a_line(self, written):
+        events.configure(level="INFO", json=True)
+        events.emit(events.REQUEST_ROUTED, group="register", seen=Position(1, 2))
+        text = written()
+        line = json.loads(text)
+        assert (line["event"], line["level"], line["group"]) == (
+            200,
+            "INFO",
+            "register",
+        )
+        assert line["seen"] == {"term": 1, "offset": 2}
+        assert line["time"]
+
+    def test_writes_text_for_people(self, written):
+        events.configure(level="INFO", json=False)
+        events.emit(events.REQUEST_ROUTED, group="register")
+        events.emit(events.WRITE_CONFIRMED, server="a")
+        (line,) = written().splitlines()
+        assert " 200 request routed to a server " in line
+
+    def test_takes_over_libraries_without_a_key(self, written):
+        events.configure(level="INFO", json=True)
+        key = "mr_" + "a" * 16 + "_" + "b" * 48
+        logging.getLogger("tornado.general").warning("Malformed: Bearer %s", key)
+        text = written()
+        line = json.loads(text)
+        assert (line["event"], line["library"]) == (103, "tornado.general")
+        assert "Malformed" in line["said"]
+        assert "bbb" not in text
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -99,3 +99,9 @@
         answers = [json.loads(line) for line in re.findall(r"\{.*?\}", session)]
         assert [answer["outcome"] for answer in answers] == ["done"] * 3
         assert answers[-1]["rows"] == [["A-101", 3]]
+        key = json.loads((shell.folder / "key.json").read_text())["key"]
+        logs = [path.read_text() for path in shell.folder.glob("proxy-*.log")]
+        lines = [json.loads(line) for log in logs for line in log.splitlines()]
+        assert {100, 200, 302} <= {line["event"] for line in lines}
+        assert key not in "".join(logs)
+        assert "A-101" not in "".join(logs)
