--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -43,6 +43,19 @@
         assert found['mangoramp_server_live{group="register",server="d1-s"}'] == 1
         assert fleet.keys["tala"] not in repr(found)
 
+    async def test_open_routes_need_no_key_and_callers_routes_do(self):
+        fleet = Fleet(FleetOptions(domains=("d1",)))
+        await fleet.start()
+        proxy = fleet.proxies["d1-p0"]
+        try:
+            for path in ("health", "ready", "metrics", "v1/status"):
+                url = f"{proxy.cfg.admin_address}/{path}"
+                assert (await AsyncHTTPClient().fetch(url)).code == 200
+            refused = await Caller("").post(fleet.url("d1-p0"), "SELECT 1")
+        finally:
+            await fleet.stop()
+        assert (refused.status, refused.body["code"]) == (401, "key_missing")
+
     async def _walk(self, fleet):
         caller, url = Caller(fleet.keys["tala"]), fleet.url("d1-p0")
         await caller.post(url, "CREATE TABLE sheet (id TEXT)")
