--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -2,19 +2,36 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from prometheus_client import CollectorRegistry
 from returns.result import Failure, Result, Success
 
 from .catalog import Catalog
 from .errors import Code, Fault, Outcome, Step
 from .events import REQUEST_REFUSED, emit
+from .faults import session_ahead
 from .homes import Homes
+from .metrics import Metrics, make_metrics
+from .platform.objects import Row
 from .policy.keys import check_key
-from .policy.session import Session, decode_session, encode_session
-from .policy.statement import classify
+from .policy.position import Position
+from .policy.session import (
+    MAX_GROUPS,
+    Session,
+    decode_session,
+    encode_session,
+    is_ahead_of_term,
+)
+from .policy.statement import Kind, classify
 from .proxies.messages import Param, Refused, Rows, RunStatement
 
+TERM_WAIT_S = 1.0
+TERM_POLL_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class StatementRequest:
@@ -56,42 +73,100 @@
         catalog: What is known from the platform.
         homes: The way to the groups' homes.
         failure_domain: Where this proxy runs.
+        metrics: Counts requests.
+        clock: Tells the time in seconds.
     """
 
-    def __init__(self, catalog: Catalog, homes: Homes, failure_domain: str) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        homes: Homes,
+        failure_domain: str,
+        *,
+        metrics: Metrics | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._metrics = metrics or make_metrics(CollectorRegistry())
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
+        self._clock = clock
 
     async def run(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
         """Run one statement for a caller."""
+        started = self._clock()
         answer = await self._checked(req)
         if isinstance(answer, Failure):
-            fault = answer.failure()
-            emit(
-                REQUEST_REFUSED,
-                group=req.group,
-                code=fault.code,
-                step=fault.step,
-                peer=fault.peer,
-                outcome=fault.outcome,
-                reason=fault.message,
-            )
+            self.refused(req.group, answer.failure(), key=req.key)
+        else:
+            self._metrics.times.labels(req.group).observe(self._clock() - started)
         return answer
 
-    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
-        customer = check_key(req.key, self._catalog.keys)
+    def session(self, key: str, token: str) -> Result[Session, Fault]:
+        """Check a caller's key, and its session token against the key's customer.
+
+        Args:
+            key: The caller's key.
+            token: The session token, empty for a new session.
+        """
+        customer = check_key(key, self._catalog.keys)
         if not isinstance(customer, Success):
             return Failure(customer.failure())
         keys = self._catalog.signing_keys
         if keys is None:
             return Failure(Fault(Code.INTERNAL, "no signing key yet", Step.SESSION))
-        session = decode_session(req.token, customer.unwrap(), keys)
-        if not isinstance(session, Success):
-            return Failure(session.failure())
-        prepared = self._prepare(req, session.unwrap())
+        return decode_session(token, customer.unwrap(), keys)
+
+    def row(self, customer: str, group: str) -> Result[Row, Fault]:
+        """Find the table's row for a customer and a group."""
+        if group not in self._catalog.groups:
+            message = f"there is no database group {group!r}"
+            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
+        row = self._catalog.row(customer, group)
+        if row is None:
+            message = f"the table has no row for this customer and {group}"
+            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        return Success(row)
+
+    def token(self, session: Session, group: str, position: Position) -> str:
+        """The token of a session that has also seen a position."""
+        keys = self._catalog.signing_keys
+        seen = session.merged(group, position)
+        return "" if keys is None else encode_session(seen, keys)
+
+    def refused(self, group: str, fault: Fault, *, key: str = "") -> None:
+        """Count and log a refusal, without what the caller wrote.
+
+        Args:
+            group: The group that the caller named.
+            fault: Why it is refused.
+            key: The caller's key, empty if it is not to be looked up.
+        """
+        known = group in self._catalog.groups
+        customer = check_key(key, self._catalog.keys).value_or("")
+        self._metrics.refused(group if known else "", customer, fault)
+        secret = fault.code in (Code.STATEMENT_FAILED, Code.BAD_REQUEST)
+        emit(
+            REQUEST_REFUSED,
+            group=group if known else "",
+            code=fault.code,
+            step=fault.step,
+            peer=fault.peer,
+            outcome=fault.outcome,
+            sqlstate=fault.sqlstate,
+            reason="" if secret or not known else fault.message,
+        )
+
+    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
+        found = self.session(req.key, req.token)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        session = found.unwrap()
+        prepared = self._prepare(req, session)
         if not isinstance(prepared, Success):
             return Failure(prepared.failure())
+        if not await self._reached(req.group, prepared.unwrap().seen):
+            return Failure(session_ahead(req.group).fault)
         answer = await self._homes.send(prepared.unwrap())
         if isinstance(answer, Refused):
             return Failure(answer.fault)
@@ -99,19 +174,35 @@
             message = "the home's answer is none"
             unknown = Outcome.UNKNOWN
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
-        seen = session.unwrap().merged(req.group, answer.position)
-        return Success(StatementAnswer(answer, encode_session(seen, keys)))
+        reads = prepared.unwrap().kind is Kind.READ
+        replica = answer.replica if reads else None
+        self._metrics.done(req.group, session.customer, replica=replica)
+        token = self.token(session, req.group, answer.position)
+        return Success(StatementAnswer(answer, token))
+
+    async def _reached(self, group: str, seen: Position) -> bool:
+        """Wait a little for the platform to tell of a term that a session has seen."""
+        give_up = self._clock() + TERM_WAIT_S
+        while is_ahead_of_term(seen, self._term(group)):
+            if self._clock() >= give_up:
+                return False
+            await asyncio.sleep(TERM_POLL_S)
+        return True
+
+    def _term(self, group: str) -> int:
+        spec = self._catalog.groups.get(group)
+        return 0 if spec is None else spec.term
 
     def _prepare(
         self, req: StatementRequest, session: Session
     ) -> Result[RunStatement, Fault]:
-        if req.group not in self._catalog.groups:
-            message = f"there is no database group {req.group!r}"
-            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
-        row = self._catalog.row(session.customer, req.group)
-        if row is None:
-            message = f"the table has no row for this customer and {req.group}"
-            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        found = self.row(session.customer, req.group)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        row = found.unwrap()
+        if req.group not in session.seen and len(session.seen) >= MAX_GROUPS:
+            message = f"a session spans {MAX_GROUPS} groups at most: start a new one"
+            return Failure(Fault(Code.BAD_REQUEST, message, Step.SESSION))
         asked = row.read_age_s if req.max_age_s is None else req.max_age_s
         return classify(req.sql).map(
             lambda kind: RunStatement(
