--- /dev/null
+++ b/tests/failover_world.py
@@ -0,0 +1,435 @@
+"""A group under faults in virtual time: servers, platform, and a home per domain."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, replace
+
+from mangoramp.policy import failover as fo
+from mangoramp.policy.position import Position
+from mangoramp.policy.quorum import ServerStatus, is_acknowledged
+
+TICK_S = 0.1
+POLL_S = 0.1
+PULL_S = 0.03
+WRITE_S = 0.05
+PLATFORM_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class Net:
+    one_way_s: float = 0.0005
+    connect_s: float = 0.012
+
+
+class Server:
+    def __init__(self, name, domain):
+        self.name, self.domain = name, domain
+        self.term, self.log, self.primary, self.source = 1, [], False, ""
+        self.state, self.backlog, self.starts, self.far_behind = "up", [], 0, False
+
+    def status(self, asked_at):
+        log_term = self.log[-1][0] if self.log else 0
+        held, start = len(self.log), str(self.starts)
+        primary = self.primary
+        return ServerStatus(
+            self.name, start, self.term, log_term, held, held, primary, asked_at
+        )
+
+    def fence(self, term):
+        if term > self.term:
+            self.term, self.primary, self.source = term, False, ""
+
+
+class World:
+    """Nodes are named ``s0..``, ``c0..`` and ``platform``; number n is in domain dn."""
+
+    def __init__(self, seed, *, controller=fo.Failover, timings=None, net=None, size=3):
+        self.rng = random.Random(seed)
+        self.net = net or Net()
+        self.now, self.queue, self.order = 0.0, [], itertools.count()
+        self.cuts, self.platform_down, self.lose_answers = set(), False, 0
+        self.servers = {f"s{n}": Server(f"s{n}", f"d{n}") for n in range(size)}
+        self.servers["s0"].primary = True
+        for server in list(self.servers.values())[1:]:
+            server.source = "s0"
+        members = tuple(fo.Member(s.name, s.domain) for s in self.servers.values())
+        self.object = fo.GroupState(1, 1, "s0", "", members)
+        self.history = [(0.0, self.object)]
+        self.promoted = {1: {"s0"}}
+        self.promoted_at = {1: 0.0}
+        self.acked, self.acks_at, self.refused, self.wrong = [], [], 0, []
+        self.ack_rule = is_acknowledged
+        voters = fo.rank_voters("g", [f"d{n}" for n in range(size)], [])
+        self.homes = {}
+        for n in range(size):
+            rng = random.Random(seed * 31 + n)
+            policy = controller("g", f"d{n}", now=0.0, rng=rng, timings=timings)
+            self.homes[f"c{n}"] = Home(self, f"c{n}", policy, voters)
+        for name in self.servers:
+            self.every(PULL_S, lambda name=name: self.pull(name))
+
+    # Time and messages
+
+    def at(self, when, run):
+        heapq.heappush(self.queue, (when, next(self.order), run))
+
+    def every(self, period, run):
+        def again():
+            run()
+            self.at(self.now + period, again)
+
+        self.at(self.now + self.rng.uniform(0, period), again)
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, run = heapq.heappop(self.queue)
+            run()
+        self.now = end
+
+    def send(self, src, dst, run):
+        if (src, dst) in self.cuts:
+            return
+        delay = self.net.one_way_s * self.rng.uniform(1, 1.5)
+        self.at(self.now + delay, lambda: self.deliver(dst, run))
+
+    def deliver(self, dst, run):
+        node = self.servers.get(dst) or self.homes.get(dst)
+        if node is None or node.state == "up":
+            run()
+        elif node.state == "frozen":
+            node.backlog.append(run)
+
+    # Faults
+
+    def set_state(self, name, state):
+        node = self.servers.get(name) or self.homes[name]
+        restarted = node.state == "dead" and state == "up"
+        node.state, backlog = state, node.backlog
+        node.backlog = []
+        if state == "up":
+            if restarted and name in self.servers:
+                node.primary, node.source, node.starts = False, "", node.starts + 1
+            for run in [] if restarted else backlog:
+                run()
+
+    def cut(self, src, dst):
+        self.cuts.add((src, dst))
+
+    def isolate(self, domain):
+        inside = {f"s{domain}", f"c{domain}"}
+        every = {*self.servers, *self.homes, "platform"}
+        for a, b in itertools.product(inside, every - inside):
+            self.cuts |= {(a, b), (b, a)}
+
+    def mark(self, server, **changes):
+        members = tuple(
+            replace(m, **changes) if m.name == server else m
+            for m in self.object.members
+        )
+        self.change(replace(self.object, members=members))
+
+    def heal(self):
+        self.cuts.clear()
+        self.platform_down, self.lose_answers = False, 0
+        for name, server in self.servers.items():
+            server.far_behind = False
+            self.set_state(name, "up")
+        for name in self.homes:
+            self.set_state(name, "up")
+
+    # Platform
+
+    def change(self, state):
+        self.object = replace(state, version=self.object.version + 1)
+        self.history.append((self.now, self.object))
+        for home in self.homes.values():
+            self.send("platform", home.name, home.seer(self.object))
+
+    def update(self, src, action):
+        if self.platform_down:
+            return
+        if action.version == self.object.version:
+            if action.primary:
+                self.check_kept(action.primary)
+            self.change(
+                replace(
+                    self.object,
+                    term=action.term,
+                    primary=action.primary,
+                    candidate=action.candidate,
+                )
+            )
+        if self.lose_answers:
+            self.lose_answers -= 1
+        else:
+            self.send("platform", src, self.homes[src].seer(self.object))
+
+    def read(self, src):
+        if not self.platform_down:
+            self.send("platform", src, self.homes[src].seer(self.object))
+
+    # Servers
+
+    def pull(self, name):
+        server = self.servers[name]
+        if server.state != "up" or not server.source or server.far_behind:
+            return
+        tail = server.status(0.0).tail
+        asked = (server.term, tail, server.source)
+        self.send(name, server.source, lambda: self.answer_pull(name, asked))
+
+    def answer_pull(self, name, asked):
+        term, tail, source = asked
+        primary = self.servers[source]
+        primary.fence(term)
+        if not primary.primary or primary.term != term:
+            return
+        log = primary.log
+        known = not tail.offset or (
+            tail.offset <= len(log) and log[tail.offset - 1][0] == tail.term
+        )
+        entries = log[tail.offset : tail.offset + 200] if known else None
+        self.send(source, name, lambda: self.hold(name, asked, entries))
+
+    def hold(self, name, asked, entries):
+        server = self.servers[name]
+        if asked != (server.term, server.status(0.0).tail, server.source):
+            return
+        if entries is None:
+            server.log.pop()
+        else:
+            server.log.extend(entries)
+
+    def command(self, action):
+        server = self.servers[action.server]
+        match action:
+            case fo.Fence():
+                server.fence(action.term)
+            case fo.Promote() if action.term == server.term:
+                self.promoted.setdefault(action.term, set()).add(server.name)
+                self.promoted_at.setdefault(action.term, self.now)
+                server.primary, server.source = True, ""
+            case fo.Follow() if action.term >= server.term:
+                if server.primary and action.term == server.term:
+                    return False
+                server.fence(action.term)
+                server.source = action.primary
+            case _:
+                return False
+        return True
+
+    # What must hold
+
+    def check_kept(self, name):
+        held = {entry[1] for entry in self.servers[name].log}
+        lost = [write for write in self.acked if write not in held]
+        if lost:
+            self.wrong.append(f"{name} became primary without {lost[:5]}")
+
+    def acknowledge(self, write, position, run_at):
+        later = [t for t in self.promoted_at if t > position.term]
+        if any(self.promoted_at[t] < run_at for t in later):
+            self.wrong.append(f"{write} run and acknowledged in a replaced term")
+        self.acked.append(write)
+        self.acks_at.append((self.now, position.term))
+
+    def violations(self):
+        twice = {t: names for t, names in self.promoted.items() if len(names) > 1}
+        return self.wrong + [f"promoted twice: {twice}"] * bool(twice)
+
+    def gap(self, since):
+        """The longest time without an acknowledged write after a moment, in seconds."""
+        times = [since, *(at for at, _ in self.acks_at if at > since), self.now]
+        return max(b - a for a, b in itertools.pairwise(times))
+
+
+class Home:
+    def __init__(self, world, name, policy, voters):
+        self.world, self.name, self.policy, self.voters = world, name, policy, voters
+        self.state, self.backlog, self.statuses = "up", [], {}
+        self.pending, self.writes = {}, itertools.count()
+        self.see(world.object)
+        world.every(TICK_S, self.tick)
+        world.every(WRITE_S, self.write)
+        for server in world.servers:
+            world.every(POLL_S, lambda server=server: self.poll(server))
+
+    def seer(self, state):
+        return lambda: self.see(state)
+
+    def see(self, state):
+        self.policy.take_group(self.world.now, state, self.voters)
+        self.decide()
+
+    def tick(self):
+        if self.state != "up":
+            return
+        self.decide()
+        if int(self.world.now / TICK_S) % 10 == 0:
+            self.call_platform(lambda: self.world.read(self.name))
+
+    def poll(self, server):
+        if self.state == "up":
+            asked_at = self.world.now
+            self.ask(server, lambda: self.answer(server, asked_at))
+
+    def ask(self, server, run):
+        self.world.send(self.name, server, run)
+
+    def answer(self, server, asked_at):
+        status = self.world.servers[server].status(asked_at)
+        self.world.send(server, self.name, lambda: self.hear(status))
+
+    def hear(self, status):
+        known = self.statuses.get(status.name)
+        if known is None or status.asked_at >= known.asked_at:
+            self.statuses[status.name] = status
+        self.policy.take_status(self.world.now, status)
+        self.confirm()
+        self.decide()
+
+    def decide(self):
+        for action in self.policy.decide(self.world.now):
+            self.carry_out(action)
+
+    def carry_out(self, action):
+        world = self.world
+        match action:
+            case fo.AskViews():
+                for home in world.homes.values():
+                    if home.policy.failure_domain in action.failure_domains:
+                        world.send(self.name, home.name, home.viewer(self))
+            case fo.UpdateGroup():
+                self.call_platform(lambda: world.update(self.name, action))
+                retry = world.now + PLATFORM_TIMEOUT_S
+                read = lambda: world.read(self.name)  # noqa: E731
+                world.at(retry, lambda: self.call_platform(read))
+            case fo.ReadGroup():
+                self.call_platform(lambda: world.read(self.name))
+            case _:
+                sent = world.now + world.net.connect_s
+                world.at(sent, lambda: self.command(action))
+
+    def call_platform(self, run):
+        if self.state == "up":
+            self.world.send(self.name, "platform", run)
+
+    def command(self, action):
+        asked_at = self.world.now
+        self.ask(action.server, lambda: self.run_command(action, asked_at))
+
+    def run_command(self, action, asked_at):
+        if not self.world.command(action):
+            return
+        status = self.world.servers[action.server].status(asked_at)
+
+        def done():
+            if isinstance(action, fo.Follow):
+                self.policy.take_followed(action, status)
+            self.hear(status)
+
+        self.world.send(action.server, self.name, done)
+
+    def viewer(self, asker):
+        def answer():
+            view = self.policy.view(self.world.now)
+
+            def take():
+                asker.policy.take_view(asker.world.now, view)
+                asker.decide()
+
+            self.world.send(self.name, asker.name, take)
+
+        return answer
+
+    def write(self):
+        group = self.policy.state
+        status = self.statuses.get(group.primary)
+        if self.state != "up":
+            return
+        fit = status is not None and status.is_primary and status.term == group.term
+        if not fit or self.world.now - status.asked_at > 1.5:
+            self.world.refused += 1
+            return
+        write = f"{self.name}-{next(self.writes)}"
+        self.ask(group.primary, lambda: self.run_write(group.primary, write))
+
+    def run_write(self, name, write):
+        server, run_at = self.world.servers[name], self.world.now
+        if not server.primary:
+            return
+        server.log.append((server.term, write))
+        status = server.status(run_at)
+
+        def written():
+            self.pending[write] = (status.tail, run_at)
+            self.hear(status)
+
+        self.world.send(name, self.name, written)
+
+    def confirm(self):
+        size = len(self.world.servers)
+        for write, (position, run_at) in list(self.pending.items()):
+            seen = self.statuses.values()
+            if self.world.ack_rule(position, position.term, seen, size):
+                del self.pending[write]
+                self.world.acknowledge(write, position, run_at)
+
+
+def at_primary_alone(position: Position, term, statuses, size):
+    """Acknowledge what the primary alone holds, as without a majority."""
+    return True
+
+
+FAULTS = {
+    "kill": lambda world, n, m: world.set_state(f"s{n}", "dead"),
+    "freeze": lambda world, n, m: world.set_state(f"s{n}", "frozen"),
+    "isolate": lambda world, n, m: world.isolate(n),
+    "cut servers": lambda world, n, m: world.cut(f"s{n}", f"s{m}"),
+    "cut to server": lambda world, n, m: world.cut(f"c{m}", f"s{n}"),
+    "cut from server": lambda world, n, m: world.cut(f"s{n}", f"c{m}"),
+    "cut platform": lambda world, n, m: world.cut("platform", f"c{n}"),
+    "pause home": lambda world, n, m: world.set_state(f"c{n}", "frozen"),
+    "kill home": lambda world, n, m: world.set_state(f"c{n}", "dead"),
+    "far behind": lambda world, n, m: setattr(world.servers[f"s{n}"], "far_behind", 1),
+    "platform down": lambda world, n, m: setattr(world, "platform_down", True),
+    "lose answers": lambda world, n, m: setattr(world, "lose_answers", 3),
+    "leave": lambda world, n, m: world.mark(f"s{n}", leaving=True),
+    "resume": lambda world, n, m: [
+        world.set_state(name, "up") for name in (f"s{n}", f"c{n}", f"c{m}")
+    ],
+}
+
+
+def run_faults(seed, *, rounds=4, **options):
+    """Run pairs of faults from a seed, then end them all; return the world."""
+    rule = options.pop("ack_rule", is_acknowledged)
+    world = World(seed, **options)
+    world.ack_rule = rule
+    rng = random.Random(seed)
+    world.advance(1.0)
+    for _ in range(rounds):
+        for name in rng.sample(sorted(FAULTS), 2):
+            FAULTS[name](world, *rng.sample(range(3), 2))
+            world.advance(rng.choice((0.0, 0.05, 0.3, 1.4, 1.5, 2.5)))
+        world.advance(rng.choice((0.1, 1.5, 3.0)))
+        if rng.random() < 0.4:
+            world.heal()
+    return finish(world)
+
+
+def finish(world):
+    """End all faults and give the group time; it must take writes again."""
+    world.heal()
+    world.advance(9.0)
+    before = len(world.acked)
+    world.advance(1.0)
+    if len(world.acked) == before:
+        world.wrong.append(f"no writes after the faults ended: {world.object}")
+    if world.object.primary:
+        world.check_kept(world.object.primary)
+    return world
