Prove the failover rules under pairs of faults in virtual time

Each rule fails with its mechanism off: worst instead of best, one server fenced, candidate not recorded, acknowledgement at the primary alone, no other view. Found on the way: one cut path alone promoted nothing within 4 s even without the others' views, since moving replicas count as a live primary; the test now runs 9 s.

--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,235 @@
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mangoramp.policy import failover as fo
+
+from .failover_world import FAULTS, World, at_primary_alone, finish, run_faults
+
+SEEDS = range(60)
+
+
+class Worst(fo.Failover):
+    """Promotes the worst of the fenced servers."""
+
+    def _best(self, state, fenced):
+        return min(fenced, key=lambda status: (status.tail, status.name))
+
+
+class OneFenced(fo.Failover):
+    """Fences one server and takes it for a majority."""
+
+    def _is_enough(self, now, state, fenced):
+        return bool(fenced)
+
+
+class Unrecorded(fo.Failover):
+    """Promotes without recording the candidate first."""
+
+    def _fence(self, now, state):
+        found = []
+        for action in super()._fence(now, state):
+            if isinstance(action, fo.UpdateGroup) and action.candidate:
+                found.append(fo.Promote(action.candidate, state.term))
+            found.append(action)
+        return tuple(found)
+
+
+class Alone(fo.Failover):
+    """Asks nobody else."""
+
+    def _is_agreed(self, now, state):
+        return True
+
+
+def first_violation(what, **options):
+    """Run the seeds until one breaks a rule in a stated way."""
+    for seed in SEEDS:
+        found = run_faults(seed, **options).violations()
+        if any(what in violation for violation in found):
+            return seed
+    return None
+
+
+class TestUnderPairsOfFaults:
+    @pytest.mark.parametrize("first", SEEDS[::10])
+    def test_keeps_all_rules(self, first):
+        for seed in range(first, first + 10):
+            assert run_faults(seed).violations() == []
+
+    def test_loses_writes_without_the_best(self):
+        assert first_violation("without", controller=Worst) is not None
+
+    def test_loses_writes_without_a_fenced_majority(self):
+        assert first_violation("without", controller=OneFenced) is not None
+
+    def test_loses_writes_acknowledged_at_the_primary_alone(self):
+        assert first_violation("without", ack_rule=at_primary_alone) is not None
+
+    def test_acknowledges_replaced_writes_without_a_majority(self):
+        what = "run and acknowledged in a replaced term"
+        assert first_violation(what, ack_rule=at_primary_alone) is not None
+
+    def test_promotes_twice_without_a_recorded_candidate(self):
+        assert first_violation("promoted twice", controller=Unrecorded) is not None
+
+
+class Faults(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.world = World(1)
+        self.world.advance(1.0)
+
+    @rule(name=st.sampled_from(sorted(FAULTS)), pair=st.permutations(range(3)))
+    def fail(self, name, pair):
+        FAULTS[name](self.world, pair[0], pair[1])
+
+    @rule(seconds=st.sampled_from((0.01, 0.1, 0.4, 1.4, 1.6, 3.0)))
+    def wait(self, seconds):
+        self.world.advance(seconds)
+
+    @rule()
+    def heal(self):
+        self.world.heal()
+
+    @invariant()
+    def holds(self):
+        assert self.world.violations() == []
+
+    def teardown(self):
+        assert finish(self.world).violations() == []
+
+
+Faults.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=15, deadline=None, derandomize=True
+)
+TestAnySequence = Faults.TestCase
+
+
+class TestNoPromotion:
+    @staticmethod
+    def terms(fault, *, seconds=4.0, **options):
+        """The term after a fault that lasts some seconds, over seeds."""
+        found = set()
+        for seed in range(5):
+            world = World(seed, **options)
+            world.advance(2.0 + seed * 0.03)
+            fault(world)
+            world.advance(seconds)
+            world.heal()
+            world.advance(4.0)
+            assert world.violations() == []
+            found.add(world.object.term)
+        return found
+
+    def test_for_a_short_pause(self):
+        assert self.terms(lambda w: w.set_state("s0", "frozen"), seconds=0.7) == {1}
+
+    def test_promotes_for_a_short_pause_without_the_wait(self):
+        hasty = fo.Timings(ask_s=0.2, agree_s=0.2, suspect_s=0.3)
+        frozen = self.terms(
+            lambda w: w.set_state("s0", "frozen"), seconds=0.7, timings=hasty
+        )
+        assert frozen != {1}
+
+    @pytest.mark.parametrize("home", ["c1", "c2"])
+    def test_for_one_cut_path(self, home):
+        assert self.terms(lambda w: w.cut("s0", home), seconds=9.0) == {1}
+
+    def test_promotes_for_one_cut_path_without_the_others(self):
+        terms = self.terms(lambda w: w.cut("s0", "c1"), seconds=9.0, controller=Alone)
+        assert terms != {1}
+
+    @pytest.mark.parametrize("home", ["c0", "c1", "c2"])
+    def test_for_a_slow_proxy(self, home):
+        assert self.terms(lambda w: w.set_state(home, "frozen")) == {1}
+
+    @pytest.mark.parametrize("server", ["s1", "s2"])
+    def test_for_a_lost_replica(self, server):
+        assert self.terms(lambda w: w.set_state(server, "dead")) == {1}
+
+    def test_while_the_platform_is_down(self):
+        world = World(3)
+        world.advance(2.0)
+        world.platform_down = True
+        world.set_state("s0", "dead")
+        world.advance(10.0)
+        assert set(world.promoted) == {1}
+        world.platform_down = False
+        world.advance(4.0)
+        assert world.object.primary in ("s1", "s2")
+
+
+class TestResumption:
+    def test_goes_on_after_a_stop_at_any_step(self):
+        for steps in range(1, 60, 2):
+            world = World(steps)
+            world.advance(2.0)
+            world.set_state("s0", "dead")
+            world.advance(1.2 + steps * 0.01)
+            acting = [c for c, h in world.homes.items() if h.policy._acts_in > 1]
+            for name in acting:
+                world.set_state(name, "frozen")
+            since = world.now
+            world.advance(9.0)
+            assert len(acting) < 3
+            assert world.gap(since) < 7.0
+            for name in acting:
+                world.set_state(name, "up")
+            world.advance(3.0)
+            assert world.violations() == []
+            assert len(world.object.primary) > 0
+
+
+class TestLeaving:
+    def test_hands_over_from_a_leaving_primary(self):
+        world = World(1)
+        world.advance(2.0)
+        world.mark("s0", leaving=True)
+        since = world.now
+        world.advance(3.0)
+        assert world.object.primary in ("s1", "s2")
+        assert world.gap(since) < 1.5
+        assert finish(world).violations() == []
+
+    def test_never_announces_a_leaving_server_while_one_stays(self):
+        for seed in range(10):
+            world = World(seed)
+            world.mark("s1", leaving=True)
+            world.advance(2.0)
+            world.servers["s2"].far_behind = True
+            world.advance(0.5)
+            world.set_state("s0", "dead")
+            world.servers["s2"].far_behind = False
+            world.advance(6.0)
+            announced = {state.primary for _, state in world.history}
+            assert announced <= {"s0", "", "s2"}
+            assert world.object.primary == "s2"
+            assert finish(world).violations() == []
+
+
+class TestRankVoters:
+    def test_takes_the_servers_domains(self):
+        ranked = fo.rank_voters("g", ["a", "b", "c"], ["d", "e"])
+        assert set(ranked) == {"a", "b", "c"}
+
+    def test_adds_domains_where_servers_are_close_together(self):
+        ranked = fo.rank_voters("g", ["a", "a", "a"], ["a", "b", "c", "d"])
+        assert len(ranked) == 3
+        assert "a" in ranked
+
+    def test_spreads_groups(self):
+        firsts = {fo.rank_voters(f"g{n}", "abc", [])[0] for n in range(20)}
+        assert firsts == set("abc")
+
+
+class TestBackoff:
+    def test_waits_longer_up_to_a_bound(self):
+        backoff = fo.Backoff(random.Random(1))
+        tried = [t for t in range(10_000) if backoff.due("a", t / 1000)]
+        gaps = [b - a for a, b in zip(tried, tried[1:], strict=False)]
+        assert gaps[0] < 200
+        assert all(500 <= gap <= 1001 for gap in gaps[4:])
