Record where a term starts with its candidate

A candidate that was promoted and never announced leaves entries of its term in the log that the next term builds on; with the start recorded at the announcement only, a replaced primary's entries up to there counted as history. The start is the tail of the fenced candidate; starts of later terms than its last entry's are dropped. A server promoted again in its own term no longer moves its start (stand-in).

--- a/mangoramp/policy/failover.py
+++ b/mangoramp/policy/failover.py
@@ -11,26 +11,18 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ._rendezvous import rendezvous
 from .backoff import Backoff
 from .quorum import ServerStatus, majority
 from .suspicion import Suspicion, View
+from .view import Member
 
 MIN_VOTERS = 3
 NEAR_ENTRIES = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    """A database server of the group."""
-
-    name: str
-    failure_domain: str
-    leaving: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class GroupState:
     """The group object as far as a failover needs it.
@@ -41,6 +33,7 @@
         primary: The primary, empty while a failover runs.
         candidate: Who is to be promoted in this term, empty before the choice.
         members: The group's servers.
+        starts: Where each term with entries in the log began, oldest first.
     """
 
     version: int
@@ -48,6 +41,7 @@
     primary: str
     candidate: str
     members: tuple[Member, ...]
+    starts: tuple[tuple[int, int], ...] = ()
 
     def member(self, name: str) -> Member | None:
         """The server of that name."""
@@ -98,19 +92,11 @@
     """Change the group object if it still has a version, then read it back.
 
     Attributes:
-        version: The version on which the decision rests.
-        term: The new term.
-        primary: The new primary, empty for none.
-        candidate: The new candidate, empty for none.
-        start: Where the term starts in the log, None before that is known.
+        state: The new object, with the version on which the decision rests.
         reason: What was considered, for the log.
     """
 
-    version: int
-    term: int
-    primary: str
-    candidate: str
-    start: int | None
+    state: GroupState
     reason: str
 
 
@@ -286,9 +272,7 @@
         if self._is_enough(now, state, fenced):
             best = self._best(state, fenced)
             tails = ", ".join(f"{s.name} {s.log_term}/{s.held}" for s in fenced)
-            return self._update(
-                now, state, term=state.term, candidate=best.name, reason=tails
-            )
+            return self._choose(now, state, best, tails)
         return tuple(
             Fence(member.name, state.term)
             for member in state.members
@@ -296,6 +280,15 @@
             and self._backoff.due(("fence", member.name), now)
         )
 
+    def _choose(
+        self, now: float, state: GroupState, best: ServerStatus, reason: str
+    ) -> tuple[Action, ...]:
+        """Record the candidate; the term builds on its log, which is fenced."""
+        kept = (start for start in state.starts if start[0] <= best.log_term)
+        starts = (*kept, (state.term, best.held))
+        new = replace(state, candidate=best.name, starts=starts)
+        return self._update(now, new, reason)
+
     def _promote(self, now: float, state: GroupState) -> tuple[Action, ...]:
         status = self._statuses.get(state.candidate)
         if status is None or not self._is_fresh(now, status):
@@ -309,14 +302,8 @@
             staying = self._staying(now, state)
             if staying:
                 return self._hand_over(now, state, status, staying)
-        return self._update(
-            now,
-            state,
-            term=state.term,
-            primary=state.candidate,
-            start=status.held,
-            reason=f"{state.candidate} is promoted at {status.held}",
-        )
+        new = replace(state, primary=state.candidate, candidate="")
+        return self._update(now, new, f"{state.candidate} is promoted")
 
     def _hand_over(
         self,
@@ -355,21 +342,11 @@
         terms = [status.term for status in self._statuses.values()]
         term = max([state.term, *terms]) + 1
         self._acts_in = term
-        return self._update(now, state, term=term, reason=reason)
+        new = replace(state, term=term, primary="", candidate="")
+        return self._update(now, new, reason)
 
-    def _update(
-        self,
-        now: float,
-        state: GroupState,
-        *,
-        term: int,
-        primary: str = "",
-        candidate: str = "",
-        start: int | None = None,
-        reason: str,
-    ) -> tuple[Action, ...]:
-        update = UpdateGroup(state.version, term, primary, candidate, start, reason)
-        return self._once("update", now, update)
+    def _update(self, now: float, new: GroupState, reason: str) -> tuple[Action, ...]:
+        return self._once("update", now, UpdateGroup(new, reason))
 
     def _once(self, key: str, now: float, action: Action) -> tuple[Action, ...]:
         return (action,) if self._backoff.due(key, now) else ()
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -208,7 +208,8 @@
             return
         while self.store.applied < self.store.held:
             self.store.apply_next()
-        self.store.open_term()
+        if self.store.log_term != term:
+            self.store.open_term()
         self.primary = True
         self.primary_address = None
         self.touch()
--- a/tests/failover_world.py
+++ b/tests/failover_world.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, replace
 
 from mangoramp.policy import failover as fo
-from mangoramp.policy.position import Position
+from mangoramp.policy.position import Lineage, Position
 from mangoramp.policy.quorum import ServerStatus, is_acknowledged
+from mangoramp.policy.view import Member
 
 TICK_S = 0.1
 POLL_S = 0.1
@@ -55,8 +56,8 @@
         self.servers["s0"].primary = True
         for server in list(self.servers.values())[1:]:
             server.source = "s0"
-        members = tuple(fo.Member(s.name, s.domain) for s in self.servers.values())
-        self.object = fo.GroupState(1, 1, "s0", "", members)
+        members = tuple(Member(s.name, s.domain, 2) for s in self.servers.values())
+        self.object = fo.GroupState(1, 1, "s0", "", members, ((1, 0),))
         self.history = [(0.0, self.object)]
         self.promoted = {1: {"s0"}}
         self.promoted_at = {1: 0.0}
@@ -152,17 +153,10 @@
     def update(self, src, action):
         if self.platform_down:
             return
-        if action.version == self.object.version:
-            if action.primary:
-                self.check_kept(action.primary)
-            self.change(
-                replace(
-                    self.object,
-                    term=action.term,
-                    primary=action.primary,
-                    candidate=action.candidate,
-                )
-            )
+        if action.state.version == self.object.version:
+            self.change(action.state)
+            if action.state.primary:
+                self.check_kept(action.state.primary)
         if self.lose_answers:
             self.lose_answers -= 1
         else:
@@ -212,6 +206,8 @@
             case fo.Promote() if action.term == server.term:
                 self.promoted.setdefault(action.term, set()).add(server.name)
                 self.promoted_at.setdefault(action.term, self.now)
+                if not server.primary and server.status(0.0).log_term != server.term:
+                    server.log.append((server.term, ""))
                 server.primary, server.source = True, ""
             case fo.Follow() if action.term >= server.term:
                 if server.primary and action.term == server.term:
@@ -225,10 +221,16 @@
     # What must hold
 
     def check_kept(self, name):
-        held = {entry[1] for entry in self.servers[name].log}
+        log = self.servers[name].log
+        held = {entry[1] for entry in log}
         lost = [write for write in self.acked if write not in held]
         if lost:
             self.wrong.append(f"{name} became primary without {lost[:5]}")
+        lineage = Lineage(self.object.starts)
+        for server in self.servers.values():
+            shown = lineage.contains(server.status(0.0).tail)
+            if shown and server.log != log[: len(server.log)]:
+                self.wrong.append(f"{server.name} shows what {name} never had")
 
     def acknowledge(self, write, position, run_at):
         later = [t for t in self.promoted_at if t > position.term]
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,4 +1,5 @@
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings
@@ -32,12 +33,19 @@
     def _fence(self, now, state):
         found = []
         for action in super()._fence(now, state):
-            if isinstance(action, fo.UpdateGroup) and action.candidate:
-                found.append(fo.Promote(action.candidate, state.term))
+            if isinstance(action, fo.UpdateGroup) and action.state.candidate:
+                found.append(fo.Promote(action.state.candidate, state.term))
             found.append(action)
         return tuple(found)
 
 
+class NoStarts(fo.Failover):
+    """Does not record where a term starts."""
+
+    def _update(self, now, new, reason):
+        return super()._update(now, replace(new, starts=self.state.starts), reason)
+
+
 class Alone(fo.Failover):
     """Asks nobody else."""
 
@@ -73,6 +81,9 @@
         what = "run and acknowledged in a replaced term"
         assert first_violation(what, ack_rule=at_primary_alone) is not None
 
+    def test_shows_lost_entries_without_recorded_starts(self):
+        assert first_violation("never had", controller=NoStarts) is not None
+
     def test_promotes_twice_without_a_recorded_candidate(self):
         assert first_violation("promoted twice", controller=Unrecorded) is not None
 
