Drive failovers from the homes: controllers, commands, views of other domains

A controller runs beside a group's home in each failure domain on the statuses that the home follows already, so that at rest it sends nothing. Commands go over a connection of their own; a server's connections reserve one for it and one for each replica.

--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -35,6 +35,7 @@
 
     def __init__(self, client: PlatformClient) -> None:
         self.groups: dict[str, GroupObject] = {}
+        self.group_versions: dict[str, int] = {}
         self.keys: dict[str, KeyRecord] = {}
         self.instances: dict[str, InstanceObject] = {}
         self.on_change: Callable[[], None] = lambda: None
@@ -85,6 +86,7 @@
             self.groups.pop(found.name, None)
         else:
             self.groups[found.name] = found.value
+            self.group_versions[found.name] = found.version
             group = found.value
             emit(
                 GROUP_CHANGED,
--- /dev/null
+++ b/mangoramp/endpoints/control.py
@@ -0,0 +1,116 @@
+"""Commands of a failover, each on a short-lived connection of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import replace
+from functools import singledispatch
+from typing import Any
+
+import asyncpg
+from returns.result import Failure, Result, Success
+
+from ..errors import Code, Fault, FaultError, Outcome, Step
+from ..platform.objects import ServerState
+from ..policy.failover import Command, Fence, Follow, Promote
+from ..policy.quorum import ServerStatus
+from .connection import connect
+from .run import read_status
+
+COMMAND_TIMEOUT_S = 1.0
+RETRY_AFTER_S = 0.5
+
+Servers = Mapping[str, ServerState]
+
+
+async def command(
+    action: Command, servers: Servers, *, asked_at: float
+) -> Result[ServerStatus, Fault]:
+    """Give a server a command.
+
+    Args:
+        action: The command.
+        servers: The group's servers by name.
+        asked_at: The time now, in seconds.
+
+    Returns:
+        The server's status after it. After a fault it may have been carried out.
+    """
+    found = await _on_server(servers[action.server], *_statement(action, servers))
+    return found.map(
+        lambda row: ServerStatus(**row | {"name": action.server}, asked_at=asked_at)
+    )
+
+
+async def probe(
+    server: ServerState, *, asked_at: float, timeout_s: float
+) -> Result[ServerStatus, Fault]:
+    """Ask a server for its status on a new connection.
+
+    Args:
+        server: The server.
+        asked_at: The time now, in seconds.
+        timeout_s: Seconds to wait for the answer.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            conn = await connect(server, role="control")
+            try:
+                status = await read_status(conn, asked_at=asked_at, timeout_s=timeout_s)
+            finally:
+                conn.terminate()
+    except FaultError as exc:
+        return Failure(exc.fault)
+    except (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError):
+        return Failure(_lost(server, "no status in time"))
+    return Success(replace(status, name=server.name))
+
+
+async def _on_server(
+    server: ServerState, sql: str, params: tuple[str, ...]
+) -> Result[dict[str, Any], Fault]:
+    try:
+        conn = await connect(server, role="control")
+    except FaultError as exc:
+        return Failure(exc.fault)
+    try:
+        row = await conn.fetchrow(sql, *params, timeout=COMMAND_TIMEOUT_S)
+        return Success(dict(row))
+    except (
+        OSError,
+        TimeoutError,
+        asyncpg.PostgresError,
+        asyncpg.InterfaceError,
+    ) as exc:
+        return Failure(_lost(server, str(exc) or type(exc).__name__))
+    finally:
+        conn.terminate()
+
+
+def _lost(server: ServerState, why: str) -> Fault:
+    message = f"the server {server.name} did not confirm a command: {why}"
+    unknown = Outcome.UNKNOWN
+    return Fault(Code.NO_SERVER, message, Step.RUN, server.name, unknown, RETRY_AFTER_S)
+
+
+@singledispatch
+def _statement(action: Command, servers: Servers) -> tuple[str, tuple[str, ...]]:
+    raise TypeError(f"no command: {action!r}")
+
+
+@_statement.register
+def _(action: Fence, servers: Servers) -> tuple[str, tuple[str, ...]]:
+    return "SELECT * FROM mangoramp_fence($1)", (str(action.term),)
+
+
+@_statement.register
+def _(action: Promote, servers: Servers) -> tuple[str, tuple[str, ...]]:
+    return "SELECT * FROM mangoramp_promote($1)", (str(action.term),)
+
+
+@_statement.register
+def _(action: Follow, servers: Servers) -> tuple[str, tuple[str, ...]]:
+    primary = servers[action.primary]
+    params = (str(action.term), primary.host, str(primary.port))
+    return "SELECT * FROM mangoramp_follow($1, $2, $3)", params
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -40,6 +40,8 @@
 SERVER_BACK = Event(411, "INFO", "database server answers again")
 CONNECTION_CLOSED = Event(412, "INFO", "connection to a database server closed")
 FAILOVER_STEP = Event(500, "WARNING", "failover step")
+PRIMARY_SUSPECTED = Event(501, "WARNING", "primary silent, other domains asked")
+FAILOVER_COMMAND = Event(502, "INFO", "failover command given to a server")
 
 CATALOGUE: tuple[Event, ...] = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -71,6 +71,10 @@
             emit(HOME_PLACED, group=group, instance=owner, considered=members)
         return owner
 
+    def group(self, name: str) -> Group:
+        """The servers of a group whose home is here."""
+        return self._home(name).group
+
     def refresh(self) -> None:
         """Take over changes of the groups."""
         for name, home in list(self._homes.items()):
@@ -89,6 +93,8 @@
         if name not in self._homes:
             spec = self._catalog.groups[name]
             connections = min(server.connections for server in spec.servers)
+            # The replicas' connections, and one for a failover.
+            connections -= len(spec.servers)
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
             admission = Admission(name, lambda customer: self._limits(customer, name))
--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -48,6 +48,7 @@
         primary: The primary's name; empty while a failover runs.
         servers: All servers of the group.
         starts: Where each term began, oldest first.
+        candidate: Who is to be promoted in this term; empty if nobody is.
     """
 
     name: str
@@ -55,6 +56,7 @@
     primary: str
     servers: tuple[ServerState, ...]
     starts: tuple[TermStart, ...] = ()
+    candidate: str = ""
 
 
 class Row(msgspec.Struct, frozen=True):
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -7,6 +7,7 @@
 from ..errors import Fault
 from ..policy.position import Position
 from ..policy.statement import Kind
+from ..policy.suspicion import View
 
 Param = str | int | float | bool | None
 
@@ -79,7 +80,19 @@
     fault: Fault
 
 
-Message = RunStatement | Rows | Refused
+class AskView(Envelope, frozen=True):
+    """Tell what is seen of a group's primary from another failure domain."""
+
+    group: str
+
+
+class ViewAnswer(Envelope, frozen=True):
+    """What is seen of a group's primary."""
+
+    view: View
+
+
+Message = RunStatement | Rows | Refused | AskView | ViewAnswer
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -13,6 +13,7 @@
 from .callers.app import MAX_BODY_BYTES, callers_application
 from .callers.health import health_application
 from .catalog import KIND_INSTANCE, Catalog
+from .controllers import Controllers
 from .errors import Code, Fault, Step
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
@@ -21,7 +22,7 @@
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import AskView, Message, Refused, RunStatement
 from .settings import ProxySettings
 
 REGISTER_RETRY_S = 0.2
@@ -42,13 +43,17 @@
         self.catalog = Catalog(self._client)
         self._links = Links(self._address_of)
         self.homes = Homes(cfg, self.catalog, self._links)
-        self.catalog.on_change = self.homes.refresh
+        self.controllers = Controllers(
+            cfg, self.catalog, self.homes, self._links, self._client
+        )
+        self.catalog.on_change = self._refresh
         self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
         self._answer.register(RunStatement, self.homes.serve)
+        self._answer.register(AskView, self.controllers.answer_view)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
@@ -74,6 +79,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._peers is not None:
             self._peers.close()
+        self.controllers.close()
         self.homes.close()
         self._links.close()
         self._client.close()
@@ -81,6 +87,10 @@
             await server.close_all_connections()
         emit(PROXY_STOPPED, name=self.cfg.name)
 
+    def _refresh(self) -> None:
+        self.homes.refresh()
+        self.controllers.refresh()
+
     def _listen(self) -> None:
         cfg = self.cfg
         callers = HTTPServer(
