Keep entries of a term that left none out of the history

Ruled out: keeping the start of term 2 (same verdict). A term missing from the lineage is now no part of the history.

--- a/mangoramp/policy/position.py
+++ b/mangoramp/policy/position.py
@@ -26,7 +26,8 @@
     """Where each term of a group began.
 
     Attributes:
-        starts: The offset at which each term began, by term, oldest first.
+        starts: The offset at which each term began, by term, oldest first; terms of
+            which no entry is part of the history are missing.
     """
 
     starts: tuple[tuple[int, int], ...] = ()
@@ -43,6 +44,8 @@
 
         A replaced primary may hold entries that no other server has; they are not.
         """
+        if not self._is_known(position):
+            return False
         end = self.end_of(position.term)
         return end is None or position.offset <= end
 
@@ -57,3 +60,8 @@
         end = self.end_of(want.term)
         offset = want.offset if end is None else min(want.offset, end)
         return offset <= have.offset
+
+    def _is_known(self, position: Position) -> bool:
+        if not self.starts or position.offset == 0:
+            return True
+        return any(term == position.term for term, _ in self.starts)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from mangoramp.policy import failover as fo
+from mangoramp.policy.position import Lineage, Position
 
 from .failover_world import FAULTS, World, at_primary_alone, finish, run_faults
 
@@ -68,6 +69,10 @@
         for seed in range(first, first + 10):
             assert run_faults(seed).violations() == []
 
+    def test_shows_nothing_of_a_term_that_left_no_entries(self):
+        assert run_faults(1467).violations() == []
+        assert not Lineage(((1, 0), (3, 215))).contains(Position(2, 162))
+
     def test_loses_writes_without_the_best(self):
         assert first_violation("without", controller=Worst) is not None
 
