--- a/benchmarks/test_failover_gap.py
+++ b/benchmarks/test_failover_gap.py
@@ -10,7 +10,7 @@
 
 from mangoramp.policy.failover import Timings
 from tests.caller import Caller
-from tests.failover_world import FAULTS, Net, World
+from tests.failover_world import FAULTS, TICK_S, Net, World
 from tests.processes import Processes
 from tests.test_failover_processes import TABLE, started
 
@@ -24,6 +24,8 @@
 KILL_BOUND_S = 3.0
 MIX_BOUND_S = 13.0
 SECOND_LASTS_S = 4.0
+HOMES_AT_TARGET = 1500 * 3 / 2000
+CORE_SHARE = 0.018 / 10
 
 
 def gap_after(seed, net, faults, *, timings=None, lasts_s=None, wait_s=13.0):
@@ -155,6 +157,38 @@
         assert not any(found.values())
 
 
+class TestRest:
+    def test_cost(self, benchmark):
+        world = World(1)
+        world.advance(5.0)
+        home = world.homes["c0"]
+        given = []
+        for other in world.homes.values():
+            other.carry_out = given.append
+        world.advance(60.0)
+        state = home.policy.state
+
+        def decide():
+            for status in home.statuses.values():
+                home.policy.take_status(world.now, status)
+            return home.policy.decide(world.now)
+
+        count = 2000
+        began = time.process_time()
+        for _ in range(count):
+            decide()
+        each = (time.process_time() - began) / count
+        benchmark.pedantic(decide, rounds=1)
+        share = each / TICK_S * HOMES_AT_TARGET
+        print(
+            f"\nat rest: {len(given)} messages in 60 s; {each * 1e6:.0f} us a decision,"
+            f" {share:.3%} of a core at {HOMES_AT_TARGET} homes a daemon"
+        )
+        assert state.term == 1
+        assert given == []
+        assert share < CORE_SHARE
+
+
 class TestProcesses:
     def test_gap(self, benchmark, tmp_path):
         fleet = Processes(tmp_path)
--- a/tests/failover_world.py
+++ b/tests/failover_world.py
@@ -14,8 +14,6 @@
 from mangoramp.policy.view import Member
 
 TICK_S = 0.1
-POLL_S = 0.1
-PULL_S = 0.03
 WRITE_S = 0.05
 PLATFORM_TIMEOUT_S = 1.0
 STANDBY_S = 0.6
@@ -25,6 +23,8 @@
 class Net:
     one_way_s: float = 0.0005
     connect_s: float = 0.012
+    poll_s: float = 0.1
+    pull_s: float = 0.03
 
 
 class Server:
@@ -49,7 +49,10 @@
 class World:
     """Nodes are named ``s0..``, ``c0..`` and ``platform``; number n is in domain dn."""
 
-    def __init__(self, seed, *, controller=fo.Failover, timings=None, net=None, size=3):
+    def __init__(
+        self, seed, *, controller=fo.Failover, timings=None, net=None, home=None
+    ):
+        size, home, self.confirming = 3, home or Home, None
         self.rng = random.Random(seed)
         self.net = net or Net()
         self.now, self.queue, self.order = 0.0, [], itertools.count()
@@ -70,9 +73,9 @@
         for n in range(size):
             rng = random.Random(seed * 31 + n)
             policy = controller("g", f"d{n}", now=0.0, rng=rng, timings=timings)
-            self.homes[f"c{n}"] = Home(self, f"c{n}", policy, voters)
+            self.homes[f"c{n}"] = home(self, f"c{n}", policy, voters)
         for name in self.servers:
-            self.every(PULL_S, lambda name=name: self.pull(name))
+            self.every(self.net.pull_s, lambda name=name: self.pull(name))
 
     # Time and messages
 
@@ -260,7 +263,7 @@
         world.every(TICK_S, self.tick)
         world.every(WRITE_S, self.write)
         for server in world.servers:
-            world.every(POLL_S, lambda server=server: self.poll(server))
+            world.every(world.net.poll_s, lambda server=server: self.poll(server))
 
     def seer(self, state):
         return lambda: self.see(state)
@@ -396,6 +399,7 @@
         self.world.send(name, self.name, written)
 
     def confirm(self):
+        self.world.confirming = self
         size = len(self.world.servers)
         for write, (position, run_at) in list(self.pending.items()):
             seen = self.statuses.values()
