--- a/mangoramp/controller.py
+++ b/mangoramp/controller.py
@@ -148,7 +148,10 @@
             term=new.term,
             primary=new.primary,
             candidate=new.candidate,
-            starts=tuple(TermStart(*start) for start in new.starts),
+            starts=tuple(
+                TermStart(origin.term, origin.offset, origin.previous)
+                for origin in new.origins
+            ),
         )
         outcome = await self._put(spec, new.version)
         emit(
@@ -220,6 +223,12 @@
 
 def group_state(version: int, spec: GroupObject) -> GroupState:
     """Read what a failover needs from a group object."""
-    starts = tuple((start.term, start.position) for start in spec.starts)
-    members = configuration(spec).members
-    return GroupState(version, spec.term, spec.primary, spec.candidate, members, starts)
+    cfg = configuration(spec)
+    return GroupState(
+        version,
+        cfg.term,
+        cfg.primary,
+        spec.candidate,
+        cfg.members,
+        cfg.lineage.origins,
+    )
--- a/mangoramp/policy/failover.py
+++ b/mangoramp/policy/failover.py
@@ -15,6 +15,7 @@
 
 from ._rendezvous import rendezvous
 from .backoff import Backoff
+from .position import Origin
 from .quorum import ServerStatus, majority
 from .suspicion import Suspicion, View
 from .view import Member
@@ -33,7 +34,7 @@
         primary: The primary, empty while a failover runs.
         candidate: Who is to be promoted in this term, empty before the choice.
         members: The group's servers.
-        starts: Where each term with entries in the log began, oldest first.
+        origins: Where each term began, oldest first.
     """
 
     version: int
@@ -41,7 +42,7 @@
     primary: str
     candidate: str
     members: tuple[Member, ...]
-    starts: tuple[tuple[int, int], ...] = ()
+    origins: tuple[Origin, ...]
 
     def member(self, name: str) -> Member | None:
         """The server of that name."""
@@ -284,9 +285,9 @@
         self, now: float, state: GroupState, best: ServerStatus, reason: str
     ) -> tuple[Action, ...]:
         """Record the candidate; the term builds on its log, which is fenced."""
-        kept = (start for start in state.starts if start[0] <= best.log_term)
-        starts = (*kept, (state.term, best.held))
-        new = replace(state, candidate=best.name, starts=starts)
+        origin = Origin(state.term, best.log_term, best.held)
+        origins = (*state.origins, origin)
+        new = replace(state, candidate=best.name, origins=origins)
         return self._update(now, new, reason)
 
     def _promote(self, now: float, state: GroupState) -> tuple[Action, ...]:
--- a/tests/failover_world.py
+++ b/tests/failover_world.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 from mangoramp.policy import failover as fo
-from mangoramp.policy.position import Lineage, Position
+from mangoramp.policy.position import Lineage, Origin, Position
 from mangoramp.policy.quorum import ServerStatus, is_acknowledged
 from mangoramp.policy.suspicion import View
 from mangoramp.policy.view import Member
@@ -62,7 +62,7 @@
         for server in list(self.servers.values())[1:]:
             server.source = "s0"
         members = tuple(Member(s.name, s.domain, 2) for s in self.servers.values())
-        self.object = fo.GroupState(1, 1, "s0", "", members, ((1, 0),))
+        self.object = fo.GroupState(1, 1, "s0", "", members, (Origin(1, 0, 0),))
         self.history = [(0.0, self.object)]
         self.promoted = {1: {"s0"}}
         self.promoted_at = {1: 0.0}
@@ -231,7 +231,7 @@
         lost = [write for write in self.acked if write not in held]
         if lost:
             self.wrong.append(f"{name} became primary without {lost[:5]}")
-        lineage = Lineage(self.object.starts)
+        lineage = Lineage(self.object.origins)
         for server in self.servers.values():
             shown = lineage.contains(server.status(0.0).tail)
             if shown and server.log != log[: len(server.log)]:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from mangoramp.policy import failover as fo
-from mangoramp.policy.position import Lineage, Position
+from mangoramp.policy.position import Lineage, Origin, Position
 
 from .failover_world import FAULTS, World, at_primary_alone, finish, run_faults
 
@@ -44,7 +44,7 @@
     """Does not record where a term starts."""
 
     def _update(self, now, new, reason):
-        return super()._update(now, replace(new, starts=self.state.starts), reason)
+        return super()._update(now, replace(new, origins=self.state.origins), reason)
 
 
 class Alone(fo.Failover):
@@ -71,7 +71,8 @@
 
     def test_shows_nothing_of_a_term_that_left_no_entries(self):
         assert run_faults(1467).violations() == []
-        assert not Lineage(((1, 0), (3, 215))).contains(Position(2, 162))
+        lineage = Lineage((Origin(1, 0, 0), Origin(2, 1, 155), Origin(3, 1, 215)))
+        assert not lineage.contains(Position(2, 162))
 
     def test_loses_writes_without_the_best(self):
         assert first_violation("without", controller=Worst) is not None
