Close connections with answers outstanding; probe idle ones; bound retries

Cause: asyncpg's time-outs and cancellations send a cancel request on a second connection, which can reach whatever runs there by then, and an idle connection that had gone silent cost a request its whole time. A server without room (53300) is waited for briefly, then refused. Statements are prepared once a connection; a plan that went stale (0A000) is prepared again, which is safe because the server ran nothing.

--- a/mangoramp/endpoints/run.py
+++ b/mangoramp/endpoints/run.py
@@ -8,13 +8,22 @@
 
 import asyncpg
 import msgspec
+from asyncpg.prepared_stmt import PreparedStatement
 
 from ..errors import Code, Fault, FaultError, Outcome, Step
 from ..policy.quorum import ServerStatus
+from ..policy.retry import is_passing
 from ..proxies.messages import Param
+from .connection import Conn
+from .exchange import exchange
 
 INTEGERS = frozenset({"int2", "int4", "int8", "oid"})
 FLOATS = frozenset({"float4", "float8"})
+UNCERTAIN_CLASSES = frozenset({"08", "57", "58", "XX"})
+UNCERTAIN_STATES = frozenset({"40003"})
+STALE_PLAN_STATES = frozenset({"0A000", "26000"})
+RETRY_AFTER_S = 0.5
+STATEMENTS_KEPT = 64
 STATUS_SQL = "SELECT * FROM mangoramp_status()"
 
 
@@ -34,37 +43,60 @@
 
 
 async def run(
-    conn: asyncpg.Connection, sql: str, params: Sequence[Param], *, server: str
+    conn: Conn,
+    sql: str,
+    params: Sequence[Param],
+    *,
+    server: str,
+    timeout_s: float | None = None,
+    in_transaction: bool = False,
 ) -> RowSet:
-    """Run one statement.
+    """Run one statement, at most once.
 
     Args:
         conn: The connection.
         sql: The statement.
         params: Its parameters as JSON has them.
         server: The server's name, for faults.
+        timeout_s: Seconds that it may take; None sets no limit.
+        in_transaction: Whether nothing lasts before a commit that is yet to be sent.
 
     Raises:
         FaultError: The server refused the statement, or its answer was lost.
     """
-    sent = False
+    sending = _Sending(server, in_transaction)
+    cached = sql in conn.statements
     try:
-        stmt = await conn.prepare(sql)
-        types = stmt.get_parameters()
-        args = _arguments(params, types, server)
-        sent = True
-        rows = await stmt.fetch(*args)
+        return await exchange(conn, _run(conn, sql, params, sending), timeout_s)
+    except FaultError:
+        raise
     except asyncpg.PostgresError as exc:
-        raise FaultError(_refused(exc, server)) from None
-    except (OSError, asyncpg.InterfaceError) as exc:
-        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
-        message = f"the connection to the server {server} was lost: {exc}"
-        raise FaultError(
-            Fault(Code.CONNECTION_LOST, message, Step.RUN, server, outcome, 0.5)
-        ) from None
-    columns = tuple(attribute.name for attribute in stmt.get_attributes())
-    body = msgspec.json.encode([tuple(row) for row in rows], enc_hook=str)
-    return RowSet(columns, body, _count(stmt.get_statusmsg(), len(rows)))
+        if exc.sqlstate not in STALE_PLAN_STATES:
+            raise FaultError(refusal(exc, server, sending.outcome)) from None
+        conn.statements.pop(sql, None)
+        if in_transaction or not cached:
+            raise FaultError(refusal(exc, server, sending.outcome)) from None
+    except TimeoutError:
+        raise FaultError(_late(server, sending.outcome)) from None
+    except Exception as exc:
+        conn.terminate()
+        raise FaultError(lost(exc, server, sending.outcome)) from None
+    return await run(conn, sql, params, server=server, timeout_s=timeout_s)
+
+
+async def control(conn: Conn, sql: str, *, timeout_s: float | None) -> str:
+    """Run statements of this module's callers, without parameters and rows.
+
+    Args:
+        conn: The connection.
+        sql: One or more statements, sent together.
+        timeout_s: Seconds that they may take; None sets no limit.
+
+    Returns:
+        The command tag of the last one.
+    """
+    tag: str = await exchange(conn, conn.execute(sql), timeout_s)
+    return tag
 
 
 async def read_status(
@@ -77,7 +109,7 @@
         asked_at: The time now, in seconds.
         timeout_s: Seconds to wait for the answer.
     """
-    row = await conn.fetchrow(STATUS_SQL, timeout=timeout_s)
+    row = await exchange(conn, conn.fetchrow(STATUS_SQL), timeout_s)
     return _status(row, asked_at)
 
 
@@ -92,17 +124,101 @@
         asked_at: The time now, in seconds.
         wait_s: Seconds after which to answer in any case.
     """
-    row = await conn.fetchrow(
+    work = conn.fetchrow(
         "SELECT * FROM mangoramp_wait($1, $2, $3, $4)",
         str(last.term),
         str(last.held),
         str(last.applied),
         str(int(wait_s * 1000)),
-        timeout=wait_s + 1.0,
     )
+    row = await exchange(conn, work, wait_s + 1.0)
     return _status(row, asked_at)
 
 
+def refusal(exc: asyncpg.PostgresError, server: str, sent: Outcome) -> Fault:
+    """The fault for an error that a server answered.
+
+    Args:
+        exc: The error.
+        server: The server's name.
+        sent: What to say where the error itself does not tell of a rollback.
+    """
+    state = exc.sqlstate or ""
+    message = f"the server refused the statement: {exc}"
+    outcome = Outcome.NOT_RUN if is_rollback(exc) else sent
+    retry_after_s = RETRY_AFTER_S if is_passing(state) else None
+    return Fault(
+        Code.STATEMENT_FAILED, message, Step.RUN, server, outcome, retry_after_s, state
+    )
+
+
+def is_rollback(exc: asyncpg.PostgresError) -> bool:
+    """Whether an error tells that the server took the statement back.
+
+    An error that ends the connection may come after the commit.
+    """
+    if (exc.severity_en or exc.severity) not in (None, "ERROR"):
+        return False
+    state = exc.sqlstate or ""
+    return state[:2] not in UNCERTAIN_CLASSES and state not in UNCERTAIN_STATES
+
+
+def lost(exc: Exception, server: str, outcome: Outcome) -> Fault:
+    """The fault for a connection that was lost."""
+    message = f"the connection to the server {server} was lost: {exc}"
+    return Fault(
+        Code.CONNECTION_LOST, message, Step.RUN, server, outcome, RETRY_AFTER_S
+    )
+
+
+@dataclass(slots=True)
+class _Sending:
+    """How far a statement has come."""
+
+    server: str
+    in_transaction: bool
+    sent: bool = False
+
+    @property
+    def outcome(self) -> Outcome:
+        """What is true if nothing more is heard."""
+        if self.sent and not self.in_transaction:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
+
+async def _run(
+    conn: Conn, sql: str, params: Sequence[Param], sending: _Sending
+) -> RowSet:
+    stmt = await _prepared(conn, sql)
+    args = _arguments(params, stmt.get_parameters(), sending.server)
+    sending.sent = True
+    try:
+        rows = await stmt.fetch(*args)
+    except asyncpg.InterfaceError as exc:
+        if not isinstance(exc, ValueError):
+            raise
+        raise FaultError(_bad_parameter(exc, sending.server)) from None
+    columns = tuple(attribute.name for attribute in stmt.get_attributes())
+    body = msgspec.json.encode([tuple(row) for row in rows], enc_hook=str)
+    return RowSet(columns, body, _count(stmt.get_statusmsg(), len(rows)))
+
+
+async def _prepared(conn: Conn, sql: str) -> PreparedStatement:
+    stmt = conn.statements.get(sql)
+    if stmt is None:
+        stmt = conn.statements[sql] = await conn.prepare(sql)
+    conn.statements.move_to_end(sql)
+    if len(conn.statements) > STATEMENTS_KEPT:
+        conn.statements.popitem(last=False)
+    return stmt
+
+
+def _late(server: str, outcome: Outcome) -> Fault:
+    message = f"the server {server} did not answer in time"
+    return Fault(Code.TIMEOUT, message, Step.RUN, server, outcome, RETRY_AFTER_S)
+
+
 def _status(row: Any, asked_at: float) -> ServerStatus:
     return ServerStatus(**dict(row), asked_at=asked_at)
 
@@ -116,8 +232,7 @@
     try:
         return [_argument(p, t.name) for p, t in zip(params, types, strict=True)]
     except ValueError as exc:
-        fault = Fault(Code.BAD_REQUEST, f"bad parameter: {exc}", Step.RUN, server)
-        raise FaultError(fault) from None
+        raise FaultError(_bad_parameter(exc, server)) from None
 
 
 def _argument(param: Param, kind: str) -> Any:
@@ -132,10 +247,8 @@
     return param if isinstance(param, str) else msgspec.json.encode(param).decode()
 
 
-def _refused(exc: asyncpg.PostgresError, server: str) -> Fault:
-    state = exc.sqlstate or ""
-    message = f"the server refused the statement: {exc}"
-    return Fault(Code.STATEMENT_FAILED, message, Step.RUN, server, sqlstate=state)
+def _bad_parameter(exc: Exception, server: str) -> Fault:
+    return Fault(Code.BAD_REQUEST, f"bad parameter: {exc}", Step.RUN, server)
 
 
 def _count(status: str, rows: int) -> int:
--- /dev/null
+++ b/mangoramp/policy/retry.py
@@ -0,0 +1,93 @@
+"""Which failed attempts are made again, when, and how many of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from ..errors import Code, Fault, Outcome
+
+PASSING_CODES = frozenset(
+    {Code.NO_SERVER, Code.CONNECTION_LOST, Code.TIMEOUT, Code.OVERLOADED}
+)
+PASSING_STATES = frozenset({"25006", "40001", "40P01", "55000", "57P03"})
+PASSING_CLASSES = frozenset({"08", "53", "57"})
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRule:
+    """How retries are bounded.
+
+    Attributes:
+        share: Retries that each request adds to the budget.
+        burst: The most retries that the budget holds.
+        attempts: The most attempts for one request.
+        first_s: The longest wait before the second attempt, in seconds.
+        most_s: The longest wait before any attempt, in seconds.
+    """
+
+    share: float = 0.1
+    burst: float = 10.0
+    attempts: int = 4
+    first_s: float = 0.05
+    most_s: float = 0.5
+
+
+class RetryBudget:
+    """Grants retries as a share of the requests, with jittered waits.
+
+    Args:
+        rule: How retries are bounded.
+        rng: A seeded source for the jitter.
+    """
+
+    def __init__(self, rule: RetryRule, rng: random.Random) -> None:
+        self._rule = rule
+        self._rng = rng
+        self._level = rule.burst
+
+    def count_request(self) -> None:
+        """Add a request's share to the budget."""
+        self._level = min(self._rule.burst, self._level + self._rule.share)
+
+    def take(
+        self, fault: Fault, attempt: int, *, repeatable: bool, left_s: float
+    ) -> float | None:
+        """Take a retry from the budget if one is allowed.
+
+        Args:
+            fault: How the last attempt ended.
+            attempt: Its number, from 1.
+            repeatable: Whether a second run does no harm: a read, or a keyed write.
+            left_s: Seconds left to the request.
+
+        Returns:
+            Seconds to wait before the next attempt, None if there is to be none.
+        """
+        if attempt >= self._rule.attempts or not may_retry(fault, repeatable):
+            return None
+        limit = min(self._rule.most_s, self._rule.first_s * 2 ** (attempt - 1))
+        wait_s = self._rng.uniform(0.0, limit)
+        if wait_s >= left_s or self._level < 1:
+            return None
+        self._level -= 1
+        return wait_s
+
+
+def may_retry(fault: Fault, repeatable: bool) -> bool:
+    """Whether a request may be tried again after a fault.
+
+    Args:
+        fault: How the attempt ended.
+        repeatable: Whether a second run does no harm.
+    """
+    if fault.outcome is not Outcome.NOT_RUN and not repeatable:
+        return False
+    if fault.code is Code.STATEMENT_FAILED:
+        return is_passing(fault.sqlstate)
+    return fault.code in PASSING_CODES
+
+
+def is_passing(sqlstate: str) -> bool:
+    """Whether a SQLSTATE tells of the server's state and not of the statement."""
+    return sqlstate in PASSING_STATES or sqlstate[:2] in PASSING_CLASSES
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -446,6 +446,7 @@
         self.session = session
         self.sql = sql
         self.param_oids = [TEXT] * param_count(sql)
+        self._first: list[ResultColumn] | None = None
 
     async def describe(self) -> list[ResultColumn] | None:
         """The columns of the answer, None if it has none."""
@@ -455,7 +456,11 @@
         word = sql_word(self.sql)
         if word in CONTROL_WORDS:
             return None
-        return self._describe_sql(word)
+        columns = self._describe_sql(word)
+        self._first = self._first or columns
+        if columns != self._first:
+            raise PgError("0A000", "cached plan must not change result type")
+        return columns
 
     def bind(self, params: list[str | None]) -> Portal:
         """Bind the parameters."""
