Record keyed writes in their own transaction; bound retries; true outcomes

Cause: a retry ran a write again, a lost answer to a commit stayed unknown, and a request that ran out of time before it was sent was called unknown. The record of a keyed write (hash of customer and key, hash of what was asked, answer) is now claimed with BEGIN and filled with COMMIT, in one exchange each; what is in doubt is settled by running the keyed write again. Keyless writes are tried again only where nothing was run. An answer is said once a majority holds all the primary held after it, in its term. Ruled out: looking up the record before each write (an exchange more); statement first and record with COMMIT (a retry would run the statement, and its failure would hide the record). A connection gone silent inside a transaction kept its locks: found by hypothesis (silent at the first exchange); idle_in_transaction_session_timeout of 1 s frees them.

--- /dev/null
+++ b/mangoramp/confirmation.py
@@ -0,0 +1,105 @@
+"""Whether a write outlasts a failover: known of a majority, before it is said."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from .endpoints.connection import FAILURES, Conn
+from .endpoints.group import Group
+from .endpoints.run import read_status
+from .events import WRITE_CONFIRMED, emit
+from .faults import no_server, unconfirmed
+from .policy.quorum import ServerStatus
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class Confirmation:
+    """Finds the primary of a group, and waits until a majority holds its writes.
+
+    Args:
+        group: The group's servers.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self, group: Group, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._group = group
+        self._clock = clock
+
+    async def primary(self, deadline: float) -> ServerStatus:
+        """Wait for the group's primary.
+
+        Args:
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: There was none in time.
+        """
+        while True:
+            primary = self._group.primary
+            if primary is not None:
+                return primary
+            if not await self._group.changed(deadline):
+                raise no_server("the group has no primary now")
+
+    async def status(
+        self, conn: Conn, primary: ServerStatus, deadline: float
+    ) -> ServerStatus:
+        """Learn what the primary holds after a write.
+
+        Args:
+            conn: The connection on which the write was run.
+            primary: The primary before the write.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It was not learnt in time.
+        """
+        now = self._clock()
+        limit_s = min(STATUS_TIMEOUT_S, max(deadline - now, 0.0))
+        try:
+            return await read_status(conn, asked_at=now, timeout_s=limit_s)
+        except FAILURES:
+            conn.terminate()
+        return await self._heard(primary, now, deadline)
+
+    async def wait(
+        self, primary: ServerStatus, status: ServerStatus, deadline: float
+    ) -> None:
+        """Wait until a majority holds what the primary held after a write.
+
+        Args:
+            primary: The primary before the write.
+            status: What it said after the write.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It is not certain that the write outlasts a failover.
+        """
+        if not status.is_primary or status.term != primary.term:
+            raise unconfirmed("the term ended during the write", primary.name)
+        while not self._is_certain(primary, status):
+            if self._group.spec.term > primary.term:
+                raise unconfirmed("the primary was replaced", primary.name)
+            if not await self._group.changed(deadline):
+                raise unconfirmed("no majority confirmed it in time", primary.name)
+        emit(WRITE_CONFIRMED, server=status.name, position=status.held)
+
+    def _is_certain(self, primary: ServerStatus, status: ServerStatus) -> bool:
+        """Whether a majority holds it; positions of another term prove nothing."""
+        if self._group.spec.term != primary.term:
+            return False
+        return self._group.committed(status.tail)
+
+    async def _heard(
+        self, primary: ServerStatus, since: float, deadline: float
+    ) -> ServerStatus:
+        while True:
+            found = self._group.statuses.get(primary.name)
+            if found is not None and found.asked_at >= since:
+                return found
+            if not await self._group.changed(deadline):
+                raise unconfirmed("the primary was not heard after it", primary.name)
--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -30,6 +30,7 @@
 PROBE_SQL = "SELECT 1"
 FULL_ATTEMPTS = 4
 FULL_WAIT_S = 0.1
+OPEN_LIMIT_MS = 1000
 UNACKED_MS = 2000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_EVERY_S = 1
@@ -74,7 +75,10 @@
             database=DATABASE,
             ssl=False,
             timeout=CONNECT_TIMEOUT_S,
-            server_settings={"application_name": f"mangoramp {role}"},
+            server_settings={
+                "application_name": f"mangoramp {role}",
+                "idle_in_transaction_session_timeout": str(OPEN_LIMIT_MS),
+            },
             connection_class=Conn,
         )
     except asyncpg.TooManyConnectionsError:
--- a/mangoramp/endpoints/run.py
+++ b/mangoramp/endpoints/run.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -67,21 +68,44 @@
     sending = _Sending(server, in_transaction)
     cached = sql in conn.statements
     try:
-        return await exchange(conn, _run(conn, sql, params, sending), timeout_s)
+        with told(conn, server, lambda: sending.outcome):
+            return await exchange(conn, _run(conn, sql, params, sending), timeout_s)
+    except FaultError as exc:
+        if exc.fault.sqlstate not in STALE_PLAN_STATES:
+            raise
+        conn.statements.pop(sql, None)
+        if in_transaction or not cached:
+            raise
+    return await run(conn, sql, params, server=server, timeout_s=timeout_s)
+
+
+@contextmanager
+def told(conn: Conn, server: str, outcome: Callable[[], Outcome]) -> Iterator[None]:
+    """Turn what goes wrong on a connection into faults.
+
+    Args:
+        conn: The connection; it is closed unless the server answered.
+        server: The server's name.
+        outcome: Tells what is true if nothing more is heard.
+
+    Raises:
+        FaultError: In place of what went wrong.
+    """
+    try:
+        yield
     except FaultError:
         raise
+    except asyncpg.PostgresConnectionError as exc:
+        conn.terminate()
+        raise FaultError(_lost(exc, server, outcome())) from None
     except asyncpg.PostgresError as exc:
-        if exc.sqlstate not in STALE_PLAN_STATES:
-            raise FaultError(refusal(exc, server, sending.outcome)) from None
-        conn.statements.pop(sql, None)
-        if in_transaction or not cached:
-            raise FaultError(refusal(exc, server, sending.outcome)) from None
+        raise FaultError(refusal(exc, server, outcome())) from None
     except TimeoutError:
-        raise FaultError(_late(server, sending.outcome)) from None
+        conn.terminate()
+        raise FaultError(_late(server, outcome())) from None
     except Exception as exc:
         conn.terminate()
-        raise FaultError(lost(exc, server, sending.outcome)) from None
-    return await run(conn, sql, params, server=server, timeout_s=timeout_s)
+        raise FaultError(_lost(exc, server, outcome())) from None
 
 
 async def control(conn: Conn, sql: str, *, timeout_s: float | None) -> str:
@@ -163,8 +187,7 @@
     return state[:2] not in UNCERTAIN_CLASSES and state not in UNCERTAIN_STATES
 
 
-def lost(exc: Exception, server: str, outcome: Outcome) -> Fault:
-    """The fault for a connection that was lost."""
+def _lost(exc: Exception, server: str, outcome: Outcome) -> Fault:
     message = f"the connection to the server {server} was lost: {exc}"
     return Fault(
         Code.CONNECTION_LOST, message, Step.RUN, server, outcome, RETRY_AFTER_S
--- a/mangoramp/faults.py
+++ b/mangoramp/faults.py
@@ -24,9 +24,39 @@
     return _unknown(Code.TIMEOUT, message, Step.CONFIRM, peer)
 
 
-def out_of_time() -> FaultError:
-    """The request's time ended while it was being run."""
-    return _unknown(Code.TIMEOUT, "the request ran out of time", Step.RUN, "")
+def out_of_time(*, started: bool) -> FaultError:
+    """The request's time ended.
+
+    Args:
+        started: Whether it may have been given to a server.
+    """
+    if started:
+        message = "the request ran out of time"
+        return _unknown(Code.TIMEOUT, message, Step.RUN, "")
+    message = "the request ran out of time before it was run"
+    fault = Fault(Code.TIMEOUT, message, Step.QUEUE, retry_after_s=RETRY_AFTER_S)
+    return FaultError(fault)
+
+
+def rolled_back(peer: str) -> FaultError:
+    """The server took a transaction back."""
+    message = f"the server {peer} rolled the work back"
+    return FaultError(
+        Fault(
+            Code.STATEMENT_FAILED,
+            message,
+            Step.RUN,
+            peer,
+            retry_after_s=RETRY_AFTER_S,
+            sqlstate="40000",
+        )
+    )
+
+
+def key_reused(peer: str) -> FaultError:
+    """An idempotency key came with another request before."""
+    message = "the idempotency key was used for another request"
+    return FaultError(Fault(Code.KEY_REUSED, message, Step.RUN, peer))
 
 
 def _unknown(code: Code, message: str, step: Step, peer: str) -> FaultError:
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -15,6 +15,8 @@
 from .reader import Reader
 from .writer import Writer
 
+BACKSTOP_S = 0.1
+
 
 class Home:
     """Runs the requests of one group within one failure domain.
@@ -41,16 +43,20 @@
     async def serve(self, req: RunStatement) -> Message:
         """Run one request and answer it, with rows or with a fault."""
         deadline = self._clock() + req.timeout_s
+        started = False
         try:
-            async with asyncio.timeout(req.timeout_s), self.admission.turn(req):
-                return await self._run(req, deadline)
+            async with asyncio.timeout(req.timeout_s + BACKSTOP_S):
+                async with self.admission.turn(req):
+                    started = True
+                    return await self._run(req, deadline)
         except FaultError as exc:
             return Refused(fault=exc.fault)
         except TimeoutError:
-            return Refused(fault=out_of_time().fault)
+            return Refused(fault=out_of_time(started=started).fault)
 
     def close(self) -> None:
         """Close the connections to the servers."""
+        self._writer.close()
         self.group.close()
 
     async def _run(self, req: RunStatement, deadline: float) -> Rows:
--- a/mangoramp/policy/retry.py
+++ b/mangoramp/policy/retry.py
@@ -10,8 +10,10 @@
 PASSING_CODES = frozenset(
     {Code.NO_SERVER, Code.CONNECTION_LOST, Code.TIMEOUT, Code.OVERLOADED}
 )
-PASSING_STATES = frozenset({"25006", "40001", "40P01", "55000", "57P03"})
+PASSING_STATES = frozenset({"25006", "40000", "40001", "40P01", "55000", "57P03"})
 PASSING_CLASSES = frozenset({"08", "53", "57"})
+SHORT_ATTEMPTS = 2
+ATTEMPT_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,3 +93,16 @@
 def is_passing(sqlstate: str) -> bool:
     """Whether a SQLSTATE tells of the server's state and not of the statement."""
     return sqlstate in PASSING_STATES or sqlstate[:2] in PASSING_CLASSES
+
+
+def attempt_s(left_s: float, attempt: int, *, repeatable: bool) -> float:
+    """How long one attempt may last, so that another can follow it.
+
+    Args:
+        left_s: Seconds left to the request.
+        attempt: The attempt's number, from 1.
+        repeatable: Whether a second run does no harm.
+    """
+    if not repeatable or attempt > SHORT_ATTEMPTS:
+        return left_s
+    return left_s * ATTEMPT_SHARE
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -6,13 +6,15 @@
 from collections.abc import Callable
 
 from .endpoints.group import Group
-from .endpoints.run import RowSet, read_status, run
+from .endpoints.run import RowSet, read_status, run, told
+from .errors import Outcome
 from .events import REQUEST_ROUTED, emit
 from .faults import no_server, unproven
 from .policy.position import Position
 from .policy.quorum import ServerStatus
 from .policy.routing import Chosen, ReadNeed, choose_reader
 from .proxies.messages import Rows, RunStatement
+from .retrier import Retrier
 
 STATUS_TIMEOUT_S = 1.0
 PROOF_S = 1.0
@@ -31,6 +33,7 @@
     ) -> None:
         self._group = group
         self._clock = clock
+        self._retrier = Retrier(group.spec.name, clock=clock)
 
     async def read(self, req: RunStatement, deadline: float) -> Rows:
         """Run one read.
@@ -42,9 +45,21 @@
         Raises:
             FaultError: No server showed enough in time, or it refused the read.
         """
+        failed: set[str] = set()
+        return await self._retrier.run(
+            req,
+            deadline,
+            lambda limit: self._attempt(req, failed, limit),
+            repeatable=True,
+        )
+
+    async def _attempt(
+        self, req: RunStatement, failed: set[str], deadline: float
+    ) -> Rows:
         need = ReadNeed(req.seen, self._clock() - req.max_age_s, req.failure_domain)
-        chosen = await self._choose(need, req, deadline)
-        rows, status = await self._read_at(chosen.server, req)
+        chosen = await self._choose(need, req, failed, deadline)
+        failed.add(chosen.server)
+        rows, status = await self._read_at(chosen.server, req, deadline)
         if not self._group.lineage.covers(status.position, req.seen):
             raise unproven("the server fell behind the session", chosen.server)
         as_of = await self._proven(status.position, need.as_of, deadline)
@@ -52,11 +67,15 @@
         return answer(rows, status, age_s=age_s)
 
     async def _choose(
-        self, need: ReadNeed, req: RunStatement, deadline: float
+        self, need: ReadNeed, req: RunStatement, failed: set[str], deadline: float
     ) -> Chosen:
         group = self._group
         while True:
-            choice = choose_reader(need, group.candidates(), group.lineage)
+            candidates = group.candidates()
+            fresh = [c for c in candidates if c.name not in failed]
+            choice = choose_reader(need, fresh, group.lineage)
+            if not isinstance(choice, Chosen):
+                choice = choose_reader(need, candidates, group.lineage)
             emit(
                 REQUEST_ROUTED,
                 group=req.group,
@@ -69,12 +88,16 @@
                 raise no_server("; ".join(choice.reasons) or "no server answers")
 
     async def _read_at(
-        self, name: str, req: RunStatement
+        self, name: str, req: RunStatement, deadline: float
     ) -> tuple[RowSet, ServerStatus]:
-        async with self._group.pools[name].lease() as conn:
-            rows = await run(conn, req.sql, req.params, server=name)
+        async with self._group.pools[name].lease(deadline) as conn:
+            left_s = deadline - self._clock()
+            rows = await run(conn, req.sql, req.params, server=name, timeout_s=left_s)
             now = self._clock()
-            status = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
+            with told(conn, name, lambda: Outcome.UNKNOWN):
+                status = await read_status(
+                    conn, asked_at=now, timeout_s=min(STATUS_TIMEOUT_S, deadline - now)
+                )
         return rows, status
 
     async def _proven(self, seen: Position, need: float, deadline: float) -> float:
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -36,6 +36,7 @@
 CONTROL_WORDS = frozenset(
     {"BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD"}
 )
+IDLE_LIMIT = "idle_in_transaction_session_timeout"
 FUNCTION = re.compile(r"^\s*SELECT \* FROM (mangoramp_\w+)\(([^)]*)\)\s*$")
 COMMENTS = re.compile(r"^(?:\s+|--[^\n]*\n|/\*.*?\*/)+", re.DOTALL)
 AGGREGATE = re.compile(r"^(count|sum|max|min|length|total)\b", re.IGNORECASE)
@@ -49,6 +50,7 @@
         cut: Close every connection and refuse new ones.
         silent: Answer nothing on connections that are open now.
         drop_answers: How many of the next answers to lose after the work.
+        drop_after: How many answers to let through before losing any.
         late_s: Seconds by which each answer is late.
         lag_s: Seconds between holding an entry and applying it.
         pull: Whether this replica takes entries from its primary.
@@ -58,6 +60,7 @@
     cut: bool = False
     silent: bool = False
     drop_answers: int = 0
+    drop_after: int = 0
     late_s: float = 0.0
     lag_s: float = 0.0
     pull: bool = True
@@ -316,6 +319,7 @@
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.silent = False
+        self.idle_limit_s = 0.0
         self._conn: sqlite3.Connection | None = None
         self._protocol: Any = None
         self._changes: list[Change] = []
@@ -323,7 +327,9 @@
 
     async def init(self, connection: Any) -> None:
         """Open the session's own database connection."""
-        read_only = connection.startup_params.get("default_transaction_read_only")
+        params = connection.startup_params
+        read_only = params.get("default_transaction_read_only")
+        self.idle_limit_s = int(params.get(IDLE_LIMIT, 0)) / 1000
         self._protocol = connection
         self._conn = self.endpoint.store.connect(read_only=read_only == "on")
         self.endpoint.sessions.add(self)
@@ -345,16 +351,27 @@
         return EndpointStatement(self, sql)
 
     async def gate(self) -> None:
-        """Hold back while the server is frozen or the connection silent."""
+        """Hold back while the server is frozen or the connection silent.
+
+        What a silent connection leaves open is rolled back after its
+        ``idle_in_transaction_session_timeout``, as a PostgreSQL server does.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time()
         while self.endpoint.faults.frozen or self.silent:
             await asyncio.sleep(APPLY_POLL_S)
+            if self.silent and 0 < self.idle_limit_s < loop.time() - since:
+                self.abort()
+                raise ConnectionClosed
 
     async def after(self) -> None:
         """Lose or delay the answer to finished work."""
         faults = self.endpoint.faults
         if faults.late_s:
             await asyncio.sleep(faults.late_s)
-        if faults.drop_answers:
+        if faults.drop_answers and faults.drop_after:
+            faults.drop_after -= 1
+        elif faults.drop_answers:
             faults.drop_answers -= 1
             self.abort()
             raise ConnectionClosed
--- a/mangoramp/writer.py
+++ b/mangoramp/writer.py
@@ -5,15 +5,23 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
+from .confirmation import Confirmation
+from .endpoints import outcomes
+from .endpoints.connection import Conn
 from .endpoints.group import Group
-from .endpoints.run import read_status, run
-from .events import REQUEST_ROUTED, WRITE_CONFIRMED, emit
-from .faults import no_server, unconfirmed
+from .endpoints.run import RowSet, run, told
+from .errors import FaultError, Outcome
+from .events import OUTCOME_REPEATED, REQUEST_ROUTED, emit
+from .faults import key_reused, rolled_back
+from .policy.outcome import OutcomeKey, outcome_key
 from .policy.quorum import ServerStatus
+from .policy.retry import RetryRule
 from .proxies.messages import Rows, RunStatement
+from .pruner import Pruner
 from .reader import answer
-
-STATUS_TIMEOUT_S = 1.0
+from .retrier import Retrier
 
 
 class Writer:
@@ -22,16 +30,24 @@
     Args:
         group: The group's servers.
         clock: Tells the time in seconds.
+        rule: How retries are bounded.
     """
 
     def __init__(
-        self, group: Group, *, clock: Callable[[], float] = time.monotonic
+        self,
+        group: Group,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        rule: RetryRule | None = None,
     ) -> None:
         self._group = group
         self._clock = clock
+        self._confirmation = Confirmation(group, clock=clock)
+        self._pruner = Pruner(group)
+        self._retrier = Retrier(group.spec.name, clock=clock, rule=rule)
 
     async def write(self, req: RunStatement, deadline: float) -> Rows:
-        """Run one write.
+        """Run one write; without an idempotency key it is sent at most once.
 
         Args:
             req: The request.
@@ -40,34 +56,93 @@
         Raises:
             FaultError: It was not run, or whether it was is not known.
         """
-        primary = await self._wait_primary(deadline)
+        return await self._retrier.run(
+            req,
+            deadline,
+            lambda limit: self._attempt(req, limit),
+            repeatable=bool(req.idempotency_key),
+        )
+
+    def close(self) -> None:
+        """Stop what runs beside the requests."""
+        self._pruner.close()
+
+    async def _attempt(self, req: RunStatement, deadline: float) -> Rows:
+        primary = await self._confirmation.primary(deadline)
         emit(
             REQUEST_ROUTED,
             group=req.group,
             customer=req.customer,
             choice=f"{primary.name}: primary of term {primary.term}",
         )
-        async with self._group.pools[primary.name].lease() as conn:
-            rows = await run(conn, req.sql, req.params, server=primary.name)
-            now = self._clock()
-            status = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
-        await self._confirm(primary, status, deadline)
-        return answer(rows, status, age_s=0.0)
-
-    async def _wait_primary(self, deadline: float) -> ServerStatus:
-        while True:
-            primary = self._group.primary
-            if primary is not None:
-                return primary
-            if not await self._group.changed(deadline):
-                raise no_server("the group has no primary now")
-
-    async def _confirm(
-        self, primary: ServerStatus, status: ServerStatus, deadline: float
-    ) -> None:
-        if (status.term, status.log_term) != (primary.term, primary.term):
-            raise unconfirmed("the term ended during the write", primary.name)
-        while not self._group.acknowledged(status.tail):
-            if not await self._group.changed(deadline):
-                raise unconfirmed("no majority confirmed it in time", primary.name)
-        emit(WRITE_CONFIRMED, server=status.name, position=status.held)
+        async with self._group.pools[primary.name].lease(deadline) as conn:
+            rows, repeated = await self._run(conn, req, primary, deadline)
+            status = await self._confirmation.status(conn, primary, deadline)
+        await self._confirmation.wait(primary, status, deadline)
+        reply = answer(rows, status, age_s=0.0)
+        return msgspec.structs.replace(reply, repeated=repeated)
+
+    async def _run(
+        self, conn: Conn, req: RunStatement, primary: ServerStatus, deadline: float
+    ) -> tuple[RowSet, bool]:
+        if req.idempotency_key:
+            asked = (req.group, req.sql, req.params)
+            key = outcome_key(req.customer, req.idempotency_key, asked)
+            return await self._run_keyed(conn, req, key, primary.name, deadline)
+        left_s = deadline - self._clock()
+        rows = await run(
+            conn, req.sql, req.params, server=primary.name, timeout_s=left_s
+        )
+        return rows, False
+
+    async def _run_keyed(
+        self,
+        conn: Conn,
+        req: RunStatement,
+        key: OutcomeKey,
+        server: str,
+        deadline: float,
+    ) -> tuple[RowSet, bool]:
+        left_s = deadline - self._clock()
+        with told(conn, server, lambda: Outcome.NOT_RUN):
+            now_s = time.time()
+            if not await outcomes.claim(conn, key, now_s=now_s, timeout_s=left_s):
+                return await self._recorded(conn, key, req, server), True
+        rows = await self._run_claimed(conn, req, server, deadline)
+        left_s = deadline - self._clock()
+        with told(conn, server, lambda: Outcome.UNKNOWN):
+            done = await outcomes.commit_claimed(conn, key, rows, timeout_s=left_s)
+        if not done:
+            raise rolled_back(server)
+        self._pruner.count()
+        return rows, False
+
+    async def _run_claimed(
+        self, conn: Conn, req: RunStatement, server: str, deadline: float
+    ) -> RowSet:
+        try:
+            return await run(
+                conn,
+                req.sql,
+                req.params,
+                server=server,
+                timeout_s=deadline - self._clock(),
+                in_transaction=True,
+            )
+        except FaultError:
+            if not conn.is_closed():
+                with told(conn, server, lambda: Outcome.NOT_RUN):
+                    left_s = deadline - self._clock()
+                    await outcomes.rollback(conn, timeout_s=left_s)
+            raise
+
+    async def _recorded(
+        self, conn: Conn, key: OutcomeKey, req: RunStatement, server: str
+    ) -> RowSet:
+        found = await outcomes.lookup(conn, key)
+        if found is None:
+            raise rolled_back(server)
+        if found.digest != key.digest:
+            raise key_reused(server)
+        emit(OUTCOME_REPEATED, group=req.group, customer=req.customer, server=server)
+        return found.answer
--- /dev/null
+++ b/tests/test_writer.py
@@ -0,0 +1,169 @@
+import asyncio
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mangoramp import writer as writer_module
+from mangoramp.endpoints import outcomes
+from mangoramp.proxies.messages import Rows
+from mangoramp.standins.endpoint import Faults
+
+from .servers import CREATE, ISSUE, Servers, running, write
+
+ANSWERS = 9
+KINDS = ("drop", "drop two", "cut", "silent", "promote")
+Fault = tuple[str, int]
+
+
+class TestKeyedWrites:
+    async def test_a_retry_on_any_home_gets_the_first_answer(self, tmp_path):
+        async with running(tmp_path) as servers:
+            homes = [servers.home(), servers.home()]
+            await homes[0].serve(write(CREATE))
+            req = write(ISSUE, "A1", "0", key="k1")
+            first = await homes[0].serve(req)
+            again = await homes[1].serve(req)
+            assert (first.repeated, again.repeated) == (False, True)
+            assert (again.rows, again.count) == (first.rows, first.count)
+            assert servers.written() == {("A1", "0"): 1}
+
+    async def test_refuses_a_key_that_came_with_another_statement(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home()
+            await home.serve(write(CREATE))
+            await home.serve(write(ISSUE, "A1", "0", key="k1"))
+            reply = await home.serve(write(ISSUE, "A1", "1", key="k1"))
+            assert reply.fault.code == "idempotency_key_reused"
+            assert reply.fault.outcome == "not_run"
+            other = write(ISSUE, "A1", "1", key="k1", customer="norte")
+            assert isinstance(await home.serve(other), Rows)
+            assert servers.written() == {("A1", "0"): 1, ("A1", "1"): 1}
+
+    async def test_a_failed_statement_leaves_no_record(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home()
+            req = write(ISSUE, "A1", "0", key="k1")
+            reply = await home.serve(req)
+            assert (reply.fault.sqlstate, reply.fault.outcome) == ("42P01", "not_run")
+            await home.serve(write(CREATE))
+            assert not (await home.serve(req)).repeated
+            assert servers.written() == {("A1", "0"): 1}
+
+    async def test_the_first_answer_outlasts_a_failover(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home()
+            await home.serve(write(CREATE))
+            req = write(ISSUE, "A1", "0", key="k1")
+            assert not (await home.serve(req)).repeated
+            servers.promote(most_advanced(servers))
+            again = await servers.home().serve(req)
+            assert (again.repeated, again.position.term) == (True, 2)
+            assert servers.written() == {("A1", "0"): 1}
+
+    async def test_old_records_are_pruned_in_small_steps(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home()
+            await home.serve(write(CREATE))
+            pruner = writer_module.Pruner(home.group, keep_s=-60, every=1, most=2)
+            for number in range(5):
+                await home.serve(write(ISSUE, "A1", str(number), key=f"k{number}"))
+            left = []
+            for _ in range(3):
+                await pruner.step()
+                left.append(records(servers))
+            assert left == [3, 1, 0]
+
+
+def most_advanced(servers: Servers) -> str:
+    others = {n: e for n, e in servers.endpoints.items() if n != servers.spec.primary}
+    return max(others, key=lambda n: others[n].store.held)
+
+
+def records(servers: Servers) -> int:
+    conn = servers.primary().store.connect()
+    try:
+        return conn.execute("SELECT count(*) FROM mangoramp_outcome").fetchone()[0]
+    finally:
+        conn.close()
+
+
+async def retried(homes, req, attempts=6):
+    """Ask one home after another, as a caller with a key does."""
+    for number in range(attempts):
+        reply = await homes[number % len(homes)].serve(req)
+        if isinstance(reply, Rows):
+            return reply
+    return reply
+
+
+async def break_once(servers: Servers, fault: Fault) -> None:
+    """Break the primary, at one of the answers of the next write."""
+    kind, number = fault
+    primary = servers.primary()
+    if kind in ("drop", "drop two"):
+        count = 1 if kind == "drop" else 2
+        primary.set_faults(Faults(drop_answers=count, drop_after=number))
+        return
+    received = len(statements(primary))
+    while len(statements(primary)) < received + number:
+        await asyncio.sleep(0.001)
+    if kind == "promote":
+        servers.promote(most_advanced(servers))
+        return
+    primary.set_faults(Faults(cut=kind == "cut", silent=kind == "silent"))
+    await asyncio.sleep(0.05)
+    primary.set_faults(Faults())
+
+
+def statements(endpoint):
+    return [sql for sql in endpoint.received if "mangoramp_status" not in sql]
+
+
+async def try_fault(fault: Fault, *, key: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        async with running(Path(folder)) as servers:
+            homes = [servers.home(), servers.home()]
+            await homes[0].serve(write(CREATE, key="k0"))
+            req = write(ISSUE, "A1", "0", key=key, timeout_s=1.2)
+            breaking = asyncio.ensure_future(break_once(servers, fault))
+            await asyncio.sleep(0)
+            if key:
+                reply = await retried(homes, req)
+                assert isinstance(reply, Rows), reply
+            else:
+                reply = await homes[0].serve(req)
+            breaking.cancel()
+            await asyncio.sleep(0.05)
+            check(servers, reply)
+
+
+def check(servers: Servers, reply) -> None:
+    count = servers.written()[("A1", "0")]
+    if isinstance(reply, Rows):
+        assert count == 1, reply
+    elif reply.fault.outcome == "not_run":
+        assert count == 0, reply
+    else:
+        assert count <= 1, reply
+
+
+faults = st.tuples(st.sampled_from(KINDS), st.integers(0, ANSWERS - 1))
+
+
+class TestAtMostOnce:
+    @given(fault=faults, keyed=st.booleans())
+    @settings(derandomize=True, deadline=None, max_examples=20)
+    def test_each_write_lands_at_most_once_and_answers_are_true(self, fault, keyed):
+        asyncio.run(try_fault(fault, key="k1" if keyed else ""))
+
+    def test_fails_without_the_record(self, monkeypatch):
+        async def claim(conn, key, *, now_s, timeout_s):
+            await conn.execute("BEGIN")
+            return True
+
+        monkeypatch.setattr(outcomes, "claim", claim)
+        with pytest.raises(AssertionError):
+            asyncio.run(try_fault(("drop", 3), key="k1"))
