Pin transactions to one connection; settle commits that are in doubt

Cause: there were no transactions. Each is opened at the primary, holds one connection of the home's pool, takes one request at a time, is ended after 30 s, or 5 s without a statement, and its commit carries a record under its id (and under the caller's key): a commit whose answer was lost is settled at whichever server leads, and one not found is kept from committing for good by writing the record first. Ruled out: settling by a mere lookup (a commit may still be on its way).

--- a/mangoramp/admission.py
+++ b/mangoramp/admission.py
@@ -55,6 +55,17 @@
         self._take_rate(req.customer)
         yield
 
+    def take_rate(self, customer: str) -> None:
+        """Count a request that needs no turn: a transaction holds its connection.
+
+        Args:
+            customer: Whose request it is.
+
+        Raises:
+            FaultError: The request is refused and was not run.
+        """
+        self._take_rate(customer)
+
     def _take_rate(self, customer: str) -> None:
         limits = self._limits(customer)
         if limits is None:
--- a/mangoramp/confirmation.py
+++ b/mangoramp/confirmation.py
@@ -9,7 +9,7 @@
 from .endpoints.group import Group
 from .endpoints.run import read_status
 from .events import WRITE_CONFIRMED, emit
-from .faults import no_server, unconfirmed
+from .faults import no_server, unconfirmed, unproven
 from .policy.quorum import ServerStatus
 
 STATUS_TIMEOUT_S = 1.0
@@ -88,6 +88,24 @@
                 raise unconfirmed("no majority confirmed it in time", primary.name)
         emit(WRITE_CONFIRMED, server=status.name, position=status.held)
 
+    async def fresh(self, status: ServerStatus, since: float, deadline: float) -> None:
+        """Wait until what the primary showed is known to be the primary's of then.
+
+        Args:
+            status: What it said after the reads.
+            since: A moment after the reads, in seconds.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It was not proven in time.
+        """
+        while True:
+            as_of = self._group.as_of(status.position)
+            if as_of is not None and as_of >= since:
+                return
+            if not await self._group.changed(deadline):
+                raise unproven("the reads were not proven fresh in time", status.name)
+
     def _is_certain(self, primary: ServerStatus, status: ServerStatus) -> bool:
         """Whether a majority holds it; positions of another term prove nothing."""
         if self._group.spec.term != primary.term:
--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -43,7 +43,7 @@
         self.spec = spec
         self.view = GroupView(configuration(spec))
         self.pools: dict[str, Pool] = {}
-        self._pool_size = pool_size
+        self.pool_size = pool_size
         self._clock = clock
         self._changed = asyncio.Event()
         self._watchers: dict[str, asyncio.Task[None]] = {}
@@ -118,7 +118,7 @@
         return True
 
     def _add(self, server: ServerState) -> None:
-        self.pools[server.name] = Pool(server, size=self._pool_size)
+        self.pools[server.name] = Pool(server, size=self.pool_size)
         self._watchers[server.name] = asyncio.ensure_future(self._watch(server))
 
     def _drop(self, name: str) -> None:
--- a/mangoramp/endpoints/outcomes.py
+++ b/mangoramp/endpoints/outcomes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import asyncpg
@@ -14,6 +15,7 @@
 
 from ..policy.outcome import OutcomeKey
 from .connection import Conn
+from .exchange import exchange
 from .run import RowSet, control
 
 CREATE_SQL = (
@@ -24,6 +26,8 @@
     "ON mangoramp_outcome (created)"
 )
 LOOKUP_SQL = "SELECT digest, answer FROM mangoramp_outcome WHERE key = $1"
+COMMITTED = RowSet((), b"[]", 0)
+ROLLED_BACK = RowSet(("rolled back",), b"[]", 0)
 RACED = (asyncpg.UniqueViolationError, asyncpg.DuplicateTableError)
 
 
@@ -82,18 +86,24 @@
 
 async def commit_recorded(
     conn: Conn,
-    key: OutcomeKey | None,
-    answer: RowSet,
+    keys: Sequence[OutcomeKey],
     *,
     now_s: float,
     timeout_s: float | None,
 ) -> bool:
-    """Commit a transaction, with a record of the commit if it has a key.
+    """Commit a transaction together with records of its commit.
+
+    Args:
+        conn: The connection.
+        keys: The identities under which the commit is recorded.
+        now_s: Seconds since 1970.
+        timeout_s: Seconds that it may take.
 
     Returns:
         False if the server rolled back instead.
     """
-    sql = "COMMIT" if key is None else f"{_insert(key, _pack(answer), now_s)}; COMMIT"
+    inserts = [_insert(key, _pack(COMMITTED), now_s) for key in keys]
+    sql = "; ".join([*inserts, "COMMIT"])
     return await control(conn, sql, timeout_s=timeout_s) == "COMMIT"
 
 
@@ -110,10 +120,12 @@
         return
 
 
-async def lookup(conn: Conn, key: OutcomeKey) -> Record | None:
+async def lookup(
+    conn: Conn, key: OutcomeKey, *, timeout_s: float | None
+) -> Record | None:
     """Read the record of a key, None if there is none."""
     try:
-        row = await conn.fetchrow(LOOKUP_SQL, key.key)
+        row = await exchange(conn, conn.fetchrow(LOOKUP_SQL, key.key), timeout_s)
     except asyncpg.UndefinedTableError:
         return None
     return None if row is None else Record(row["digest"], _unpack(row["answer"]))
--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -43,6 +43,7 @@
     SESSION_AHEAD = "session_ahead"
     GROUP_UNKNOWN = "group_unknown"
     TRANSACTION_UNKNOWN = "transaction_unknown"
+    TRANSACTION_BUSY = "transaction_busy"
     KEY_REUSED = "idempotency_key_reused"
     STATEMENT_FAILED = "statement_failed"
     OVER_RATE = "over_rate"
@@ -64,6 +65,7 @@
     Code.SESSION_AHEAD: 409,
     Code.GROUP_UNKNOWN: 404,
     Code.TRANSACTION_UNKNOWN: 404,
+    Code.TRANSACTION_BUSY: 409,
     Code.KEY_REUSED: 409,
     Code.STATEMENT_FAILED: 422,
     Code.OVER_RATE: 429,
--- a/mangoramp/faults.py
+++ b/mangoramp/faults.py
@@ -59,5 +59,33 @@
     return FaultError(Fault(Code.KEY_REUSED, message, Step.RUN, peer))
 
 
+def transaction_unknown(outcome: Outcome) -> FaultError:
+    """There is no such open transaction of this customer here."""
+    message = "no such transaction is open"
+    fault = Fault(Code.TRANSACTION_UNKNOWN, message, Step.TRANSACTION, outcome=outcome)
+    return FaultError(fault)
+
+
+def transaction_over(why: str) -> Fault:
+    """A transaction ended and was never committed."""
+    message = f"the transaction was rolled back: {why}"
+    return Fault(Code.TRANSACTION_UNKNOWN, message, Step.TRANSACTION)
+
+
+def transaction_busy() -> FaultError:
+    """Another request of the same transaction runs."""
+    message = "another request of this transaction runs"
+    return FaultError(Fault(Code.TRANSACTION_BUSY, message, Step.TRANSACTION))
+
+
+def transactions_full() -> FaultError:
+    """There is no room for another transaction."""
+    message = "too many transactions are open"
+    fault = Fault(
+        Code.OVERLOADED, message, Step.TRANSACTION, retry_after_s=RETRY_AFTER_S
+    )
+    return FaultError(fault)
+
+
 def _unknown(code: Code, message: str, step: Step, peer: str) -> FaultError:
     return FaultError(Fault(code, message, step, peer, Outcome.UNKNOWN, RETRY_AFTER_S))
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -5,14 +5,27 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 
 from .admission import Admission
 from .endpoints.group import Group
 from .errors import FaultError
 from .faults import out_of_time
 from .policy.statement import Kind
-from .proxies.messages import Message, Refused, Rows, RunStatement
+from .proxies.messages import (
+    Answer,
+    BeginTransaction,
+    EndTransaction,
+    Message,
+    Refused,
+    Request,
+    RunInTransaction,
+    RunStatement,
+    SettleTransaction,
+)
 from .reader import Reader
+from .settings import TransactionSettings
+from .transactions import Transactions
 from .writer import Writer
 
 BACKSTOP_S = 0.1
@@ -24,6 +37,8 @@
     Args:
         group: The group's servers.
         admission: Lets requests in.
+        instance: This proxy's name, which the ids of transactions carry.
+        transactions: The limits of transactions.
         clock: Tells the time in seconds.
     """
 
@@ -32,21 +47,30 @@
         group: Group,
         admission: Admission,
         *,
+        instance: str = "",
+        transactions: TransactionSettings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.group = group
         self.admission = admission
+        self.transactions = Transactions(
+            group,
+            instance,
+            transactions or TransactionSettings(),
+            room=max(1, group.pool_size // 2),
+            clock=clock,
+        )
         self._reader = Reader(group, clock=clock)
         self._writer = Writer(group, clock=clock)
         self._clock = clock
 
-    async def serve(self, req: RunStatement) -> Message:
-        """Run one request and answer it, with rows or with a fault."""
+    async def serve(self, req: Request) -> Message:
+        """Run one request and answer it, with what it asks or with a fault."""
         deadline = self._clock() + req.timeout_s
         started = False
         try:
             async with asyncio.timeout(req.timeout_s + BACKSTOP_S):
-                async with self.admission.turn(req):
+                async with self._turn(req):
                     started = True
                     return await self._run(req, deadline)
         except FaultError as exc:
@@ -56,10 +80,26 @@
 
     def close(self) -> None:
         """Close the connections to the servers."""
+        self.transactions.end_all()
         self._writer.close()
         self.group.close()
 
-    async def _run(self, req: RunStatement, deadline: float) -> Rows:
+    def _turn(self, req: Request) -> AbstractAsyncContextManager[None]:
+        if isinstance(req, RunStatement):
+            return self.admission.turn(req)
+        if not isinstance(req, EndTransaction | SettleTransaction):
+            self.admission.take_rate(req.customer)
+        return nullcontext()
+
+    async def _run(self, req: Request, deadline: float) -> Answer:
+        if isinstance(req, BeginTransaction):
+            return await self.transactions.begin(req, deadline)
+        if isinstance(req, RunInTransaction):
+            return await self.transactions.run(req, deadline)
+        if isinstance(req, EndTransaction):
+            return await self.transactions.end(req, deadline)
+        if isinstance(req, SettleTransaction):
+            return await self.transactions.settle(req, deadline)
         if req.kind is Kind.READ:
             return await self._reader.read(req, deadline)
         return await self._writer.write(req, deadline)
--- a/mangoramp/policy/outcome.py
+++ b/mangoramp/policy/outcome.py
@@ -42,5 +42,15 @@
     return OutcomeKey(shown, _hash((customer, idempotency_key)), _hash(asked))
 
 
+def transaction_key(customer: str, transaction: str) -> OutcomeKey:
+    """Build the identity of a transaction's commit.
+
+    Args:
+        customer: Whose transaction it is.
+        transaction: Its id, which nobody else can guess.
+    """
+    return outcome_key(customer, f"transaction {transaction}", (transaction,))
+
+
 def _hash(parts: Sequence[object]) -> str:
     return hashlib.sha256(msgspec.msgpack.encode(tuple(parts))).hexdigest()
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -73,13 +73,128 @@
     repeated: bool = False
 
 
+class BeginTransaction(Envelope, frozen=True):
+    """Open a transaction at the group's primary.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        seen: The position that the session has seen.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    seen: Position
+    timeout_s: float
+
+
+class TransactionBegun(Envelope, frozen=True):
+    """The answer to ``BeginTransaction``.
+
+    Attributes:
+        transaction: The transaction's id; it names the proxy that holds it.
+        server: The server at which it runs.
+        idle_s: Seconds without a statement after which it is rolled back.
+        limit_s: Seconds after which it is rolled back in any case.
+    """
+
+    transaction: str
+    server: str
+    idle_s: float
+    limit_s: float
+
+
+class RunInTransaction(Envelope, frozen=True):
+    """Run one statement in an open transaction.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        kind: Whether the statement reads or writes.
+        sql: The statement.
+        params: Its parameters.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    kind: Kind
+    sql: str
+    params: tuple[Param, ...]
+    timeout_s: float
+
+
+class EndTransaction(Envelope, frozen=True):
+    """Commit or roll back an open transaction.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        commit: Whether to commit it.
+        timeout_s: Seconds left to the request.
+        idempotency_key: The caller's, empty if there is none.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    commit: bool
+    timeout_s: float
+    idempotency_key: str = ""
+
+
+class SettleTransaction(Envelope, frozen=True):
+    """Find out whether a transaction was committed, or keep it from it for good.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    timeout_s: float
+
+
+class TransactionEnded(Envelope, frozen=True):
+    """The answer to ``EndTransaction`` and ``SettleTransaction``.
+
+    Attributes:
+        committed: Whether it was committed.
+        position: What the session has seen now.
+        server: The server that gave the answer.
+        repeated: Whether it had ended before this request.
+    """
+
+    committed: bool
+    position: Position
+    server: str
+    repeated: bool = False
+
+
 class Refused(Envelope, frozen=True):
     """A final answer that is a fault."""
 
     fault: Fault
 
 
-Message = RunStatement | Rows | Refused
+Request = (
+    RunStatement
+    | BeginTransaction
+    | RunInTransaction
+    | EndTransaction
+    | SettleTransaction
+)
+Pinned = RunInTransaction | EndTransaction
+Answer = Rows | TransactionBegun | TransactionEnded
+Message = Request | Answer | Refused
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -24,6 +24,19 @@
     json: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class TransactionSettings:
+    """The limits of a transaction.
+
+    Attributes:
+        limit_s: Seconds after which it is rolled back in any case.
+        idle_s: Seconds without a statement after which it is rolled back.
+    """
+
+    limit_s: float = 30.0
+    idle_s: float = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """The settings of one proxy.
@@ -38,6 +51,7 @@
         peer_address: Where other proxies reach this one, as ``tcp://ip:port``.
         failure_domains: How many failure domains share each server's connections.
         log: How the process logs.
+        transactions: The limits of transactions.
     """
 
     name: str
@@ -49,11 +63,12 @@
     peer_address: str
     failure_domains: int = 3
     log: LogSettings = LogSettings()
+    transactions: TransactionSettings = TransactionSettings()
 
 
 def _converter() -> cattrs.Converter:
     conv = cattrs.Converter(forbid_extra_keys=True)
-    for type_ in (LogSettings, ProxySettings):
+    for type_ in (LogSettings, TransactionSettings, ProxySettings):
         hook = make_dict_structure_fn(type_, conv, _cattrs_forbid_extra_keys=True)
         conv.register_structure_hook(type_, hook)
     return conv
--- a/mangoramp/writer.py
+++ b/mangoramp/writer.py
@@ -107,7 +107,9 @@
         with told(conn, server, lambda: Outcome.NOT_RUN):
             now_s = time.time()
             if not await outcomes.claim(conn, key, now_s=now_s, timeout_s=left_s):
-                return await self._recorded(conn, key, req, server), True
+                left_s = deadline - self._clock()
+                found = await outcomes.lookup(conn, key, timeout_s=left_s)
+                return _recorded(found, key, req, server), True
         rows = await self._run_claimed(conn, req, server, deadline)
         left_s = deadline - self._clock()
         with told(conn, server, lambda: Outcome.UNKNOWN):
@@ -136,13 +138,13 @@
                     await outcomes.rollback(conn, timeout_s=left_s)
             raise
 
-    async def _recorded(
-        self, conn: Conn, key: OutcomeKey, req: RunStatement, server: str
-    ) -> RowSet:
-        found = await outcomes.lookup(conn, key)
-        if found is None:
-            raise rolled_back(server)
-        if found.digest != key.digest:
-            raise key_reused(server)
-        emit(OUTCOME_REPEATED, group=req.group, customer=req.customer, server=server)
-        return found.answer
+
+def _recorded(
+    found: outcomes.Record | None, key: OutcomeKey, req: RunStatement, server: str
+) -> RowSet:
+    if found is None:
+        raise rolled_back(server)
+    if found.digest != key.digest:
+        raise key_reused(server)
+    emit(OUTCOME_REPEATED, group=req.group, customer=req.customer, server=server)
+    return found.answer
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections import Counter
 from contextlib import asynccontextmanager
 
 import msgspec
+from hypothesis import strategies as st
 
 from mangoramp.admission import Admission, Limits
 from mangoramp.endpoints.group import Group
@@ -15,12 +17,17 @@
 from mangoramp.policy.position import START
 from mangoramp.policy.statement import Kind
 from mangoramp.proxies.messages import RunStatement
-from mangoramp.standins.endpoint import Endpoint, EndpointOptions
+from mangoramp.standins.endpoint import Endpoint, EndpointOptions, Faults
 from mangoramp.standins.store import Change
 
 HOST = "127.0.0.1"
 CREATE = "CREATE TABLE sheet (id TEXT, revision TEXT)"
 ISSUE = "INSERT INTO sheet VALUES ($1, $2)"
+ANSWERS = 9
+KINDS = ("drop", "drop two", "cut", "silent", "promote")
+
+Fault = tuple[str, int]
+faults = st.tuples(st.sampled_from(KINDS), st.integers(0, ANSWERS - 1))
 
 
 class Servers:
@@ -52,10 +59,10 @@
         for endpoint in self.endpoints.values():
             await endpoint.stop()
 
-    def home(self, *, pool_size=4):
+    def home(self, *, pool_size=4, transactions=None):
         group = Group(self.spec, pool_size=pool_size)
         rates = Admission("register", lambda customer: Limits(1e6, 1e6, 1.0))
-        self.homes.append(Home(group, rates))
+        self.homes.append(Home(group, rates, instance="p0", transactions=transactions))
         return self.homes[-1]
 
     def promote(self, name):
@@ -80,14 +87,18 @@
     def primary(self):
         return self.endpoints[self.spec.primary]
 
-    def written(self, name=None):
-        """How often each change of the callers is in a server's log."""
+    def entries(self, name=None):
+        """The callers' changes in each entry of a server's log."""
         store = self.endpoints[name or self.spec.primary].store
-        bodies = (e.body for e in store.entries(0, 100_000))
-        changes = itertools.chain.from_iterable(
-            msgspec.json.decode(body, type=tuple[Change, ...]) for body in bodies
+        decoded = (
+            msgspec.json.decode(entry.body, type=tuple[Change, ...])
+            for entry in store.entries(0, 100_000)
         )
-        return Counter(c.params for c in changes if c.sql == ISSUE)
+        return [[c.params for c in changes if c.sql == ISSUE] for changes in decoded]
+
+    def written(self, name=None):
+        """How often each change of the callers is in a server's log."""
+        return Counter(itertools.chain.from_iterable(self.entries(name)))
 
 
 @asynccontextmanager
@@ -112,3 +123,31 @@
         timeout_s=timeout_s,
         idempotency_key=key,
     )
+
+
+def most_advanced(servers: Servers) -> str:
+    others = {n: e for n, e in servers.endpoints.items() if n != servers.spec.primary}
+    return max(others, key=lambda n: others[n].store.held)
+
+
+async def break_once(servers: Servers, fault: Fault) -> None:
+    """Break the primary, at one of the answers of the next write."""
+    kind, number = fault
+    primary = servers.primary()
+    if kind in ("drop", "drop two"):
+        count = 1 if kind == "drop" else 2
+        primary.set_faults(Faults(drop_answers=count, drop_after=number))
+        return
+    received = len(statements(primary))
+    while len(statements(primary)) < received + number:
+        await asyncio.sleep(0.001)
+    if kind == "promote":
+        servers.promote(most_advanced(servers))
+        return
+    primary.set_faults(Faults(cut=kind == "cut", silent=kind == "silent"))
+    await asyncio.sleep(0.05)
+    primary.set_faults(Faults())
+
+
+def statements(endpoint):
+    return [sql for sql in endpoint.received if "mangoramp_status" not in sql]
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -9,13 +9,18 @@
 from mangoramp import writer as writer_module
 from mangoramp.endpoints import outcomes
 from mangoramp.proxies.messages import Rows
-from mangoramp.standins.endpoint import Faults
 
-from .servers import CREATE, ISSUE, Servers, running, write
-
-ANSWERS = 9
-KINDS = ("drop", "drop two", "cut", "silent", "promote")
-Fault = tuple[str, int]
+from .servers import (
+    CREATE,
+    ISSUE,
+    Fault,
+    Servers,
+    break_once,
+    faults,
+    most_advanced,
+    running,
+    write,
+)
 
 
 class TestKeyedWrites:
@@ -77,11 +82,6 @@
             assert left == [3, 1, 0]
 
 
-def most_advanced(servers: Servers) -> str:
-    others = {n: e for n, e in servers.endpoints.items() if n != servers.spec.primary}
-    return max(others, key=lambda n: others[n].store.held)
-
-
 def records(servers: Servers) -> int:
     conn = servers.primary().store.connect()
     try:
@@ -99,29 +99,6 @@
     return reply
 
 
-async def break_once(servers: Servers, fault: Fault) -> None:
-    """Break the primary, at one of the answers of the next write."""
-    kind, number = fault
-    primary = servers.primary()
-    if kind in ("drop", "drop two"):
-        count = 1 if kind == "drop" else 2
-        primary.set_faults(Faults(drop_answers=count, drop_after=number))
-        return
-    received = len(statements(primary))
-    while len(statements(primary)) < received + number:
-        await asyncio.sleep(0.001)
-    if kind == "promote":
-        servers.promote(most_advanced(servers))
-        return
-    primary.set_faults(Faults(cut=kind == "cut", silent=kind == "silent"))
-    await asyncio.sleep(0.05)
-    primary.set_faults(Faults())
-
-
-def statements(endpoint):
-    return [sql for sql in endpoint.received if "mangoramp_status" not in sql]
-
-
 async def try_fault(fault: Fault, *, key: str) -> None:
     with tempfile.TemporaryDirectory() as folder:
         async with running(Path(folder)) as servers:
@@ -150,9 +127,6 @@
         assert count <= 1, reply
 
 
-faults = st.tuples(st.sampled_from(KINDS), st.integers(0, ANSWERS - 1))
-
-
 class TestAtMostOnce:
     @given(fault=faults, keyed=st.booleans())
     @settings(derandomize=True, deadline=None, max_examples=20)
