Serve transactions over HTTP from any proxy

Cause: a transaction's id names the proxy that holds its connection; the others forward to it. A commit whose proxy is lost or silent is settled at the group's home; the way to a home is tried again for reads, for keyed writes, and where nothing was sent. Ruled out: saying not_run for a commit that could not be forwarded (one before it may have been made); it is said after the settling record is held by a majority.

--- a/mangoramp/callers/app.py
+++ b/mangoramp/callers/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -18,6 +19,8 @@
 TOKEN_HEADER = "Mangoramp-Session"
 TOKEN_COOKIE = "mangoramp-session"
 
+Route = tuple[str, type[tornado.web.RequestHandler], dict[str, Any]]
+
 
 class StatementBody(msgspec.Struct, forbid_unknown_fields=True):
     """The body of a statement's request."""
@@ -85,6 +88,17 @@
         unknown = Outcome.UNKNOWN
         self.refuse(Fault(Code.INTERNAL, message, Step.RUN, outcome=unknown))
 
+    def show_token(self, token: str) -> None:
+        """Give the session's next token, as a header and as a cookie."""
+        self.set_header(TOKEN_HEADER, token)
+        self.set_cookie(TOKEN_COOKIE, token, httponly=True, samesite="Strict")
+
+    @property
+    def token(self) -> str:
+        """The caller's session token, empty if there is none."""
+        headers = self.request.headers
+        return headers.get(TOKEN_HEADER) or self.get_cookie(TOKEN_COOKIE) or ""
+
     @property
     def key(self) -> str:
         """The caller's key, empty if none was shown."""
@@ -127,8 +141,7 @@
 
     def _answer_rows(self, answer: StatementAnswer) -> None:
         rows = answer.rows
-        self.set_header(TOKEN_HEADER, answer.token)
-        self.set_cookie(TOKEN_COOKIE, answer.token, httponly=True, samesite="Strict")
+        self.show_token(answer.token)
         body = AnswerBody(
             outcome=Outcome.DONE,
             columns=rows.columns,
@@ -162,13 +175,12 @@
         timeout_s: float | None,
     ) -> StatementRequest:
         headers = self.request.headers
-        token = headers.get(TOKEN_HEADER) or self.get_cookie(TOKEN_COOKIE) or ""
         return StatementRequest(
             group=group,
             key=self.key,
             sql=body.sql,
             params=body.params,
-            token=token,
+            token=self.token,
             idempotency_key=headers.get("Idempotency-Key", ""),
             max_age_s=max_age_s,
             timeout_s=DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s,
@@ -183,15 +195,18 @@
         self.refuse(Fault(Code.GROUP_UNKNOWN, "there is no such route", Step.PARSE))
 
 
-def callers_application(ingress: Ingress) -> tornado.web.Application:
+def callers_application(
+    ingress: Ingress, routes: Sequence[Route] = ()
+) -> tornado.web.Application:
     """The application for callers.
 
     Args:
         ingress: Where requests go.
+        routes: Further routes.
     """
     args = {"ingress": ingress}
     return tornado.web.Application(
-        [(r"/v1/groups/([^/]+)/statements", StatementHandler, args)],
+        [(r"/v1/groups/([^/]+)/statements", StatementHandler, args), *routes],
         default_handler_class=NotFoundHandler,
         log_function=lambda handler: None,
     )
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -87,7 +87,7 @@
     def _turn(self, req: Request) -> AbstractAsyncContextManager[None]:
         if isinstance(req, RunStatement):
             return self.admission.turn(req)
-        if not isinstance(req, EndTransaction | SettleTransaction):
+        if not isinstance(req, EndTransaction):
             self.admission.take_rate(req.customer)
         return nullcontext()
 
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -12,7 +12,7 @@
 from .home import Home
 from .policy._rendezvous import rendezvous
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import Message, Refused, Request
 from .settings import ProxySettings
 
 CONTROL_CONNECTIONS = 1
@@ -36,7 +36,7 @@
         self._links = links
         self._placed: dict[str, str] = {}
 
-    async def send(self, req: RunStatement) -> Message:
+    async def send(self, req: Request) -> Message:
         """Have a request run at the home of its group."""
         owner = self.owner(req.group)
         if owner is None:
@@ -51,12 +51,16 @@
         reply: Message = answer.unwrap()
         return reply
 
-    async def serve(self, req: RunStatement) -> Message:
+    async def serve(self, req: Request) -> Message:
         """Run a request at a home that is here."""
         if self.owner(req.group) != self._cfg.name:
             return _refused(Code.NO_HOME, "the group's home is not here")
         return await self._home(req.group).serve(req)
 
+    def local(self, group: str) -> Home | None:
+        """The home of a group that is open here, even if it has moved on."""
+        return self._homes.get(group)
+
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
         members = [
@@ -92,7 +96,12 @@
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
             admission = Admission(name, lambda customer: self._limits(customer, name))
-            self._homes[name] = Home(group, admission)
+            self._homes[name] = Home(
+                group,
+                admission,
+                instance=self._cfg.name,
+                transactions=self._cfg.transactions,
+            )
         return self._homes[name]
 
     def _limits(self, customer: str, group: str) -> Limits | None:
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 
+from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
 from .catalog import Catalog
-from .errors import Code, Fault, Outcome, Step
+from .errors import Code, Fault, FaultError, Outcome, Step
 from .events import REQUEST_REFUSED, emit
 from .homes import Homes
+from .platform.objects import Row
 from .policy.keys import check_key
+from .policy.position import Position
+from .policy.retry import RetryRule
 from .policy.session import Session, decode_session, encode_session
-from .policy.statement import classify
-from .proxies.messages import Param, Refused, Rows, RunStatement
+from .policy.statement import Kind, classify
+from .proxies.messages import Message, Param, Refused, Rows, RunStatement
+from .retrier import Retrier
+
+FORWARD_RULE = RetryRule(first_share=1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +70,7 @@
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
+        self._retrier = Retrier(failure_domain, rule=FORWARD_RULE)
 
     async def run(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
         """Run one statement for a caller."""
@@ -79,39 +88,82 @@
             )
         return answer
 
-    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
-        customer = check_key(req.key, self._catalog.keys)
+    def session(self, key: str, token: str) -> Result[Session, Fault]:
+        """Check a caller's key and session token.
+
+        Args:
+            key: The key; it goes no further than this process.
+            token: The token, empty for a new session.
+        """
+        customer = check_key(key, self._catalog.keys)
         if not isinstance(customer, Success):
             return Failure(customer.failure())
         keys = self._catalog.signing_keys
         if keys is None:
             return Failure(Fault(Code.INTERNAL, "no signing key yet", Step.SESSION))
-        session = decode_session(req.token, customer.unwrap(), keys)
-        if not isinstance(session, Success):
-            return Failure(session.failure())
-        prepared = self._prepare(req, session.unwrap())
+        return decode_session(token, customer.unwrap(), keys)
+
+    def row(self, customer: str, group: str) -> Result[Row, Fault]:
+        """Find the table's row for a customer and a group."""
+        if group not in self._catalog.groups:
+            message = f"there is no database group {group!r}"
+            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
+        row = self._catalog.row(customer, group)
+        if row is None:
+            message = f"the table has no row for this customer and {group}"
+            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        return Success(row)
+
+    def token(self, session: Session, group: str, position: Position) -> str:
+        """The token of a session that has also seen a position."""
+        keys = self._catalog.signing_keys
+        seen = session.merged(group, position)
+        return "" if keys is None else encode_session(seen, keys)
+
+    async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
+        found = self.session(req.key, req.token)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        session = found.unwrap()
+        prepared = self._prepare(req, session)
         if not isinstance(prepared, Success):
             return Failure(prepared.failure())
-        answer = await self._homes.send(prepared.unwrap())
+        answer = await self._send(prepared.unwrap())
         if isinstance(answer, Refused):
             return Failure(answer.fault)
         if not isinstance(answer, Rows):
             message = "the home's answer is none"
             unknown = Outcome.UNKNOWN
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
-        seen = session.unwrap().merged(req.group, answer.position)
-        return Success(StatementAnswer(answer, encode_session(seen, keys)))
+        token = self.token(session, req.group, answer.position)
+        return Success(StatementAnswer(answer, token))
+
+    async def _send(self, req: RunStatement) -> Message:
+        """Send a request to its home; again where the way to it was at fault."""
+        deadline = time.monotonic() + req.timeout_s
+
+        async def attempt(limit: float) -> Message:
+            left_s = max(0.0, limit - time.monotonic())
+            answer = await self._homes.send(replace(req, timeout_s=left_s))
+            if isinstance(answer, Refused) and answer.fault.step is Step.FORWARD:
+                raise FaultError(answer.fault)
+            return answer
+
+        repeatable = req.kind is Kind.READ or bool(req.idempotency_key)
+        try:
+            return await self._retrier.run(
+                req, deadline, attempt, repeatable=repeatable
+            )
+        except FaultError as exc:
+            return Refused(fault=exc.fault)
 
     def _prepare(
         self, req: StatementRequest, session: Session
     ) -> Result[RunStatement, Fault]:
-        if req.group not in self._catalog.groups:
-            message = f"there is no database group {req.group!r}"
-            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
-        row = self._catalog.row(session.customer, req.group)
-        if row is None:
-            message = f"the table has no row for this customer and {req.group}"
-            return Failure(Fault(Code.FORBIDDEN, message, Step.ADMIT))
+        found = self.row(session.customer, req.group)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        row = found.unwrap()
         asked = row.read_age_s if req.max_age_s is None else req.max_age_s
         return classify(req.sql).map(
             lambda kind: RunStatement(
--- /dev/null
+++ b/mangoramp/pinned.py
@@ -0,0 +1,55 @@
+"""Finds where a transaction is open, here or at a peer."""
+
+from __future__ import annotations
+
+import re
+
+from returns.result import Success
+
+from .errors import Outcome
+from .events import TRANSACTION_FORWARDED, emit
+from .faults import transaction_unknown
+from .homes import FORWARD_MARGIN_S, Homes
+from .proxies.links import Links
+from .proxies.messages import Message, Refused
+from .proxies.messages import Pinned as PinnedRequest
+
+ID = re.compile(r"[0-9a-f]{32}\.(?P<instance>[^/\s]{1,200})")
+
+
+class Pinned:
+    """The way to the proxies at which transactions are open.
+
+    Args:
+        instance: This proxy's name.
+        homes: The homes that are here.
+        links: The way to the other proxies.
+    """
+
+    def __init__(self, instance: str, homes: Homes, links: Links) -> None:
+        self._instance = instance
+        self._homes = homes
+        self._links = links
+
+    async def send(self, req: PinnedRequest) -> Message:
+        """Have a request run where its transaction is open."""
+        found = ID.fullmatch(req.transaction)
+        if found is None:
+            return Refused(fault=transaction_unknown(Outcome.NOT_RUN).fault)
+        peer = found["instance"]
+        if peer == self._instance:
+            return await self.serve(req)
+        emit(TRANSACTION_FORWARDED, group=req.group, peer=peer)
+        timeout_s = req.timeout_s + FORWARD_MARGIN_S
+        answer = await self._links.call(peer, req, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Refused(fault=answer.failure())
+        reply: Message = answer.unwrap()
+        return reply
+
+    async def serve(self, req: PinnedRequest) -> Message:
+        """Run a request of a transaction that is open here."""
+        home = self._homes.local(req.group)
+        if home is None:
+            return Refused(fault=transaction_unknown(Outcome.UNKNOWN).fault)
+        return await home.serve(req)
--- a/mangoramp/policy/retry.py
+++ b/mangoramp/policy/retry.py
@@ -8,12 +8,16 @@
 from ..errors import Code, Fault, Outcome
 
 PASSING_CODES = frozenset(
-    {Code.NO_SERVER, Code.CONNECTION_LOST, Code.TIMEOUT, Code.OVERLOADED}
+    {
+        Code.NO_SERVER,
+        Code.NO_HOME,
+        Code.CONNECTION_LOST,
+        Code.TIMEOUT,
+        Code.OVERLOADED,
+    }
 )
 PASSING_STATES = frozenset({"25006", "40000", "40001", "40P01", "55000", "57P03"})
 PASSING_CLASSES = frozenset({"08", "53", "57"})
-SHORT_ATTEMPTS = 2
-ATTEMPT_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +30,7 @@
         attempts: The most attempts for one request.
         first_s: The longest wait before the second attempt, in seconds.
         most_s: The longest wait before any attempt, in seconds.
+        first_share: Share of its time that a request's first attempt may take.
     """
 
     share: float = 0.1
@@ -33,6 +38,7 @@
     attempts: int = 4
     first_s: float = 0.05
     most_s: float = 0.5
+    first_share: float = 0.6
 
 
 class RetryBudget:
@@ -52,6 +58,18 @@
         """Add a request's share to the budget."""
         self._level = min(self._rule.burst, self._level + self._rule.share)
 
+    def attempt_s(self, left_s: float, attempt: int, *, repeatable: bool) -> float:
+        """How long one attempt may last, so that another can follow the first.
+
+        Args:
+            left_s: Seconds left to the request.
+            attempt: The attempt's number, from 1.
+            repeatable: Whether a second run does no harm.
+        """
+        if not repeatable or attempt > 1:
+            return left_s
+        return left_s * self._rule.first_share
+
     def take(
         self, fault: Fault, attempt: int, *, repeatable: bool, left_s: float
     ) -> float | None:
@@ -93,16 +111,3 @@
 def is_passing(sqlstate: str) -> bool:
     """Whether a SQLSTATE tells of the server's state and not of the statement."""
     return sqlstate in PASSING_STATES or sqlstate[:2] in PASSING_CLASSES
-
-
-def attempt_s(left_s: float, attempt: int, *, repeatable: bool) -> float:
-    """How long one attempt may last, so that another can follow it.
-
-    Args:
-        left_s: Seconds left to the request.
-        attempt: The attempt's number, from 1.
-        repeatable: Whether a second run does no harm.
-    """
-    if not repeatable or attempt > SHORT_ATTEMPTS:
-        return left_s
-    return left_s * ATTEMPT_SHARE
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -12,17 +12,28 @@
 
 from .callers.app import MAX_BODY_BYTES, callers_application
 from .callers.health import health_application
+from .callers.transactions import transaction_routes
 from .catalog import KIND_INSTANCE, Catalog
 from .errors import Code, Fault, Step
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .pinned import Pinned
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import (
+    BeginTransaction,
+    EndTransaction,
+    Message,
+    Refused,
+    RunInTransaction,
+    RunStatement,
+    SettleTransaction,
+)
 from .settings import ProxySettings
+from .transaction_ingress import TransactionIngress
 
 REGISTER_RETRY_S = 0.2
 
@@ -44,11 +55,17 @@
         self.homes = Homes(cfg, self.catalog, self._links)
         self.catalog.on_change = self.homes.refresh
         self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
+        self._pinned = Pinned(cfg.name, self.homes, self._links)
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
-        self._answer.register(RunStatement, self.homes.serve)
+        register = self._answer.register
+        register(RunStatement, self.homes.serve)
+        register(BeginTransaction, self.homes.serve)
+        register(SettleTransaction, self.homes.serve)
+        register(RunInTransaction, self._pinned.serve)
+        register(EndTransaction, self._pinned.serve)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
@@ -83,9 +100,9 @@
 
     def _listen(self) -> None:
         cfg = self.cfg
-        callers = HTTPServer(
-            callers_application(self._ingress), max_body_size=MAX_BODY_BYTES
-        )
+        transactions = TransactionIngress(self._ingress, self.homes, self._pinned)
+        app = callers_application(self._ingress, transaction_routes(transactions))
+        callers = HTTPServer(app, max_body_size=MAX_BODY_BYTES)
         callers.listen(cfg.listen_port, address=cfg.listen_host)
         health = HTTPServer(health_application(self.registry, lambda: self.ready))
         health.listen(cfg.metrics_port, address=cfg.listen_host)
--- a/mangoramp/retrier.py
+++ b/mangoramp/retrier.py
@@ -7,11 +7,14 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import TypeVar
 
 from .errors import Fault, FaultError, Outcome
 from .events import REQUEST_RETRIED, emit
-from .policy.retry import RetryBudget, RetryRule, attempt_s
-from .proxies.messages import Rows, RunStatement
+from .policy.retry import RetryBudget, RetryRule
+from .proxies.messages import RunStatement
+
+Done = TypeVar("Done")
 
 
 class Retrier:
@@ -37,10 +40,10 @@
         self,
         req: RunStatement,
         deadline: float,
-        attempt: Callable[[float], Awaitable[Rows]],
+        attempt: Callable[[float], Awaitable[Done]],
         *,
         repeatable: bool,
-    ) -> Rows:
+    ) -> Done:
         """Run a request, with retries.
 
         Args:
@@ -59,7 +62,9 @@
         while True:
             number += 1
             now = self._clock()
-            limit_s = attempt_s(deadline - now, number, repeatable=repeatable)
+            limit_s = self._budget.attempt_s(
+                deadline - now, number, repeatable=repeatable
+            )
             try:
                 return await attempt(now + limit_s)
             except FaultError as exc:
--- /dev/null
+++ b/mangoramp/transaction_ingress.py
@@ -0,0 +1,200 @@
+"""Callers' transactions on their way: key, row, the proxy that holds them, and back."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Result, Success
+
+from .errors import Code, Fault, Outcome, Step
+from .events import REQUEST_REFUSED, emit
+from .faults import transaction_over
+from .homes import Homes
+from .ingress import Ingress
+from .pinned import Pinned
+from .policy.session import Session
+from .policy.statement import classify
+from .proxies.messages import (
+    BeginTransaction,
+    EndTransaction,
+    Message,
+    Param,
+    Refused,
+    Rows,
+    RunInTransaction,
+    SettleTransaction,
+    TransactionBegun,
+    TransactionEnded,
+)
+
+COMMIT_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who asks, of which group, and for how long.
+
+    Attributes:
+        group: The database group.
+        key: The caller's key; it goes no further than this process.
+        token: The session token, empty for a new session.
+        timeout_s: Seconds that the request may take.
+    """
+
+    group: str
+    key: str
+    token: str
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAnswer:
+    """The answer to a commit or rollback, with the session's next token."""
+
+    ended: TransactionEnded
+    token: str
+
+
+class TransactionIngress:
+    """Takes callers' transactions.
+
+    Args:
+        ingress: Checks keys, sessions and rows.
+        homes: The way to the groups' homes.
+        pinned: The way to the proxies at which transactions are open.
+    """
+
+    def __init__(self, ingress: Ingress, homes: Homes, pinned: Pinned) -> None:
+        self._ingress = ingress
+        self._homes = homes
+        self._pinned = pinned
+
+    async def begin(self, caller: Caller) -> Result[TransactionBegun, Fault]:
+        """Open a transaction."""
+        session = self._session(caller)
+        if not isinstance(session, Success):
+            return self._refused(caller, session.failure())
+        req = BeginTransaction(
+            customer=session.unwrap().customer,
+            group=caller.group,
+            seen=session.unwrap().at(caller.group),
+            timeout_s=caller.timeout_s,
+        )
+        answer = await self._homes.send(req)
+        if isinstance(answer, TransactionBegun):
+            return Success(answer)
+        return self._refused(caller, _fault(answer))
+
+    async def run(
+        self, caller: Caller, transaction: str, sql: str, params: tuple[Param, ...]
+    ) -> Result[Rows, Fault]:
+        """Run one statement in a transaction.
+
+        Args:
+            caller: Who asks.
+            transaction: The transaction's id.
+            sql: The statement.
+            params: Its parameters.
+        """
+        session = self._session(caller)
+        if not isinstance(session, Success):
+            return self._refused(caller, session.failure())
+        kind = classify(sql)
+        if not isinstance(kind, Success):
+            return self._refused(caller, kind.failure())
+        req = RunInTransaction(
+            customer=session.unwrap().customer,
+            group=caller.group,
+            transaction=transaction,
+            kind=kind.unwrap(),
+            sql=sql,
+            params=params,
+            timeout_s=caller.timeout_s,
+        )
+        answer = await self._pinned.send(req)
+        if isinstance(answer, Rows):
+            return Success(answer)
+        return self._refused(caller, _fault(answer))
+
+    async def end(
+        self, caller: Caller, transaction: str, *, commit: bool, idempotency_key: str
+    ) -> Result[EndedAnswer, Fault]:
+        """Commit or roll back a transaction.
+
+        Args:
+            caller: Who asks.
+            transaction: The transaction's id.
+            commit: Whether to commit it.
+            idempotency_key: The caller's, empty if there is none.
+        """
+        session = self._session(caller)
+        if not isinstance(session, Success):
+            return self._refused(caller, session.failure())
+        deadline = time.monotonic() + caller.timeout_s
+        req = EndTransaction(
+            customer=session.unwrap().customer,
+            group=caller.group,
+            transaction=transaction,
+            commit=commit,
+            timeout_s=caller.timeout_s * (COMMIT_SHARE if commit else 1.0),
+            idempotency_key=idempotency_key,
+        )
+        answer = await self._pinned.send(req)
+        if commit and _is_in_doubt(answer):
+            answer = await self._settled(req, _fault(answer), deadline)
+        if not isinstance(answer, TransactionEnded):
+            return self._refused(caller, _fault(answer))
+        token = self._ingress.token(session.unwrap(), caller.group, answer.position)
+        return Success(EndedAnswer(answer, token))
+
+    async def _settled(
+        self, req: EndTransaction, fault: Fault, deadline: float
+    ) -> Message:
+        """Learn from the group itself what became of a commit."""
+        settle = SettleTransaction(
+            customer=req.customer,
+            group=req.group,
+            transaction=req.transaction,
+            timeout_s=max(0.0, deadline - time.monotonic()),
+        )
+        answer = await self._homes.send(settle)
+        if not isinstance(answer, TransactionEnded):
+            return Refused(fault=replace(fault, outcome=Outcome.UNKNOWN))
+        if answer.committed:
+            return answer
+        return Refused(fault=transaction_over("the proxy that held it was lost"))
+
+    def _session(self, caller: Caller) -> Result[Session, Fault]:
+        found = self._ingress.session(caller.key, caller.token)
+        if not isinstance(found, Success):
+            return found
+        row = self._ingress.row(found.unwrap().customer, caller.group)
+        return found if isinstance(row, Success) else Failure(row.failure())
+
+    def _refused(self, caller: Caller, fault: Fault) -> Failure[Fault]:
+        emit(
+            REQUEST_REFUSED,
+            group=caller.group,
+            code=fault.code,
+            step=fault.step,
+            peer=fault.peer,
+            outcome=fault.outcome,
+            reason=fault.message,
+        )
+        return Failure(fault)
+
+
+def _fault(answer: Message) -> Fault:
+    if isinstance(answer, Refused):
+        return answer.fault
+    message = "the home's answer is none"
+    return Fault(Code.INTERNAL, message, Step.FORWARD, outcome=Outcome.UNKNOWN)
+
+
+def _is_in_doubt(answer: Message) -> bool:
+    """Whether a commit may have been made, by this request or by one before it."""
+    if not isinstance(answer, Refused):
+        return False
+    fault = answer.fault
+    return fault.outcome is Outcome.UNKNOWN or fault.step is Step.FORWARD
--- /dev/null
+++ b/tests/test_pinned.py
@@ -0,0 +1,77 @@
+from mangoramp.platform.objects import Row
+
+from .caller import Caller
+from .test_fleet import running
+
+CREATE = "CREATE TABLE sheet (id TEXT PRIMARY KEY, revision INTEGER)"
+ISSUE = "INSERT INTO sheet VALUES ($1, $2)"
+COUNT = "SELECT count(*) FROM sheet"
+ROWS = tuple(
+    Row(name, "register", 1.0, 300.0, 300.0, 1.0) for name in ("tala", "norte")
+)
+
+
+def routes(fleet, proxy, id_=""):
+    base = fleet.url(proxy).replace("/statements", "/transactions")
+    return {
+        how: f"{base}/{id_}/{how}" for how in ("statements", "commit", "rollback")
+    } | {"begin": base}
+
+
+async def begun(fleet, caller, proxy):
+    reply = await caller.post(routes(fleet, proxy)["begin"], "")
+    assert reply.status == 201, reply
+    return reply.body["transaction"]
+
+
+async def counted(fleet, caller, proxy):
+    return (await caller.post(fleet.url(proxy), COUNT)).body["rows"][0][0]
+
+
+class TestPinned:
+    async def test_runs_through_any_proxy_and_shows_in_the_session(self):
+        async with running(proxies=1) as (fleet, caller):
+            await caller.post(fleet.url("d1-p0"), CREATE)
+            id_ = await begun(fleet, caller, "d1-p0")
+            for proxy in ("d2-p0", "d3-p0"):
+                done = await caller.post(
+                    routes(fleet, proxy, id_)["statements"], ISSUE, proxy, 1
+                )
+                assert done.body["outcome"] == "done"
+            assert await counted(fleet, caller, "d2-p0") == 0
+            ended = await caller.post(routes(fleet, "d2-p0", id_)["commit"], "")
+            assert ended.body["committed"]
+            assert await counted(fleet, caller, "d3-p0") == 2
+
+    async def test_is_its_customers_only(self):
+        async with running(rows=ROWS) as (fleet, caller):
+            await caller.post(fleet.url("d1-p0"), CREATE)
+            id_ = await begun(fleet, caller, "d1-p0")
+            other = Caller(fleet.keys["norte"])
+            at = routes(fleet, "d2-p0", id_)
+            refused = await other.post(at["statements"], ISSUE, "A1", 1)
+            assert (refused.status, refused.body["outcome"]) == (404, "not_run")
+            assert (await other.post(at["rollback"], "")).status == 404
+            refused = await other.post(at["commit"], "")
+            assert (refused.status, refused.body["outcome"]) == (404, "not_run")
+            assert (await caller.post(at["statements"], ISSUE, "A1", 1)).status == 200
+            assert (await caller.post(at["commit"], "")).body["committed"]
+
+    async def test_the_death_of_its_proxy_ends_it(self):
+        async with running() as (fleet, caller):
+            await caller.post(fleet.url("d1-p0"), CREATE)
+            id_ = await begun(fleet, caller, "d1-p0")
+            at = routes(fleet, "d2-p0", id_)
+            assert (await caller.post(at["statements"], ISSUE, "A1", 1)).status == 200
+            await fleet.proxies.pop("d1-p0").stop()
+            lost = await caller.post(at["statements"], ISSUE, "A2", 1)
+            assert (lost.status, lost.body["outcome"]) == (503, "not_run")
+            refused = await caller.post(at["commit"], "")
+            assert refused.body["outcome"] == "not_run", refused
+            assert await counted(fleet, caller, "d2-p0") == 0
+
+    async def test_refuses_an_id_that_is_none(self):
+        async with running() as (fleet, caller):
+            for how in ("commit", "rollback", "statements"):
+                reply = await caller.post(routes(fleet, "d1-p0", "x.d1-p0")[how], COUNT)
+                assert (reply.status, reply.body["outcome"]) == (404, "not_run")
