Show that a paused proxy and an isolated primary acknowledge nothing

A proxy in a process of its own is stopped between the primary's answer and its acknowledgement, the primary replaced, the proxy continued: it says unknown and the write is nowhere. With a key the write is made at the next primary. The stand-in held a slot while it waited for another's lock, so that two waiters kept the holder from its next statement; the wait comes before the slot now. Before and after: with the majority's wait off the isolated primary's write is acknowledged and lost (test_fails_without_the_majority).

--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -404,9 +404,9 @@
 
     async def run(self, sql: str, params: Params) -> list[tuple[Any, ...]]:
         """Run one statement and return its rows."""
-        if sql_word(sql) in READ_WORDS and " RETURNING " not in sql.upper():
+        if is_read(sql):
             return self._execute(sql, params)
-        await self._begin_write()
+        await self.begin_write()
         try:
             rows = self._execute(sql, params)
         except PgError:
@@ -418,7 +418,8 @@
             await self._commit()
         return rows
 
-    async def _begin_write(self) -> None:
+    async def begin_write(self) -> None:
+        """Open the session's write; the wait for others' holds no slot."""
         if self.conn.in_transaction:
             return
         await self.endpoint.write_lock.acquire()
@@ -523,6 +524,8 @@
         if word in CONTROL_WORDS:
             await session.control(word)
         else:
+            if not is_read(sql):
+                await session.begin_write()
             async with endpoint.slots:
                 await asyncio.sleep(endpoint.options.statement_s)
                 rows = await session.run(sql, self._params)
@@ -539,6 +542,11 @@
     return found[0].upper() if found else ""
 
 
+def is_read(sql: str) -> bool:
+    """Whether a statement changes nothing."""
+    return sql_word(sql) in READ_WORDS and " RETURNING " not in sql.upper()
+
+
 def param_count(sql: str) -> int:
     """How many ``$n`` parameters a statement has."""
     return max((int(n) for n in re.findall(r"\$(\d+)", sql)), default=0)
--- /dev/null
+++ b/tests/test_paused_proxy.py
@@ -0,0 +1,98 @@
+import asyncio
+import json
+import signal
+from urllib.request import urlopen
+
+import asyncpg
+import msgspec
+import pytest
+
+from mangoramp.catalog import KIND_GROUP
+from mangoramp.platform.client import PlatformClient
+from mangoramp.platform.objects import GroupObject, TermStart
+
+from .caller import Caller
+from .processes import Processes
+from .test_processes import TABLE, first_done
+
+CREATE = "CREATE TABLE sheet (id TEXT, revision INTEGER)"
+ISSUE = "INSERT INTO sheet VALUES ($1, $2)"
+SEARCH = "SELECT id FROM sheet"
+
+
+@pytest.fixture
+def procs(tmp_path):
+    processes = Processes(tmp_path)
+    try:
+        processes.start()
+        yield processes
+    finally:
+        processes.stop()
+
+
+@pytest.fixture
+def caller(procs):
+    table = procs.folder / "table.csv"
+    table.write_text(TABLE)
+    target = ["--platform", procs.platform]
+    procs.command("table", "import", *target, "--file", str(table))
+    given = procs.command("keys", "give", *target, "--customer", "tala")
+    return Caller(json.loads(given)["key"])
+
+
+def received(procs, name):
+    control = procs.servers[name][1]
+    return json.load(urlopen(f"http://127.0.0.1:{control}/faults"))
+
+
+async def tell(procs, name, function, *params):
+    conn = await asyncpg.connect(
+        host="127.0.0.1",
+        port=procs.servers[name][0],
+        user="test",
+        database="x",
+        ssl=False,
+    )
+    marks = ", ".join(f"${n + 1}" for n in range(len(params)))
+    row = await conn.fetchrow(f"SELECT * FROM mangoramp_{function}({marks})", *params)
+    conn.terminate()
+    return row
+
+
+async def replace_primary(procs):
+    """Promote s1 in term 2 and say so on the platform."""
+    for name in ("s1", "s2"):
+        await tell(procs, name, "fence", "2")
+    start = (await tell(procs, "s1", "promote", "2"))["term_start"]
+    await tell(procs, "s2", "follow", "2", "127.0.0.1", str(procs.servers["s1"][0]))
+    client = PlatformClient(procs.platform)
+    found = (await client.get(KIND_GROUP, "register", GroupObject)).unwrap()
+    group = msgspec.structs.replace(
+        found.value,
+        term=2,
+        primary="s1",
+        starts=(*found.value.starts, TermStart(2, start)),
+    )
+    await client.put(KIND_GROUP, "register", group, version=found.version)
+    client.close()
+
+
+class TestPausedProxy:
+    async def test_acknowledges_nothing_of_a_replaced_primary(self, procs, caller):
+        url = procs.url("p0")
+        await first_done(caller, url, CREATE)
+        for name in ("s1", "s2"):
+            procs.set_faults(name, pull=False)
+        issuing = asyncio.ensure_future(caller.post(url, ISSUE, "A1", 1))
+        while ISSUE not in received(procs, "s0"):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.2)
+        procs.signal("p0", signal.SIGSTOP)
+        for name in ("s1", "s2"):
+            procs.set_faults(name)
+        await replace_primary(procs)
+        procs.signal("p0", signal.SIGCONT)
+        reply = await issuing
+        assert reply.body["outcome"] == "unknown", reply
+        found = await first_done(caller, procs.url("p1"), SEARCH)
+        assert found.body["rows"] == []
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 
 from mangoramp import writer as writer_module
+from mangoramp.confirmation import Confirmation
 from mangoramp.endpoints import outcomes
 from mangoramp.proxies.messages import Rows
+from mangoramp.standins.endpoint import Faults
 
 from .servers import (
     CREATE,
@@ -68,6 +70,15 @@
             assert (again.repeated, again.position.term) == (True, 2)
             assert servers.written() == {("A1", "0"): 1}
 
+    async def test_the_same_request_twice_at_once_lands_once(self, tmp_path):
+        async with running(tmp_path) as servers:
+            homes = [servers.home(), servers.home()]
+            await homes[0].serve(write(CREATE))
+            req = write(ISSUE, "A1", "0", key="k1")
+            replies = await asyncio.gather(*(h.serve(req) for h in homes * 3))
+            assert sorted(reply.repeated for reply in replies) == [False] + [True] * 5
+            assert servers.written() == {("A1", "0"): 1}
+
     async def test_old_records_are_pruned_in_small_steps(self, tmp_path):
         async with running(tmp_path) as servers:
             home = servers.home()
@@ -141,3 +152,46 @@
         monkeypatch.setattr(outcomes, "claim", claim)
         with pytest.raises(AssertionError):
             asyncio.run(try_fault(("drop", 3), key="k1"))
+
+
+async def isolate(servers, home, key=""):
+    """Write at a primary that nothing follows, replace it, and return the reply."""
+    await home.serve(write(CREATE))
+    while min(e.store.held for e in servers.endpoints.values()) < 1:
+        await asyncio.sleep(0.01)
+    old = servers.primary()
+    for name in ("s1", "s2"):
+        servers.endpoints[name].set_faults(Faults(pull=False))
+    writing = asyncio.ensure_future(home.serve(write(ISSUE, "A1", "0", key=key)))
+    while not servers.written():
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.05)
+    servers.promote("s1")
+    for name in ("s1", "s2"):
+        servers.endpoints[name].set_faults(Faults())
+    assert old.primary
+    return await writing
+
+
+class TestAcknowledgement:
+    async def test_a_replaced_primarys_write_is_not_acknowledged(self, tmp_path):
+        async with running(tmp_path) as servers:
+            reply = await isolate(servers, servers.home())
+            assert reply.fault.outcome == "unknown"
+            assert servers.written() == {}
+
+    async def test_with_a_key_it_is_made_at_the_next_primary(self, tmp_path):
+        async with running(tmp_path) as servers:
+            reply = await isolate(servers, servers.home(), key="k1")
+            assert (reply.position.term, reply.server) == (2, "s1")
+            assert servers.written() == {("A1", "0"): 1}
+
+    async def test_fails_without_the_majority(self, tmp_path, monkeypatch):
+        async def wait(*args):
+            return None
+
+        monkeypatch.setattr(Confirmation, "wait", wait)
+        async with running(tmp_path) as servers:
+            reply = await isolate(servers, servers.home())
+            assert isinstance(reply, Rows)
+            assert servers.written() == {}
