--- a/mangoramp/confirmation.py
+++ b/mangoramp/confirmation.py
@@ -110,7 +110,7 @@
         """Whether a majority holds it; positions of another term prove nothing."""
         if self._group.spec.term != primary.term:
             return False
-        return self._group.committed(status.tail)
+        return self._group.view.is_committed(status.tail)
 
     async def _heard(
         self, primary: ServerStatus, since: float, deadline: float
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -51,7 +51,7 @@
             ServerState(n, HOST, e.port, f"d{i}")
             for i, (n, e) in enumerate(self.endpoints.items())
         )
-        self.spec = GroupObject("register", 1, "s0", servers, (TermStart(1, 0),))
+        self.spec = GroupObject("register", 1, "s0", servers, (TermStart(1, 0, 0),))
 
     async def stop(self):
         for home in self.homes:
@@ -73,8 +73,8 @@
         for endpoint in others:
             endpoint.fence(term)
         assert chosen.store.held == max(e.store.held for e in others)
-        start = TermStart(term, chosen.store.held)
         chosen.promote(term)
+        start = TermStart(term, chosen.store.term_start, chosen.store.term_previous)
         for endpoint in others:
             if endpoint is not chosen:
                 endpoint.follow(term, (HOST, chosen.port))
--- a/tests/test_paused_proxy.py
+++ b/tests/test_paused_proxy.py
@@ -63,7 +63,8 @@
     """Promote s1 in term 2 and say so on the platform."""
     for name in ("s1", "s2"):
         await tell(procs, name, "fence", "2")
-    start = (await tell(procs, "s1", "promote", "2"))["term_start"]
+    row = await tell(procs, "s1", "promote", "2")
+    start = TermStart(2, row["term_start"], row["term_previous"])
     await tell(procs, "s2", "follow", "2", "127.0.0.1", str(procs.servers["s1"][0]))
     client = PlatformClient(procs.platform)
     found = (await client.get(KIND_GROUP, "register", GroupObject)).unwrap()
@@ -71,7 +72,7 @@
         found.value,
         term=2,
         primary="s1",
-        starts=(*found.value.starts, TermStart(2, start)),
+        starts=(*found.value.starts, start),
     )
     await client.put(KIND_GROUP, "register", group, version=found.version)
     client.close()
