--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -114,11 +114,14 @@
         self._rng = rng or random.Random(server.name)
         self._idle: list[Conn] = []
         self._room = asyncio.Semaphore(size)
+        self._closed = False
         self._prober: asyncio.Task[None] | None = None
 
     @asynccontextmanager
     async def lease(self, deadline: float = math.inf) -> AsyncIterator[Conn]:
-        """Lend a connection; one whose use failed is closed, never lent again.
+        """Lend a connection; it is lent again only after whole answers.
+
+        A fault keeps it only where the server answered, and rolled back what was open.
 
         Args:
             deadline: When to stop waiting for one, on this pool's clock.
@@ -131,6 +134,9 @@
         try:
             yield conn
             clean = True
+        except FaultError:
+            clean = True
+            raise
         finally:
             self.release(conn, clean=clean)
 
@@ -163,7 +169,8 @@
             clean: Whether nothing is outstanding or open on it.
         """
         self._leave()
-        if clean and not conn.is_closed() and not conn.is_in_transaction():
+        usable = clean and not conn.is_closed() and not conn.is_in_transaction()
+        if usable and not self._closed:
             conn.used_at = self._clock()
             self._idle.append(conn)
             self._start_prober()
@@ -172,6 +179,7 @@
 
     def close(self) -> None:
         """Close the idle connections and stop probing."""
+        self._closed = True
         if self._prober is not None:
             self._prober.cancel()
             self._prober = None
--- a/mangoramp/endpoints/run.py
+++ b/mangoramp/endpoints/run.py
@@ -99,6 +99,8 @@
         conn.terminate()
         raise FaultError(_lost(exc, server, outcome())) from None
     except asyncpg.PostgresError as exc:
+        if not is_rollback(exc):
+            conn.terminate()
         raise FaultError(refusal(exc, server, outcome())) from None
     except TimeoutError:
         conn.terminate()
--- a/mangoramp/faults.py
+++ b/mangoramp/faults.py
@@ -38,6 +38,16 @@
     return FaultError(fault)
 
 
+def failed(*, started: bool) -> FaultError:
+    """The proxy itself is at fault.
+
+    Args:
+        started: Whether the request may have been given to a server.
+    """
+    outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+    return FaultError(Fault(Code.INTERNAL, "the proxy failed", Step.RUN, "", outcome))
+
+
 def rolled_back(peer: str) -> FaultError:
     """The server took a transaction back."""
     message = f"the server {peer} rolled the work back"
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -10,7 +10,8 @@
 from .admission import Admission
 from .endpoints.group import Group
 from .errors import FaultError
-from .faults import out_of_time
+from .events import REQUEST_FAILED, emit
+from .faults import failed, out_of_time
 from .policy.statement import Kind
 from .proxies.messages import (
     Answer,
@@ -77,6 +78,9 @@
             return Refused(fault=exc.fault)
         except TimeoutError:
             return Refused(fault=out_of_time(started=started).fault)
+        except Exception as exc:
+            emit(REQUEST_FAILED, group=req.group, error=type(exc).__name__)
+            return Refused(fault=failed(started=started).fault)
 
     def close(self) -> None:
         """Close the connections to the servers."""
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -61,6 +61,11 @@
         """The home of a group that is open here, even if it has moved on."""
         return self._homes.get(group)
 
+    def end_customer(self, customer: str) -> int:
+        """End a customer's transactions that are open here; how many there were."""
+        homes = self._homes.values()
+        return sum(home.transactions.end_customer(customer) for home in homes)
+
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
         members = [
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -130,6 +130,12 @@
     return max(others, key=lambda n: others[n].store.held)
 
 
+async def break_all(servers: Servers, broken: list[Fault]) -> None:
+    """Break the group in one way after the other."""
+    for fault in broken:
+        await break_once(servers, fault)
+
+
 async def break_once(servers: Servers, fault: Fault) -> None:
     """Break the primary, at one of the answers of the next write."""
     kind, number = fault
--- a/tests/test_paused_proxy.py
+++ b/tests/test_paused_proxy.py
@@ -6,6 +6,7 @@
 import asyncpg
 import msgspec
 import pytest
+from tornado.httpclient import HTTPError
 
 from mangoramp.catalog import KIND_GROUP
 from mangoramp.platform.client import PlatformClient
@@ -97,3 +98,22 @@
         assert reply.body["outcome"] == "unknown", reply
         found = await first_done(caller, procs.url("p1"), SEARCH)
         assert found.body["rows"] == []
+
+    async def test_a_killed_proxys_keyed_write_lands_once(self, procs, caller):
+        await first_done(caller, procs.url("p0"), CREATE)
+        procs.set_faults("s0", late_s=0.1)
+        key = {"Idempotency_Key": "k1"}
+        issuing = asyncio.ensure_future(
+            caller.post(procs.url("p0"), ISSUE, "A1", 1, **key)
+        )
+        while ISSUE not in received(procs, "s0"):
+            await asyncio.sleep(0.02)
+        procs.kill("p0")
+        with pytest.raises(HTTPError):
+            await issuing
+        done = await first_done(caller, procs.url("p1"), ISSUE, "A1", 1, **key)
+        assert done.body["outcome"] == "done"
+        again = await caller.post(procs.url("p2"), ISSUE, "A1", 1, **key)
+        assert again.body["repeated"]
+        found = await caller.post(procs.url("p2"), SEARCH)
+        assert found.body["rows"] == [["A1"]]
