--- a/mangoramp/callers/transactions.py
+++ b/mangoramp/callers/transactions.py
@@ -5,15 +5,10 @@
 import msgspec
 from returns.result import Success
 
-from ..errors import Code, Fault, Outcome, Step
+from ..errors import Outcome
 from ..transaction_ingress import Caller, TransactionIngress
-from .app import (
-    DEFAULT_TIMEOUT_S,
-    MAX_TIMEOUT_S,
-    BaseHandler,
-    Route,
-    StatementBody,
-)
+from .app import Route, StatementBody
+from .base import DEFAULT_TIMEOUT_S, MAX_TIMEOUT_S, MIN_TIMEOUT_S, BaseHandler
 
 BASE = r"/v1/groups/([^/]+)/transactions"
 
@@ -56,7 +51,9 @@
 
     def caller(self, group: str) -> Caller | None:
         """Who asks; None if a header was refused."""
-        timeout = self.seconds("Mangoramp-Timeout", most=MAX_TIMEOUT_S)
+        timeout = self.seconds(
+            "Mangoramp-Timeout", least=MIN_TIMEOUT_S, most=MAX_TIMEOUT_S
+        )
         if not isinstance(timeout, Success):
             self.refuse(timeout.failure())
             return None
@@ -92,12 +89,11 @@
         caller = self.caller(group)
         if caller is None:
             return
-        try:
-            body = msgspec.json.decode(self.request.body, type=StatementBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            message = f"the body is refused: {exc}"
-            self.refuse(Fault(Code.BAD_REQUEST, message, Step.PARSE))
+        found = self.decode_body(StatementBody)
+        if not isinstance(found, Success):
+            self.refuse(found.failure())
             return
+        body = found.unwrap()
         answer = await self.ingress.run(caller, transaction, body.sql, body.params)
         if not isinstance(answer, Success):
             self.refuse(answer.failure())
@@ -117,9 +113,12 @@
         caller = self.caller(group)
         if caller is None:
             return
-        key = self.request.headers.get("Idempotency-Key", "")
+        key = self.idempotency_key()
+        if not isinstance(key, Success):
+            self.refuse(key.failure())
+            return
         answer = await self.ingress.end(
-            caller, transaction, commit=how == "commit", idempotency_key=key
+            caller, transaction, commit=how == "commit", idempotency_key=key.unwrap()
         )
         if not isinstance(answer, Success):
             self.refuse(answer.failure())
--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -41,6 +41,8 @@
     FORBIDDEN = "forbidden"
     SESSION_INVALID = "session_invalid"
     SESSION_AHEAD = "session_ahead"
+    ROUTE_UNKNOWN = "route_unknown"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     GROUP_UNKNOWN = "group_unknown"
     TRANSACTION_UNKNOWN = "transaction_unknown"
     TRANSACTION_BUSY = "transaction_busy"
@@ -52,6 +54,7 @@
     NO_HOME = "no_home"
     TIMEOUT = "timeout"
     CONNECTION_LOST = "connection_lost"
+    CONFLICT = "conflict"
     INTERNAL = "internal"
 
 
@@ -63,6 +66,8 @@
     Code.FORBIDDEN: 403,
     Code.SESSION_INVALID: 400,
     Code.SESSION_AHEAD: 409,
+    Code.ROUTE_UNKNOWN: 404,
+    Code.METHOD_NOT_ALLOWED: 405,
     Code.GROUP_UNKNOWN: 404,
     Code.TRANSACTION_UNKNOWN: 404,
     Code.TRANSACTION_BUSY: 409,
@@ -74,6 +79,7 @@
     Code.NO_HOME: 503,
     Code.TIMEOUT: 504,
     Code.CONNECTION_LOST: 502,
+    Code.CONFLICT: 409,
     Code.INTERNAL: 500,
 }
 
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -9,9 +9,10 @@
 from .endpoints.run import RowSet, read_status, run, told
 from .errors import Outcome
 from .events import REQUEST_ROUTED, emit
-from .faults import no_server, unproven
+from .faults import no_server, session_ahead, unproven
 from .policy.quorum import ServerStatus
 from .policy.routing import Chosen, ReadNeed, choose_reader
+from .policy.session import is_ahead_of_log
 from .proxies.messages import Rows, RunStatement
 from .retrier import Retrier
 
@@ -66,7 +67,10 @@
         self, need: ReadNeed, req: RunStatement, failed: set[str], deadline: float
     ) -> Chosen:
         group = self._group
+        started = self._clock()
         while True:
+            if is_ahead_of_log(need.seen, group.primary, since=started):
+                raise session_ahead(req.group)
             candidates = group.candidates()
             fresh = [c for c in candidates if c.name not in failed]
             choice = choose_reader(need, fresh, group.lineage)
--- a/mangoramp/transaction_ingress.py
+++ b/mangoramp/transaction_ingress.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from .errors import Code, Fault, Outcome, Step
-from .events import REQUEST_REFUSED, emit
 from .faults import transaction_over
 from .homes import Homes
 from .ingress import Ingress
@@ -173,15 +172,7 @@
         return found if isinstance(row, Success) else Failure(row.failure())
 
     def _refused(self, caller: Caller, fault: Fault) -> Failure[Fault]:
-        emit(
-            REQUEST_REFUSED,
-            group=caller.group,
-            code=fault.code,
-            step=fault.step,
-            peer=fault.peer,
-            outcome=fault.outcome,
-            reason=fault.message,
-        )
+        self._ingress.refused(caller.group, fault, key=caller.key)
         return Failure(fault)
 
 
