--- a/mangoramp/policy/rate.py
+++ b/mangoramp/policy/rate.py
@@ -1,4 +1,4 @@
-"""A rate and burst, kept as a token bucket."""
+"""A rate and burst, kept as a token bucket that may lend tokens out."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
     Args:
         rate: Tokens a second.
-        burst: The most tokens it holds.
+        burst: The most tokens it holds, those that it lent out included.
         now: The time, in seconds.
         level: Tokens at the start.
     """
@@ -19,6 +19,7 @@
         self.rate = rate
         self.burst = burst
         self._level = min(level, burst)
+        self._held = 0.0
         self._at = now
 
     def take(self, now: float, *, tokens: float = 1.0) -> float:
@@ -39,20 +40,43 @@
             return float("inf")
         return (tokens - self._level) / self.rate
 
+    def draw(self, most: float, now: float) -> float:
+        """Take as many tokens as there are, up to a number of them."""
+        self._fill(now)
+        drawn = max(0.0, min(most, self._level))
+        self._level -= drawn
+        return drawn
+
+    def hold(self, tokens: float, now: float) -> None:
+        """Keep room for tokens that were lent out."""
+        self._fill(now)
+        self._held += tokens
+        self._level = min(self._level, self._room)
+
+    def release(self, tokens: float, now: float, *, returned: float = 0.0) -> None:
+        """Give up room that was held, and take back tokens that were not used."""
+        self._fill(now)
+        self._held = max(0.0, self._held - tokens)
+        self._level = min(self._level + returned, self._room)
+
     def resize(self, rate: float, burst: float, now: float) -> None:
         """Change rate and burst; what the bucket holds over the burst is lost."""
         self._fill(now)
         self.rate = rate
         self.burst = burst
-        self._level = min(self._level, burst)
+        self._level = min(self._level, self._room)
 
     def level(self, now: float) -> float:
         """How many tokens it holds."""
         self._fill(now)
         return self._level
 
+    @property
+    def _room(self) -> float:
+        return max(0.0, self.burst - self._held)
+
     def _fill(self, now: float) -> None:
         if now <= self._at:
             return
-        self._level = min(self.burst, self._level + self.rate * (now - self._at))
+        self._level = min(self._room, self._level + self.rate * (now - self._at))
         self._at = now
--- /dev/null
+++ b/tests/token_fleet.py
@@ -0,0 +1,177 @@
+"""Homes of one customer's rate in virtual time, over a network that can fail."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from mangoramp.policy.rate import Bucket
+from mangoramp.policy.tokens import FleetBucket
+
+HOP_S = 0.0005
+MESSAGE_OVERHEAD_BYTES = 40
+
+
+@dataclass
+class Network:
+    """Delays and faults between domains, from a seed."""
+
+    rng: random.Random
+    hop_s: float = HOP_S
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    late_s: float = 1.0
+    cut: set[str] = field(default_factory=set)
+
+    def delays(self, source: str, target: str) -> list[float]:
+        if source != target and {source, target} & self.cut:
+            return []
+        if self.rng.random() < self.lost:
+            return []
+        copies = 2 if self.rng.random() < self.doubled else 1
+        return [self._delay() for _ in range(copies)]
+
+    def _delay(self) -> float:
+        late_s = self.rng.random() * self.late_s if self.rng.random() < self.late else 0
+        return self.hop_s + late_s
+
+
+class TokenFleet:
+    """One bucket a domain, with its messages in a heap of events."""
+
+    def __init__(
+        self,
+        *,
+        domains: int,
+        rate: float,
+        burst: float,
+        network: Network | None = None,
+        make: Callable[..., FleetBucket] = FleetBucket,
+        settled: bool = True,
+    ) -> None:
+        self.now = 0.0
+        self.names = [f"d{n}" for n in range(domains)]
+        self.rate, self.burst = rate, burst
+        self.rows = dict.fromkeys(self.names, (rate, burst))
+        self.network = network or Network(random.Random(1))
+        self.admitted: list[float] = []
+        self.refused: list[tuple[float, float]] = []
+        self.outcome: dict[int, bool] = {}
+        self.messages = 0
+        self.bytes = 0
+        self.leases: dict[str, float] = {}
+        self.buckets: dict[str, FleetBucket] = {}
+        self._make = make
+        self._wakes: dict[str, float | None] = {}
+        self._tickets = itertools.count(1)
+        self._runs = itertools.count(1)
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        for name in self.names:
+            self.begin(name)
+        if settled:
+            self.run(1.0 + 2 * burst / rate)
+
+    def begin(self, domain: str) -> None:
+        """Start a home with nothing known of its predecessor."""
+        home = f"{domain}/{next(self._runs)}"
+        self.leases[home] = float("inf")
+        rate, burst = self.rows[domain]
+        self.buckets[domain] = bucket = self._make(
+            "customer",
+            domain,
+            home,
+            domains=len(self.names),
+            rate=rate,
+            burst=burst,
+            now=self.now,
+            holds=lambda now: now < self.leases[home],
+        )
+        self._decide(domain, bucket)
+
+    def kill(self, domain: str) -> None:
+        self.buckets.pop(domain, None)
+
+    def edit(self, domain: str, rate: float, burst: float) -> None:
+        self.rows[domain] = (rate, burst)
+        if domain in self.buckets:
+            self.buckets[domain].resize(rate, burst, self.now)
+
+    def arrive(self, domain: str, bucket: FleetBucket | None = None) -> int:
+        ticket = next(self._tickets)
+        bucket = bucket or self.buckets.get(domain)
+        if bucket is None:
+            self.outcome[ticket] = False
+            return ticket
+        bucket.join(ticket, self.now)
+        self._decide(domain, bucket)
+        return ticket
+
+    def at(self, time: float, do: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self._events, (time, next(self._order), do, args))
+
+    def run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, do, args = heapq.heappop(self._events)
+            do(*args)
+        self.now = max(self.now, until)
+
+    def _decide(self, domain: str, bucket: FleetBucket) -> None:
+        peers = [name for name in self.names if name != domain]
+        decision = bucket.decide(self.now, peers)
+        for ticket in decision.admitted:
+            self.admitted.append(self.now)
+            self.outcome[ticket] = True
+        for refusal in decision.refused:
+            self.refused.append((self.now, refusal.retry_after_s))
+            self.outcome[refusal.ticket] = False
+        for ask in decision.asks:
+            self._send(domain, ask.lender, ask, self._on_ask, domain)
+        self._wakes[bucket.home] = decision.again_at
+        if decision.again_at is not None:
+            self.at(decision.again_at, self._wake, domain, bucket)
+
+    def _wake(self, domain: str, bucket: FleetBucket) -> None:
+        if self._wakes[bucket.home] == self.now:
+            self._decide(domain, bucket)
+
+    def _on_ask(self, ask: Any, source: str) -> None:
+        bucket = self.buckets.get(ask.lender)
+        if bucket is not None:
+            grant = bucket.lend(ask, self.now)
+            self._send(ask.lender, source, grant, self._on_grant, source)
+
+    def _on_grant(self, grant: Any, domain: str) -> None:
+        bucket = self.buckets.get(domain)
+        if bucket is not None:
+            bucket.receive(grant, self.now)
+            self._decide(domain, bucket)
+
+    def _send(self, source: str, target: str, body: Any, to: Any, *args: Any) -> None:
+        self.messages += 1
+        self.bytes += len(msgspec.msgpack.encode(body)) + MESSAGE_OVERHEAD_BYTES
+        for delay in self.network.delays(source, target):
+            self.at(self.now + delay, to, body, *args)
+
+
+def excess(times: list[float], rate: float, burst: float) -> float:
+    """The most by which any window had more than rate * t + burst."""
+    used, at, worst = 0.0, 0.0, 0.0
+    for time in sorted(times):
+        used = max(0.0, used - rate * (time - at)) + 1.0
+        at = time
+        worst = max(worst, used - burst)
+    return worst
+
+
+def ideal(times: list[float], rate: float, burst: float) -> list[bool]:
+    """What one bucket over the whole fleet would have admitted."""
+    bucket = Bucket(rate, burst, now=0.0, level=burst)
+    return [bucket.take(time) == 0 for time in times]
