--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -262,7 +262,10 @@
             self._peers[sent.lender] = _Peer(0.0, now, MAX_BACKOFF_S)
 
     def _to_lend(self, ask: Ask, now: float) -> float:
-        urgent = min(ask.need, self._spare(0.0, now))
+        spare = self._spare(0.0, now)
+        if self._is_kept and spare < ask.need:
+            return float(math.floor(spare + EPSILON))
+        urgent = min(ask.need, spare)
         ahead = self._spare(LOW_S, now) / 2
         return min(ask.want, max(urgent, ahead))
 
@@ -404,6 +407,8 @@
             return False
         share = self._bucket.share
         refill = share.rate * left_s if share.burst >= 1 else 0.0
+        if self._is_kept:
+            refill = max(refill, self._own.rate * left_s)
         return short <= self._pending(now) + refill
 
     def _retry_after(self, short: float) -> float:
@@ -442,6 +447,7 @@
         if self._waiting:
             times.append(self._waiting[0].since + MAX_WAIT_S)
             times += [sent.at + ASK_TIMEOUT_S for sent in self._sent.values()]
+            times += [peer.at + peer.pause_s for peer in self._peers.values()]
             times.append(now + self._refill_s(now))
         later = [time for time in times if now < time < math.inf]
         return min(later, default=None)
