--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..policy.table import Row as Row
+
 
 class ServerState(msgspec.Struct, frozen=True):
     """One database server of a group.
@@ -32,11 +34,13 @@
 
     Attributes:
         term: The term.
-        position: The primary's position at its promotion.
+        position: How many entries the primary held at its promotion.
+        previous: The term of the last of those entries, 0 if there was none.
     """
 
     term: int
     position: int
+    previous: int
 
 
 class GroupObject(msgspec.Struct, frozen=True):
@@ -47,34 +51,14 @@
         term: The current term.
         primary: The primary's name; empty while a failover runs.
         servers: All servers of the group.
-        starts: Where each term began, oldest first.
+        starts: Where each term began, oldest first; never empty.
     """
 
     name: str
     term: int
     primary: str
     servers: tuple[ServerState, ...]
-    starts: tuple[TermStart, ...] = ()
-
-
-class Row(msgspec.Struct, frozen=True):
-    """A row of the operators' table.
-
-    Attributes:
-        customer: Whom the row is for.
-        group: For which database group.
-        weight: The customer's share when servers are busy.
-        rate: Requests a second over the whole fleet.
-        burst: Requests at once over the whole fleet.
-        read_age_s: Age of data that reads accept, in seconds.
-    """
-
-    customer: str
-    group: str
-    weight: float
-    rate: float
-    burst: float
-    read_age_s: float
+    starts: tuple[TermStart, ...]
 
 
 class TableShard(msgspec.Struct, frozen=True):
@@ -90,11 +74,13 @@
         customer: Whose key it is.
         salt: Salt of the hash, in hexadecimal.
         digest: Hash of the key, in hexadecimal.
+        created_s: When it was given, in seconds since 1970.
     """
 
     customer: str
     salt: str
     digest: str
+    created_s: float = 0.0
 
 
 class SigningKey(msgspec.Struct, frozen=True):
@@ -117,9 +103,11 @@
         failure_domain: Where it runs.
         address: Where its peers reach it, as a pynng URL.
         leaving: Whether it is shutting down.
+        admin: Where its status is shown, as ``http://host:port``.
     """
 
     name: str
     failure_domain: str
     address: str
     leaving: bool = False
+    admin: str = ""
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -8,13 +8,14 @@
 from .endpoints.group import Group
 from .endpoints.run import RowSet, read_status, run
 from .events import REQUEST_ROUTED, emit
-from .faults import no_server, unproven
-from .policy.position import Position
+from .faults import no_server, session_ahead, unproven
 from .policy.quorum import ServerStatus
 from .policy.routing import Chosen, ReadNeed, choose_reader
+from .policy.session import is_ahead_of_log
 from .proxies.messages import Rows, RunStatement
 
 STATUS_TIMEOUT_S = 1.0
+PROOF_S = 1.0
 
 
 class Reader:
@@ -44,17 +45,17 @@
         need = ReadNeed(req.seen, self._clock() - req.max_age_s, req.failure_domain)
         chosen = await self._choose(need, req, deadline)
         rows, status = await self._read_at(chosen.server, req)
-        if not self._group.lineage.covers(status.position, req.seen):
-            raise unproven("the server fell behind the session", chosen.server)
-        as_of = await self._proven(status.position, need.as_of, deadline)
-        age_s = max(0.0, self._clock() - as_of)
+        age_s = await self._prove(need, status, deadline)
         return answer(rows, status, age_s=age_s)
 
     async def _choose(
         self, need: ReadNeed, req: RunStatement, deadline: float
     ) -> Chosen:
         group = self._group
+        started = self._clock()
         while True:
+            if is_ahead_of_log(need.seen, group.primary, since=started):
+                raise session_ahead(req.group)
             choice = choose_reader(need, group.candidates(), group.lineage)
             emit(
                 REQUEST_ROUTED,
@@ -76,13 +77,17 @@
             status = await read_status(conn, asked_at=now, timeout_s=STATUS_TIMEOUT_S)
         return rows, status
 
-    async def _proven(self, seen: Position, need: float, deadline: float) -> float:
-        while True:
-            as_of = self._group.as_of(seen)
-            if as_of is not None and as_of >= need:
-                return as_of
-            if not await self._group.changed(deadline):
-                raise unproven("the age of the answer was not proven in time")
+    async def _prove(
+        self, need: ReadNeed, status: ServerStatus, deadline: float
+    ) -> float:
+        view = self._group.view
+        give_up = min(deadline, self._clock() + PROOF_S)
+        while why := view.unproven(need, status.position):
+            behind = not view.cfg.lineage.covers(status.position, need.seen)
+            if behind or not await self._group.changed(give_up):
+                raise unproven(why, status.name)
+        as_of = view.as_of(status.position)
+        return max(0.0, self._clock() - (as_of or 0.0))
 
 
 def answer(rows: RowSet, status: ServerStatus, *, age_s: float) -> Rows:
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -11,6 +11,7 @@
 import re
 import sqlite3
 import uuid
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -26,12 +27,14 @@
 from pg_mimic.stream import ConnectionClosed
 from pg_mimic.types import BOOL, BYTEA, FLOAT8, INT8, TEXT
 
+from ._buffer import AnswerWriter
 from .store import Change, Entry, Params, Store
 
 PULL_WAIT_MS = 500
 PULL_LIMIT = 200
 PULL_RETRY_S = 0.05
 APPLY_POLL_S = 0.005
+HEARD = 10_000
 READ_WORDS = frozenset({"SELECT", "WITH", "VALUES", "EXPLAIN"})
 CONTROL_WORDS = frozenset(
     {"BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD"}
@@ -95,7 +98,7 @@
 
     async def _handle_client(self, reader: Any, writer: Any) -> None:
         with contextlib.suppress(ConnectionError):
-            await super()._handle_client(reader, writer)
+            await super()._handle_client(reader, AnswerWriter(writer))
 
 
 class Endpoint:
@@ -116,6 +119,7 @@
         self.slots = asyncio.Semaphore(options.slots)
         self.sessions: set[EndpointSession] = set()
         self.received: list[str] = []
+        self.heard: deque[str] = deque(maxlen=HEARD)
         self._changed = asyncio.Event()
         self._held_at: dict[int, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -169,6 +173,8 @@
             store.held,
             store.applied,
             self.primary,
+            store.term_start,
+            store.term_previous,
         )
 
     def touch(self) -> None:
@@ -196,11 +202,18 @@
         self.touch()
 
     def promote(self, term: int) -> None:
-        """Become the primary of a term to which this server was fenced."""
+        """Become the primary of a term to which this server was fenced.
+
+        The term opens with an entry that changes nothing, as a PostgreSQL server
+        writes one at its promotion.
+        """
         if term != self.store.term:
             raise PgError("55000", f"promotion for term {term} in {self.store.term}")
+        if self.primary:
+            return
         while self.store.applied < self.store.held:
             self.store.apply_next()
+        self.store.open_term()
         self.primary = True
         self.primary_address = None
         self.touch()
@@ -317,6 +330,7 @@
         """Open the session's own database connection."""
         read_only = connection.startup_params.get("default_transaction_read_only")
         self._protocol = connection
+        self.endpoint.heard.append(repr(connection.startup_params))
         self._conn = self.endpoint.store.connect(read_only=read_only == "on")
         self.endpoint.sessions.add(self)
 
@@ -484,6 +498,7 @@
         await session.gate()
         endpoint = session.endpoint
         endpoint.received.append(sql)
+        endpoint.heard.append(repr(self._params))
         found = FUNCTION.match(sql)
         if found:
             rows = await FUNCTIONS[found[1]](endpoint, self._params)
@@ -601,6 +616,8 @@
     ResultColumn("held", INT8),
     ResultColumn("applied", INT8),
     ResultColumn("is_primary", BOOL),
+    ResultColumn("term_start", INT8),
+    ResultColumn("term_previous", INT8),
 ]
 LOG_COLUMNS = [
     ResultColumn("position", INT8),
