Admit by the fleet's rate, then by fair turns at a home

Cause: each domain refused at rate/D, and customers ran first come, first served. Homes now lend each other tokens by AskTokens, and a request waits for a fair turn of its kind (reads, writes). Ruled out: one turn for reads and writes together, which lets a read that any server could take wait for the primary.

--- a/mangoramp/admission.py
+++ b/mangoramp/admission.py
@@ -5,20 +5,15 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 from .errors import Code, Fault, FaultError, Step
-from .policy.rate import Bucket
+from .policy.loans import Ask, Grant
+from .policy.statement import Kind
 from .proxies.messages import RunStatement
+from .rates import ALONE, Limits, Rates, Site
+from .turns import Turns
 
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """A customer's rate, burst and weight at one home."""
-
-    rate: float
-    burst: float
-    weight: float
+MANY_SLOTS = 64
 
 
 class Admission:
@@ -26,7 +21,10 @@
 
     Args:
         group: The group's name.
-        limits: Tells a customer's limits here, None if it has no row.
+        limits: Tells a customer's limits over the whole fleet, None if it has no row.
+        site: Where the home runs, and how it reaches other domains' homes.
+        holds: Tells whether the home's lease, as known now, covers a time.
+        slots: Tells how many requests of a kind may run here at the same time.
         clock: Tells the time in seconds.
     """
 
@@ -35,12 +33,18 @@
         group: str,
         limits: Callable[[str], Limits | None],
         *,
+        site: Site = ALONE,
+        holds: Callable[[float], bool] = lambda now: True,
+        slots: Callable[[Kind], int] = lambda kind: MANY_SLOTS,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._group = group
         self._limits = limits
-        self._clock = clock
-        self._buckets: dict[str, Bucket] = {}
+        self._rates = Rates(group, site, holds=holds, clock=clock)
+        self._turns = {
+            kind: Turns(lambda kind=kind: slots(kind), clock=clock)  # type: ignore[misc]
+            for kind in Kind
+        }
 
     @asynccontextmanager
     async def turn(self, req: RunStatement) -> AsyncIterator[None]:
@@ -52,26 +56,42 @@
         Raises:
             FaultError: The request is refused and was not run.
         """
-        self._take_rate(req.customer)
-        yield
+        limits = self._limits_of(req.customer)
+        await self._rates.take(req.customer, limits)
+        async with self._turns[req.kind].turn(
+            req.customer, weight=limits.weight, timeout_s=req.timeout_s
+        ):
+            yield
+
+    def take_rate(self, customer: str) -> None:
+        """Take a token of a customer's rate if one is there.
+
+        Raises:
+            FaultError: None is there, and the request was not run.
+        """
+        self._rates.take_now(customer, self._limits_of(customer))
+
+    def lend(self, customer: str, ask: Ask) -> Grant:
+        """Answer the home of another failure domain that asks for tokens.
+
+        Raises:
+            FaultError: The customer has no row here.
+        """
+        return self._rates.lend(customer, self._limits_of(customer), ask)
+
+    def begin(self, customer: str) -> None:
+        """Follow a customer's row, also before its first request."""
+        limits = self._limits(customer)
+        if limits is not None:
+            self._rates.begin(customer, limits)
+
+    def close(self) -> None:
+        """Stop; requests that wait for tokens are refused."""
+        self._rates.close()
 
-    def _take_rate(self, customer: str) -> None:
+    def _limits_of(self, customer: str) -> Limits:
         limits = self._limits(customer)
         if limits is None:
             message = f"the table has no row for this customer and {self._group}"
             raise FaultError(Fault(Code.FORBIDDEN, message, Step.ADMIT))
-        wait_s = self._bucket(customer, limits).take(self._clock())
-        if wait_s > 0:
-            message = "the customer's rate is used up"
-            fault = Fault(Code.OVER_RATE, message, Step.ADMIT, retry_after_s=wait_s)
-            raise FaultError(fault)
-
-    def _bucket(self, customer: str, limits: Limits) -> Bucket:
-        now = self._clock()
-        bucket = self._buckets.get(customer)
-        if bucket is None:
-            bucket = Bucket(limits.rate, limits.burst, now=now, level=limits.burst)
-            self._buckets[customer] = bucket
-        if (bucket.rate, bucket.burst) != (limits.rate, limits.burst):
-            bucket.resize(limits.rate, limits.burst, now)
-        return bucket
+        return limits
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -52,6 +52,9 @@
 SERVER_LOST = Event(410, "WARNING", "database server does not answer")
 SERVER_BACK = Event(411, "INFO", "database server answers again")
 CONNECTION_CLOSED = Event(412, "INFO", "connection to a database server closed")
+RATE_REFUSED = Event(600, "INFO", "request refused over the customer's rate")
+TOKENS_BORROWED = Event(601, "DEBUG", "tokens asked of another failure domain")
+TOKENS_LENT = Event(602, "DEBUG", "tokens lent to another failure domain")
 FAILOVER_STEP = Event(500, "WARNING", "failover step")
 
 CATALOGUE: tuple[Event, ...] = tuple(
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -51,6 +51,7 @@
 
     def close(self) -> None:
         """Close the connections to the servers."""
+        self.admission.close()
         self.group.close()
 
     async def _run(self, req: RunStatement, deadline: float) -> Rows:
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -2,22 +2,35 @@
 
 from __future__ import annotations
 
+import secrets
+
 from returns.result import Success
 
-from .admission import Admission, Limits
+from .admission import Admission
 from .catalog import Catalog
 from .endpoints.group import Group
-from .errors import Code, Fault, Outcome, Step
+from .errors import Code, Fault, FaultError, Outcome, Step
 from .events import HOME_PLACED, REQUEST_FORWARDED, emit
 from .home import Home
 from .policy._rendezvous import rendezvous
+from .policy.loans import Ask, Grant
+from .policy.statement import Kind
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import (
+    AskTokens,
+    GrantTokens,
+    Message,
+    Refused,
+    RunStatement,
+)
+from .rates import Limits, Site
 from .settings import ProxySettings
 
 CONTROL_CONNECTIONS = 1
 RETRY_AFTER_S = 0.5
+RUN_BYTES = 4
 FORWARD_MARGIN_S = 0.2
+ASK_TIMEOUT_S = 0.5
 
 
 class Homes:
@@ -62,6 +75,16 @@
             return _refused(Code.NO_HOME, "the group's home is not here")
         return await self._home(req.group).serve(req)
 
+    async def lend(self, req: AskTokens) -> Message:
+        """Answer the home of another failure domain that asks for tokens."""
+        if req.group not in self._catalog.groups or not self._is_here(req.group):
+            return _refused(Code.NO_HOME, "the group's home is not here")
+        try:
+            admission = self._home(req.group).admission
+            return GrantTokens(grant=admission.lend(req.customer, req.ask))
+        except FaultError as exc:
+            return Refused(fault=exc.fault)
+
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
         members = [
@@ -76,6 +99,15 @@
             emit(HOME_PLACED, group=group, instance=owner, considered=members)
         return owner
 
+    def owner_in(self, failure_domain: str, group: str) -> str | None:
+        """The instance that is the group's home in a failure domain."""
+        members = [
+            instance.name
+            for instance in self._catalog.instances.values()
+            if instance.failure_domain == failure_domain and not instance.leaving
+        ]
+        return rendezvous(group, members)
+
     def refresh(self) -> None:
         """Take over changes of the groups."""
         for name, home in list(self._homes.items()):
@@ -84,6 +116,9 @@
                 self._homes.pop(name).close()
             else:
                 home.group.update(spec)
+        for row in self._catalog.rows():
+            if row.group in self._homes:
+                self._homes[row.group].admission.begin(row.customer)
 
     def close(self) -> None:
         """Close every home."""
@@ -96,16 +131,57 @@
             connections = min(server.connections for server in spec.servers)
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
-            admission = Admission(name, lambda customer: self._limits(customer, name))
+            admission = Admission(
+                name,
+                lambda customer: self._limits(customer, name),
+                site=self._site(name),
+                slots=lambda kind: _slots(group, kind),
+            )
             self._homes[name] = Home(group, admission)
+            self.refresh()
         return self._homes[name]
 
     def _limits(self, customer: str, group: str) -> Limits | None:
         row = self._catalog.row(customer, group)
         if row is None:
             return None
-        domains = self._cfg.failure_domains
-        return Limits(row.rate / domains, max(1.0, row.burst / domains), row.weight)
+        return Limits(row.rate, row.burst, row.weight)
+
+    def _site(self, group: str) -> Site:
+        async def ask(customer: str, ask: Ask) -> Grant | None:
+            return await self._ask_tokens(group, customer, ask)
+
+        run = secrets.token_hex(RUN_BYTES)
+        return Site(
+            domain=self._cfg.failure_domain,
+            home=f"{self._cfg.name}/{run}",
+            domains=self._cfg.failure_domains,
+            peers=self._other_domains,
+            ask=ask,
+        )
+
+    def _other_domains(self) -> list[str]:
+        domains = {i.failure_domain for i in self._catalog.instances.values()}
+        return sorted(domains - {self._cfg.failure_domain})
+
+    async def _ask_tokens(self, group: str, customer: str, ask: Ask) -> Grant | None:
+        owner = self.owner_in(ask.lender, group)
+        if owner is None:
+            return None
+        req = AskTokens(group=group, customer=customer, ask=ask)
+        answer = await self._links.call(owner, req, timeout_s=ASK_TIMEOUT_S)
+        reply = answer.value_or(None)
+        return reply.grant if isinstance(reply, GrantTokens) else None
+
+    def _is_here(self, group: str) -> bool:
+        return self.owner(group) == self._cfg.name
+
+
+def _slots(group: Group, kind: Kind) -> int:
+    if kind is Kind.READ:
+        return sum(server.slots for server in group.spec.servers if not server.leaving)
+    slots = {server.name: server.slots for server in group.spec.servers}
+    return slots.get(group.spec.primary, max(slots.values()))
 
 
 def _refused(code: Code, message: str) -> Refused:
--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -408,7 +408,7 @@
         share = self._bucket.share
         refill = share.rate * left_s if share.burst >= 1 else 0.0
         if self._is_kept:
-            refill = max(refill, self._own.rate * left_s)
+            refill = max(refill, self.rate * left_s)
         return short <= self._pending(now) + refill
 
     def _retry_after(self, short: float) -> float:
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import Fault
+from ..policy.loans import Ask, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 
@@ -79,7 +80,27 @@
     fault: Fault
 
 
-Message = RunStatement | Rows | Refused
+class AskTokens(Envelope, frozen=True):
+    """Asks the home of a group in another failure domain for tokens.
+
+    Attributes:
+        group: The database group.
+        customer: Whose rate it is.
+        ask: What is asked.
+    """
+
+    group: str
+    customer: str
+    ask: Ask
+
+
+class GrantTokens(Envelope, frozen=True):
+    """The answer to an ask for tokens."""
+
+    grant: Grant
+
+
+Message = RunStatement | Rows | Refused | AskTokens | GrantTokens
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -23,7 +23,7 @@
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import AskTokens, Message, Refused, RunStatement
 from .settings import ProxySettings
 
 REGISTER_RETRY_S = 0.2
@@ -55,6 +55,7 @@
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
         self._answer.register(RunStatement, self.homes.serve)
+        self._answer.register(AskTokens, self.homes.lend)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
--- /dev/null
+++ b/mangoramp/rates.py
@@ -0,0 +1,235 @@
+"""Rates at a home: requests wait for tokens, and other homes are asked for some."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+from .errors import Code, Fault, FaultError, Step
+from .events import RATE_REFUSED, TOKENS_BORROWED, TOKENS_LENT, emit
+from .policy.loans import Ask, Grant
+from .policy.tokens import Decision, FleetBucket, Refusal
+
+LEASE_RETRY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """A customer's rate and burst over the whole fleet, and its weight.
+
+    Attributes:
+        rate: Requests a second.
+        burst: Requests at once.
+        weight: The customer's share when servers are busy.
+    """
+
+    rate: float
+    burst: float
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """Where a home runs, and how it reaches the homes of other failure domains.
+
+    Attributes:
+        domain: This failure domain.
+        home: The home's name, unique to this run of it.
+        domains: How many failure domains there are.
+        peers: Tells the other failure domains that can be asked now.
+        ask: Asks another domain's home; None if no answer came.
+    """
+
+    domain: str
+    home: str
+    domains: int
+    peers: Callable[[], Sequence[str]]
+    ask: Callable[[str, Ask], Awaitable[Grant | None]]
+
+
+async def no_answer(customer: str, ask: Ask) -> Grant | None:
+    """Stand for peers that there are none of."""
+    return None
+
+
+ALONE = Site("", "home", 1, lambda: (), no_answer)
+
+
+class Rates:
+    """The rates of all customers at one home.
+
+    Args:
+        group: The group's name.
+        site: Where the home runs.
+        holds: Tells whether the home's lease, as known now, covers a time.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        site: Site,
+        *,
+        holds: Callable[[float], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._group = group
+        self._site = site
+        self._holds = holds
+        self._clock = clock
+        self._began = clock()
+        self._buckets: dict[str, FleetBucket] = {}
+        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._tickets = itertools.count(1)
+
+    async def take(self, customer: str, limits: Limits) -> None:
+        """Take a token, waiting a moment for one if need be.
+
+        Raises:
+            FaultError: The customer's rate is used up.
+        """
+        ticket, fut = self._join(customer, limits)
+        try:
+            await fut
+        finally:
+            if not fut.done() or fut.cancelled():
+                self._buckets[customer].cancel(ticket)
+            self._waiting.pop(ticket, None)
+
+    def take_now(self, customer: str, limits: Limits) -> None:
+        """Take a token that is there.
+
+        Raises:
+            FaultError: None is there.
+        """
+        ticket, fut = self._join(customer, limits)
+        self._waiting.pop(ticket, None)
+        if not fut.done():
+            self._buckets[customer].cancel(ticket)
+            raise self._refused(customer, Refusal(ticket, 1 / limits.rate))
+        fut.result()
+
+    def lend(self, customer: str, limits: Limits, ask: Ask) -> Grant:
+        """Answer another home's ask for tokens."""
+        grant = self._bucket(customer, limits).lend(ask, self._clock())
+        emit(
+            TOKENS_LENT,
+            group=self._group,
+            customer=customer,
+            borrower=ask.borrower,
+            asked=ask.want,
+            tokens=grant.tokens,
+            left=grant.left,
+            share=grant.share is not None,
+        )
+        return grant
+
+    def begin(self, customer: str, limits: Limits) -> None:
+        """Follow a customer's row, also before its first request."""
+        self._bucket(customer, limits)
+        self._decide(customer)
+
+    def close(self) -> None:
+        """Stop; what waits is refused."""
+        for timer in self._timers.values():
+            timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        for ticket in list(self._waiting):
+            self._refuse("", Refusal(ticket, LEASE_RETRY_S))
+
+    def _join(self, customer: str, limits: Limits) -> tuple[int, asyncio.Future[None]]:
+        bucket = self._bucket(customer, limits)
+        ticket = next(self._tickets)
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = fut
+        bucket.join(ticket, self._clock())
+        self._decide(customer)
+        return ticket, fut
+
+    def _bucket(self, customer: str, limits: Limits) -> FleetBucket:
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            bucket = FleetBucket(
+                f"{self._group}\0{customer}",
+                self._site.domain,
+                self._site.home,
+                domains=self._site.domains,
+                rate=limits.rate,
+                burst=limits.burst,
+                now=self._began,
+                holds=self._holds,
+            )
+            self._buckets[customer] = bucket
+        if (bucket.rate, bucket.burst) != (limits.rate, limits.burst):
+            bucket.resize(limits.rate, limits.burst, self._clock())
+        return bucket
+
+    def _decide(self, customer: str) -> None:
+        now = self._clock()
+        decision = self._buckets[customer].decide(now, self._site.peers())
+        for ticket in decision.admitted:
+            self._settle(ticket)
+        for refusal in decision.refused:
+            self._refuse(customer, refusal)
+        for ask in decision.asks:
+            task = asyncio.ensure_future(self._ask(customer, ask))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._set_timer(customer, decision, now)
+
+    def _set_timer(self, customer: str, decision: Decision, now: float) -> None:
+        timer = self._timers.pop(customer, None)
+        if timer is not None:
+            timer.cancel()
+        if decision.again_at is not None:
+            loop = asyncio.get_running_loop()
+            delay_s = decision.again_at - now
+            self._timers[customer] = loop.call_later(delay_s, self._decide, customer)
+
+    async def _ask(self, customer: str, ask: Ask) -> None:
+        grant = await self._site.ask(customer, ask)
+        if grant is None:
+            return
+        self._buckets[customer].receive(grant, self._clock())
+        if ask.want > 0:
+            emit(
+                TOKENS_BORROWED,
+                group=self._group,
+                customer=customer,
+                lender=ask.lender,
+                asked=ask.want,
+                tokens=grant.tokens,
+                left=grant.left,
+            )
+        self._decide(customer)
+
+    def _settle(self, ticket: int) -> None:
+        fut = self._waiting.get(ticket)
+        if fut is not None and not fut.done():
+            fut.set_result(None)
+
+    def _refuse(self, customer: str, refusal: Refusal) -> None:
+        fut = self._waiting.get(refusal.ticket)
+        if fut is not None and not fut.done():
+            fut.set_exception(self._refused(customer, refusal))
+
+    def _refused(self, customer: str, refusal: Refusal) -> FaultError:
+        if not self._holds(self._clock()):
+            message = "the group's home has moved"
+            return FaultError(
+                Fault(Code.NO_HOME, message, Step.ADMIT, retry_after_s=LEASE_RETRY_S)
+            )
+        wait_s = refusal.retry_after_s
+        emit(RATE_REFUSED, group=self._group, customer=customer, retry_after_s=wait_s)
+        message = "the customer's rate is used up"
+        retry_after_s = wait_s if math.isfinite(wait_s) else None
+        return FaultError(
+            Fault(Code.OVER_RATE, message, Step.ADMIT, retry_after_s=retry_after_s)
+        )
