--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import Fault
+from ..policy.loans import Ask, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 from ..policy.suspicion import View
@@ -198,6 +199,26 @@
     view: View
 
 
+class AskTokens(Envelope, frozen=True):
+    """Asks the home of a group in another failure domain for tokens.
+
+    Attributes:
+        group: The database group.
+        customer: Whose rate it is.
+        ask: What is asked.
+    """
+
+    group: str
+    customer: str
+    ask: Ask
+
+
+class GrantTokens(Envelope, frozen=True):
+    """The answer to an ask for tokens."""
+
+    grant: Grant
+
+
 Request = (
     RunStatement
     | BeginTransaction
@@ -207,7 +228,8 @@
 )
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
-Message = Request | Answer | Refused | AskView | ViewAnswer
+Between = AskView | ViewAnswer | AskTokens | GrantTokens
+Message = Request | Answer | Refused | Between
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -27,6 +27,7 @@
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
+    AskTokens,
     AskView,
     BeginTransaction,
     EndTransaction,
@@ -78,6 +79,7 @@
         register(RunInTransaction, self._pinned.serve)
         register(EndTransaction, self._pinned.serve)
         register(AskView, self.controllers.answer_view)
+        register(AskTokens, self.homes.lend)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
