Wait for the next primary without spending retries

A primary that refuses connections, or failed an attempt, is now taken again only after it was heard again; that wait is no retry. The first attempt's share counts from the connection on. Ruled out: a larger budget (it would let retries through where they are load).

--- a/mangoramp/confirmation.py
+++ b/mangoramp/confirmation.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from .endpoints.connection import FAILURES, Conn
+from .endpoints.connection import FAILURES, Conn, Pool
 from .endpoints.group import Group
 from .endpoints.run import read_status
+from .errors import Code, FaultError
 from .events import WRITE_CONFIRMED, emit
 from .faults import no_server, unconfirmed, unproven
 from .policy.quorum import ServerStatus
@@ -15,6 +18,21 @@
 STATUS_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A connection to the primary, which must be released.
+
+    Attributes:
+        primary: What the primary said last.
+        pool: The pool that the connection belongs to.
+        conn: The connection.
+    """
+
+    primary: ServerStatus
+    pool: Pool
+    conn: Conn
+
+
 class Confirmation:
     """Finds the primary of a group, and waits until a majority holds its writes.
 
@@ -29,21 +47,28 @@
         self._group = group
         self._clock = clock
 
-    async def primary(self, deadline: float) -> ServerStatus:
-        """Wait for the group's primary.
+    async def acquire(self, deadline: float, since: float = -math.inf) -> Held:
+        """Wait for the group's primary and take a connection to it.
+
+        One that refuses connections is waited for until it was heard again, or another
+        has taken its place; that costs no retry.
 
         Args:
             deadline: When to stop waiting, on this object's clock.
+            since: The primary must have been asked after this, in seconds.
 
         Raises:
-            FaultError: There was none in time.
+            FaultError: There was none in time, or it has no room.
         """
         while True:
-            primary = self._group.primary
-            if primary is not None:
-                return primary
-            if not await self._group.changed(deadline):
-                raise no_server("the group has no primary now")
+            primary = await self._primary(deadline, since)
+            pool = self._group.pools[primary.name]
+            try:
+                return Held(primary, pool, await pool.acquire(deadline))
+            except FaultError as exc:
+                if exc.fault.code is not Code.NO_SERVER:
+                    raise
+            since = self._clock()
 
     async def status(
         self, conn: Conn, primary: ServerStatus, deadline: float
@@ -113,6 +138,14 @@
         inside = view.cfg.lineage.contains(status.tail)
         return inside and view.is_committed(status.tail)
 
+    async def _primary(self, deadline: float, since: float) -> ServerStatus:
+        while True:
+            primary = self._group.primary
+            if primary is not None and primary.asked_at > since:
+                return primary
+            if not await self._group.changed(deadline):
+                raise no_server("the group has no primary now")
+
     async def _heard(
         self, primary: ServerStatus, since: float, deadline: float
     ) -> ServerStatus:
--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -8,8 +8,8 @@
 import socket
 import time
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
 from typing import Any
 
 import asyncpg
@@ -130,7 +130,16 @@
         Raises:
             FaultError: There was none in time.
         """
-        conn = await self.acquire(deadline)
+        with self.lend(await self.acquire(deadline)) as conn:
+            yield conn
+
+    @contextmanager
+    def lend(self, conn: Conn) -> Iterator[Conn]:
+        """Lend a connection that was acquired, and release it.
+
+        Args:
+            conn: The connection.
+        """
         clean = False
         try:
             yield conn
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -32,7 +32,7 @@
 from .proxies.messages import Message, Param, Refused, Rows, RunStatement
 from .retrier import Retrier
 
-FORWARD_RULE = RetryRule(first_share=1.0)
+FORWARD_RULE = RetryRule(share=0.5, burst=100, attempts=8, first_s=0.1, most_s=1.0)
 TERM_WAIT_S = 1.0
 TERM_POLL_S = 0.05
 
@@ -189,8 +189,8 @@
         """Send a request to its home; again where the way to it was at fault."""
         deadline = self._clock() + req.timeout_s
 
-        async def attempt(limit: float) -> Message:
-            left_s = max(0.0, limit - self._clock())
+        async def attempt(share: float) -> Message:
+            left_s = max(0.0, deadline - self._clock())
             answer = await self._homes.send(replace(req, timeout_s=left_s))
             if isinstance(answer, Refused) and answer.fault.step is Step.FORWARD:
                 raise FaultError(answer.fault)
--- a/mangoramp/policy/retry.py
+++ b/mangoramp/policy/retry.py
@@ -58,17 +58,14 @@
         """Add a request's share to the budget."""
         self._level = min(self._rule.burst, self._level + self._rule.share)
 
-    def attempt_s(self, left_s: float, attempt: int, *, repeatable: bool) -> float:
-        """How long one attempt may last, so that another can follow the first.
+    def share(self, attempt: int, *, repeatable: bool) -> float:
+        """Which share of its time one attempt may take, so that another can follow.
 
         Args:
-            left_s: Seconds left to the request.
             attempt: The attempt's number, from 1.
             repeatable: Whether a second run does no harm.
         """
-        if not repeatable or attempt > 1:
-            return left_s
-        return left_s * self._rule.first_share
+        return self._rule.first_share if repeatable and attempt == 1 else 1.0
 
     def take(
         self, fault: Fault, attempt: int, *, repeatable: bool, left_s: float
--- a/mangoramp/reader.py
+++ b/mangoramp/reader.py
@@ -49,17 +49,19 @@
         return await self._retrier.run(
             req,
             deadline,
-            lambda limit: self._attempt(req, failed, limit),
+            lambda share: self._attempt(req, failed, deadline, share),
             repeatable=True,
         )
 
     async def _attempt(
-        self, req: RunStatement, failed: set[str], deadline: float
+        self, req: RunStatement, failed: set[str], deadline: float, share: float
     ) -> Rows:
         need = ReadNeed(req.seen, self._clock() - req.max_age_s, req.failure_domain)
         chosen = await self._choose(need, req, failed, deadline)
         failed.add(chosen.server)
-        rows, status = await self._read_at(chosen.server, req, deadline)
+        now = self._clock()
+        limit = now + (deadline - now) * share
+        rows, status = await self._read_at(chosen.server, req, limit)
         age_s = await self._prove(need, status, deadline)
         return answer(rows, status, age_s=age_s)
 
--- a/mangoramp/retrier.py
+++ b/mangoramp/retrier.py
@@ -49,7 +49,8 @@
         Args:
             req: The request.
             deadline: When its time is over, on this object's clock.
-            attempt: Makes one attempt, given when that attempt's time is over.
+            attempt: Makes one attempt, given which share of the time left its
+                exchanges may take.
             repeatable: Whether a second run does no harm.
 
         Raises:
@@ -61,12 +62,9 @@
         number = 0
         while True:
             number += 1
-            now = self._clock()
-            limit_s = self._budget.attempt_s(
-                deadline - now, number, repeatable=repeatable
-            )
+            share = self._budget.share(number, repeatable=repeatable)
             try:
-                return await attempt(now + limit_s)
+                return await attempt(share)
             except FaultError as exc:
                 fault = exc.fault
             in_doubt = in_doubt or fault.outcome is not Outcome.NOT_RUN
--- a/mangoramp/transactions.py
+++ b/mangoramp/transactions.py
@@ -176,9 +176,9 @@
             FaultError: It could not be settled in time.
         """
         key = transaction_key(req.customer, req.transaction)
-        primary = await self._confirmation.primary(deadline)
-        name = primary.name
-        async with self._group.pools[name].lease(deadline) as conn:
+        held = await self._confirmation.acquire(deadline)
+        primary, name = held.primary, held.primary.name
+        with held.pool.lend(held.conn) as conn:
             with told(conn, name, lambda: Outcome.UNKNOWN):
                 left_s = deadline - self._clock()
                 now_s = time.time()
@@ -213,9 +213,8 @@
         return self._cut(list(self._open.values()), "the proxy is shutting down")
 
     async def _begin(self, req: BeginTransaction, deadline: float) -> Transaction:
-        primary = await self._confirmation.primary(deadline)
-        pool = self._group.pools[primary.name]
-        conn = await pool.acquire(deadline)
+        held = await self._confirmation.acquire(deadline)
+        primary, pool, conn = held.primary, held.pool, held.conn
         id_ = f"{secrets.token_hex(ID_BYTES)}.{self._instance}"
         tx = Transaction(id_, req.customer, pool, conn, primary, self._clock)
         try:
--- a/mangoramp/writer.py
+++ b/mangoramp/writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -56,27 +57,38 @@
         Raises:
             FaultError: It was not run, or whether it was is not known.
         """
-        return await self._retrier.run(
-            req,
-            deadline,
-            lambda limit: self._attempt(req, limit),
-            repeatable=bool(req.idempotency_key),
-        )
+        since = -math.inf
+
+        async def attempt(share: float) -> Rows:
+            nonlocal since
+            try:
+                return await self._attempt(req, deadline, share, since)
+            except FaultError:
+                since = self._clock()
+                raise
+
+        keyed = bool(req.idempotency_key)
+        return await self._retrier.run(req, deadline, attempt, repeatable=keyed)
 
     def close(self) -> None:
         """Stop what runs beside the requests."""
         self._pruner.close()
 
-    async def _attempt(self, req: RunStatement, deadline: float) -> Rows:
-        primary = await self._confirmation.primary(deadline)
+    async def _attempt(
+        self, req: RunStatement, deadline: float, share: float, since: float
+    ) -> Rows:
+        held = await self._confirmation.acquire(deadline, since)
+        primary = held.primary
         emit(
             REQUEST_ROUTED,
             group=req.group,
             customer=req.customer,
             choice=f"{primary.name}: primary of term {primary.term}",
         )
-        async with self._group.pools[primary.name].lease(deadline) as conn:
-            rows, repeated = await self._run(conn, req, primary, deadline)
+        with held.pool.lend(held.conn) as conn:
+            now = self._clock()
+            limit = now + (deadline - now) * share
+            rows, repeated = await self._run(conn, req, primary, limit)
             status = await self._confirmation.status(conn, primary, deadline)
         await self._confirmation.wait(primary, status, deadline)
         reply = answer(rows, status, age_s=0.0)
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -210,3 +210,21 @@
             reply = await isolate(servers, servers.home())
             assert isinstance(reply, Rows)
             assert servers.written() == {}
+
+    async def test_writes_wait_for_the_next_primary(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home()
+            await home.serve(write(CREATE, key="k0"))
+            name = most_advanced(servers)
+            servers.primary().set_faults(Faults(cut=True))
+            reqs = [
+                write(ISSUE, "A1", str(n), key=f"w{n}" * (n % 2), timeout_s=30.0)
+                for n in range(40)
+            ]
+            writing = [asyncio.ensure_future(home.serve(req)) for req in reqs]
+            await asyncio.sleep(0.5)
+            servers.promote(name)
+            replies = await asyncio.gather(*writing)
+            assert [r for r in replies if not isinstance(r, Rows)] == []
+            assert set(servers.written().values()) == {1}
+            assert len(servers.written()) == len(reqs)
