--- a/tests/test_paused_proxy.py
+++ b/tests/test_paused_proxy.py
@@ -99,7 +99,7 @@
         found = await first_done(caller, procs.url("p1"), SEARCH)
         assert found.body["rows"] == []
 
-    async def test_a_killed_proxys_keyed_write_lands_once(self, procs, caller):
+    async def test_a_killed_proxys_work_lands_once_or_not_at_all(self, procs, caller):
         await first_done(caller, procs.url("p0"), CREATE)
         procs.set_faults("s0", late_s=0.1)
         key = {"Idempotency_Key": "k1"}
@@ -117,3 +117,19 @@
         assert again.body["repeated"]
         found = await caller.post(procs.url("p2"), SEARCH)
         assert found.body["rows"] == [["A1"]]
+        assert await self.abandoned(procs, caller) == [["A1"]]
+
+    async def abandoned(self, procs, caller):
+        """A transaction whose proxy is killed before its commit."""
+        begun = await caller.post(transactions(procs, "p1"), "")
+        at = f"{transactions(procs, 'p2')}/{begun.body['transaction']}"
+        ran = await caller.post(f"{at}/statements", ISSUE, "A2", 1)
+        assert ran.body["outcome"] == "done"
+        procs.kill("p1")
+        refused = await caller.post(f"{at}/commit", "")
+        assert refused.body["outcome"] == "not_run", refused
+        return (await caller.post(procs.url("p2"), SEARCH)).body["rows"]
+
+
+def transactions(procs, proxy):
+    return procs.url(proxy).replace("statements", "transactions")
