--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -62,6 +62,8 @@
 CONNECTION_SILENT = Event(413, "WARNING", "open connection went silent")
 SERVER_FULL = Event(414, "WARNING", "database server has no room for a connection")
 FAILOVER_STEP = Event(500, "WARNING", "failover step")
+PRIMARY_SUSPECTED = Event(501, "WARNING", "primary silent, other domains asked")
+FAILOVER_COMMAND = Event(502, "INFO", "failover command given to a server")
 
 CATALOGUE: tuple[Event, ...] = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -7,6 +7,7 @@
 from ..errors import Fault
 from ..policy.position import Position
 from ..policy.statement import Kind
+from ..policy.suspicion import View
 
 Param = str | int | float | bool | None
 
@@ -185,6 +186,18 @@
     fault: Fault
 
 
+class AskView(Envelope, frozen=True):
+    """Tell what is seen of a group's primary from another failure domain."""
+
+    group: str
+
+
+class ViewAnswer(Envelope, frozen=True):
+    """What is seen of a group's primary."""
+
+    view: View
+
+
 Request = (
     RunStatement
     | BeginTransaction
@@ -194,7 +207,7 @@
 )
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
-Message = Request | Answer | Refused
+Message = Request | Answer | Refused | AskView | ViewAnswer
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -14,6 +14,7 @@
 from .callers.health import health_application
 from .callers.transactions import transaction_routes
 from .catalog import KIND_INSTANCE, Catalog
+from .controllers import Controllers
 from .errors import Code, Fault, Step
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
@@ -26,6 +27,7 @@
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
+    AskView,
     BeginTransaction,
     EndTransaction,
     Message,
@@ -57,7 +59,10 @@
         self.catalog = Catalog(self._client)
         self._links = Links(self._address_of)
         self.homes = Homes(cfg, self.catalog, self._links)
-        self.catalog.on_change = self.homes.refresh
+        self.controllers = Controllers(
+            cfg, self.catalog, self.homes, self._links, self._client
+        )
+        self.catalog.on_change = self._refresh
         self._ingress = Ingress(
             self.catalog, self.homes, cfg.failure_domain, metrics=self.metrics
         )
@@ -72,6 +77,7 @@
         register(SettleTransaction, self.homes.serve)
         register(RunInTransaction, self._pinned.serve)
         register(EndTransaction, self._pinned.serve)
+        register(AskView, self.controllers.answer_view)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
@@ -97,6 +103,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._peers is not None:
             self._peers.close()
+        self.controllers.close()
         self.homes.close()
         self._links.close()
         self._client.close()
@@ -108,6 +115,10 @@
         """What this proxy knows and does."""
         return report(self.cfg, self.catalog, self.homes, ready=self.ready)
 
+    def _refresh(self) -> None:
+        self.homes.refresh()
+        self.controllers.refresh()
+
     def _listen(self) -> None:
         cfg = self.cfg
         transactions = TransactionIngress(self._ingress, self.homes, self._pinned)
