--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -193,3 +193,17 @@
                 )
                 assert reply.fault.sqlstate == "42P01"
             assert pool._idle == kept
+
+    async def test_a_plan_that_went_stale_is_made_again(self, tmp_path):
+        async with running(tmp_path) as servers:
+            home = servers.home(pool_size=1)
+            await home.serve(write(CREATE))
+            pool = home.group.pools["s0"]
+            found = []
+            for sql in ("SELECT * FROM sheet", "ALTER TABLE sheet ADD place TEXT") * 2:
+                async with pool.lease() as conn:
+                    found.append(await run(conn, sql, (), server="s0"))
+                if len(found) == 3:
+                    break
+            assert found[0].columns == ("id", "revision")
+            assert found[2].columns == ("id", "revision", "place")
