Count a replica as hearing the primary for a shorter time

Cause: the log of a run in processes showed the first controller waiting for its views' 'replicas still move', true for 1.2 s after the last entry, to run out.

--- a/mangoramp/policy/failover.py
+++ b/mangoramp/policy/failover.py
@@ -159,7 +159,7 @@
         self._views: dict[str, tuple[float, View]] = {}
         self._told: dict[str, tuple[str, int]] = {}
         self._backoff = Backoff(rng)
-        self._suspicion = Suspicion(now, moving_s=self.timings.suspect_s)
+        self._suspicion = Suspicion(now, moving_s=self.timings.ask_s)
         self._seen_at = now
         self._acts_in = 0
 
--- a/tests/test_failover_processes.py
+++ b/tests/test_failover_processes.py
@@ -136,8 +136,9 @@
 
 
 class TestStoppedProxy:
-    async def test_is_not_needed(self, fleet, caller):
+    async def test_is_not_needed_nor_the_platforms_answers(self, fleet, caller):
         load = await started(fleet, caller, ["p1", "p2"])
+        fleet.set_faults("platform", lose_answers=2)
         fleet.kill("s0")
         fleet.signal("p0", signal.SIGSTOP)
         await load.on_another("s0")
