--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..policy.table import Row as Row
+
 
 class ServerState(msgspec.Struct, frozen=True):
     """One database server of a group.
@@ -61,26 +63,6 @@
     candidate: str = ""
 
 
-class Row(msgspec.Struct, frozen=True):
-    """A row of the operators' table.
-
-    Attributes:
-        customer: Whom the row is for.
-        group: For which database group.
-        weight: The customer's share when servers are busy.
-        rate: Requests a second over the whole fleet.
-        burst: Requests at once over the whole fleet.
-        read_age_s: Age of data that reads accept, in seconds.
-    """
-
-    customer: str
-    group: str
-    weight: float
-    rate: float
-    burst: float
-    read_age_s: float
-
-
 class TableShard(msgspec.Struct, frozen=True):
     """A part of the operators' table, in the kind ``table``."""
 
@@ -94,11 +76,13 @@
         customer: Whose key it is.
         salt: Salt of the hash, in hexadecimal.
         digest: Hash of the key, in hexadecimal.
+        created_s: When it was given, in seconds since 1970.
     """
 
     customer: str
     salt: str
     digest: str
+    created_s: float = 0.0
 
 
 class SigningKey(msgspec.Struct, frozen=True):
@@ -121,9 +105,11 @@
         failure_domain: Where it runs.
         address: Where its peers reach it, as a pynng URL.
         leaving: Whether it is shutting down.
+        admin: Where its status is shown, as ``http://host:port``.
     """
 
     name: str
     failure_domain: str
     address: str
     leaving: bool = False
+    admin: str = ""
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 from tornado.httpserver import HTTPServer
 
-from .callers.app import MAX_BODY_BYTES, callers_application
+from .callers.app import MAX_DISCARDED_BYTES, callers_application
 from .callers.health import health_application
 from .catalog import KIND_INSTANCE, Catalog
 from .controllers import Controllers
@@ -18,6 +18,8 @@
 from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .metrics import ReportCollector, make_metrics
+from .operators.report import ProxyReport, report
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
@@ -38,6 +40,8 @@
     def __init__(self, cfg: ProxySettings) -> None:
         self.cfg = cfg
         self.registry = CollectorRegistry()
+        self.metrics = make_metrics(self.registry)
+        self.registry.register(ReportCollector(self.report))
         self.ready = False
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog(self._client)
@@ -47,7 +51,9 @@
             cfg, self.catalog, self.homes, self._links, self._client
         )
         self.catalog.on_change = self._refresh
-        self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
+        self._ingress = Ingress(
+            self.catalog, self.homes, cfg.failure_domain, metrics=self.metrics
+        )
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
@@ -87,6 +93,10 @@
             await server.close_all_connections()
         emit(PROXY_STOPPED, name=self.cfg.name)
 
+    def report(self) -> ProxyReport:
+        """What this proxy knows and does."""
+        return report(self.cfg, self.catalog, self.homes, ready=self.ready)
+
     def _refresh(self) -> None:
         self.homes.refresh()
         self.controllers.refresh()
@@ -94,10 +104,12 @@
     def _listen(self) -> None:
         cfg = self.cfg
         callers = HTTPServer(
-            callers_application(self._ingress), max_body_size=MAX_BODY_BYTES
+            callers_application(self._ingress), max_body_size=MAX_DISCARDED_BYTES
         )
         callers.listen(cfg.listen_port, address=cfg.listen_host)
-        health = HTTPServer(health_application(self.registry, lambda: self.ready))
+        health = HTTPServer(
+            health_application(self.registry, lambda: self.ready, self.report)
+        )
         health.listen(cfg.metrics_port, address=cfg.listen_host)
         self._http = [callers, health]
 
@@ -107,7 +119,9 @@
 
     async def _register(self) -> None:
         cfg = self.cfg
-        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address)
+        mine = InstanceObject(
+            cfg.name, cfg.failure_domain, cfg.peer_address, admin=cfg.admin_address
+        )
         while True:
             found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
             if isinstance(found, Success):
