--- a/mangoramp/controller.py
+++ b/mangoramp/controller.py
@@ -57,7 +57,7 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.name = group.spec.name
-        self._group = group
+        self.group = group
         self._client = client
         self._ask_view = ask_view
         self._clock = clock
@@ -98,7 +98,7 @@
 
     def _hear(self) -> None:
         now = self._clock()
-        for status in self._group.statuses.values():
+        for status in self.group.statuses.values():
             self._policy.take_status(now, status)
 
     def _decide(self) -> None:
--- a/mangoramp/controllers.py
+++ b/mangoramp/controllers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 
@@ -54,21 +55,12 @@
         self._client = client
         self._clock = clock
         self._controllers: dict[str, Controller] = {}
+        self._due: asyncio.Handle | None = None
 
     def refresh(self) -> None:
-        """Take over changes of the groups and of the instances."""
-        domains = {i.failure_domain for i in self._catalog.instances.values()}
-        for name, spec in self._catalog.groups.items():
-            servers = [server.failure_domain for server in spec.servers]
-            voters = rank_voters(name, servers, domains)
-            here = self._homes.owner(name) == self._cfg.name
-            if here and self._cfg.failure_domain in voters:
-                version = self._catalog.group_versions[name]
-                self._controller(name).update(version, spec, voters)
-            else:
-                self._drop(name)
-        for name in self._controllers.keys() - self._catalog.groups.keys():
-            self._drop(name)
+        """Take over what changed, once for all changes that come together."""
+        if self._due is None:
+            self._due = asyncio.get_running_loop().call_soon(self._refresh)
 
     async def answer_view(self, req: AskView) -> Message:
         """Tell another failure domain what is seen of a group's primary here."""
@@ -83,13 +75,34 @@
 
     def close(self) -> None:
         """Stop all controllers."""
+        if self._due is not None:
+            self._due.cancel()
         for name in list(self._controllers):
             self._drop(name)
 
+    def _refresh(self) -> None:
+        self._due = None
+        domains = {i.failure_domain for i in self._catalog.instances.values()}
+        for name, spec in self._catalog.groups.items():
+            servers = [server.failure_domain for server in spec.servers]
+            voters = rank_voters(name, servers, domains)
+            counts = self._cfg.failure_domain in voters
+            if counts and self._homes.owner(name) == self._cfg.name:
+                version = self._catalog.group_versions[name]
+                self._controller(name).update(version, spec, voters)
+            else:
+                self._drop(name)
+        for name in self._controllers.keys() - self._catalog.groups.keys():
+            self._drop(name)
+
     def _controller(self, name: str) -> Controller:
+        group = self._homes.group(name)
+        known = self._controllers.get(name)
+        if known is not None and known.group is not group:
+            self._drop(name)
         if name not in self._controllers:
             self._controllers[name] = Controller(
-                self._homes.group(name),
+                group,
                 self._cfg.failure_domain,
                 self._client,
                 self._ask_view,
