--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -34,6 +34,19 @@
     json: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class TransactionSettings:
+    """The limits of a transaction.
+
+    Attributes:
+        limit_s: Seconds after which it is rolled back in any case.
+        idle_s: Seconds without a statement after which it is rolled back.
+    """
+
+    limit_s: Annotated[float, Range(0.1, 3600, "seconds")] = 30.0
+    idle_s: Annotated[float, Range(0.1, 600, "seconds")] = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """The settings of one proxy.
@@ -48,6 +61,7 @@
         peer_address: Where other proxies reach this one, as ``tcp://ip:port``.
         failure_domains: How many failure domains share each server's connections.
         log: How the process logs.
+        transactions: The limits of transactions.
     """
 
     name: Name
@@ -59,6 +73,7 @@
     peer_address: Peer
     failure_domains: Annotated[int, Range(1, 64, "failure domains")] = 3
     log: LogSettings = LogSettings()
+    transactions: TransactionSettings = TransactionSettings()
 
     @property
     def admin_address(self) -> str:
--- a/mangoramp/standins/endpoint.py
+++ b/mangoramp/standins/endpoint.py
@@ -33,12 +33,14 @@
 PULL_WAIT_MS = 500
 PULL_LIMIT = 200
 PULL_RETRY_S = 0.05
+PULL_TIMEOUT_S = 1.0
 APPLY_POLL_S = 0.005
 HEARD = 10_000
 READ_WORDS = frozenset({"SELECT", "WITH", "VALUES", "EXPLAIN"})
 CONTROL_WORDS = frozenset(
     {"BEGIN", "START", "COMMIT", "END", "ROLLBACK", "SET", "RESET", "DISCARD"}
 )
+IDLE_LIMIT = "idle_in_transaction_session_timeout"
 FUNCTION = re.compile(r"^\s*SELECT \* FROM (mangoramp_\w+)\(([^)]*)\)\s*$")
 COMMENTS = re.compile(r"^(?:\s+|--[^\n]*\n|/\*.*?\*/)+", re.DOTALL)
 AGGREGATE = re.compile(r"^(count|sum|max|min|length|total)\b", re.IGNORECASE)
@@ -52,6 +54,7 @@
         cut: Close every connection and refuse new ones.
         silent: Answer nothing on connections that are open now.
         drop_answers: How many of the next answers to lose after the work.
+        drop_after: How many answers to let through before losing any.
         late_s: Seconds by which each answer is late.
         lag_s: Seconds between holding an entry and applying it.
         pull: Whether this replica takes entries from its primary.
@@ -61,6 +64,7 @@
     cut: bool = False
     silent: bool = False
     drop_answers: int = 0
+    drop_after: int = 0
     late_s: float = 0.0
     lag_s: float = 0.0
     pull: bool = True
@@ -280,7 +284,9 @@
         store = self.store
         asked = (store.term, store.log_term, store.held)
         rows = await conn.fetch(
-            "SELECT * FROM mangoramp_log($1, $2, $3)", *map(str, asked), timeout=5
+            "SELECT * FROM mangoramp_log($1, $2, $3)",
+            *map(str, asked),
+            timeout=PULL_TIMEOUT_S,
         )
         if (store.term, store.log_term, store.held) != asked or self.primary:
             return
@@ -322,6 +328,7 @@
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.silent = False
+        self.idle_limit_s = 0.0
         self._conn: sqlite3.Connection | None = None
         self._protocol: Any = None
         self._changes: list[Change] = []
@@ -329,7 +336,9 @@
 
     async def init(self, connection: Any) -> None:
         """Open the session's own database connection."""
-        read_only = connection.startup_params.get("default_transaction_read_only")
+        params = connection.startup_params
+        read_only = params.get("default_transaction_read_only")
+        self.idle_limit_s = int(params.get(IDLE_LIMIT, 0)) / 1000
         self._protocol = connection
         self.endpoint.heard.append(repr(connection.startup_params))
         self._conn = self.endpoint.store.connect(read_only=read_only == "on")
@@ -352,16 +361,27 @@
         return EndpointStatement(self, sql)
 
     async def gate(self) -> None:
-        """Hold back while the server is frozen or the connection silent."""
+        """Hold back while the server is frozen or the connection silent.
+
+        What a silent connection leaves open is rolled back after its
+        ``idle_in_transaction_session_timeout``, as a PostgreSQL server does.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time()
         while self.endpoint.faults.frozen or self.silent:
             await asyncio.sleep(APPLY_POLL_S)
+            if self.silent and 0 < self.idle_limit_s < loop.time() - since:
+                self.abort()
+                raise ConnectionClosed
 
     async def after(self) -> None:
         """Lose or delay the answer to finished work."""
         faults = self.endpoint.faults
         if faults.late_s:
             await asyncio.sleep(faults.late_s)
-        if faults.drop_answers:
+        if faults.drop_answers and faults.drop_after:
+            faults.drop_after -= 1
+        elif faults.drop_answers:
             faults.drop_answers -= 1
             self.abort()
             raise ConnectionClosed
@@ -394,9 +414,9 @@
 
     async def run(self, sql: str, params: Params) -> list[tuple[Any, ...]]:
         """Run one statement and return its rows."""
-        if sql_word(sql) in READ_WORDS and " RETURNING " not in sql.upper():
+        if is_read(sql):
             return self._execute(sql, params)
-        await self._begin_write()
+        await self.begin_write()
         try:
             rows = self._execute(sql, params)
         except PgError:
@@ -408,7 +428,8 @@
             await self._commit()
         return rows
 
-    async def _begin_write(self) -> None:
+    async def begin_write(self) -> None:
+        """Open the session's write; the wait for others' holds no slot."""
         if self.conn.in_transaction:
             return
         await self.endpoint.write_lock.acquire()
@@ -453,6 +474,7 @@
         self.session = session
         self.sql = sql
         self.param_oids = [TEXT] * param_count(sql)
+        self._first: list[ResultColumn] | None = None
 
     async def describe(self) -> list[ResultColumn] | None:
         """The columns of the answer, None if it has none."""
@@ -462,7 +484,11 @@
         word = sql_word(self.sql)
         if word in CONTROL_WORDS:
             return None
-        return self._describe_sql(word)
+        columns = self._describe_sql(word)
+        self._first = self._first or columns
+        if columns != self._first:
+            raise PgError("0A000", "cached plan must not change result type")
+        return columns
 
     def bind(self, params: list[str | None]) -> Portal:
         """Bind the parameters."""
@@ -509,6 +535,8 @@
         if word in CONTROL_WORDS:
             await session.control(word)
         else:
+            if not is_read(sql):
+                await session.begin_write()
             async with endpoint.slots:
                 await asyncio.sleep(endpoint.options.statement_s)
                 rows = await session.run(sql, self._params)
@@ -525,6 +553,11 @@
     return found[0].upper() if found else ""
 
 
+def is_read(sql: str) -> bool:
+    """Whether a statement changes nothing."""
+    return sql_word(sql) in READ_WORDS and " RETURNING " not in sql.upper()
+
+
 def param_count(sql: str) -> int:
     """How many ``$n`` parameters a statement has."""
     return max((int(n) for n in re.findall(r"\$(\d+)", sql)), default=0)
