--- a/mangoramp/callers/base.py
+++ b/mangoramp/callers/base.py
@@ -17,6 +17,7 @@
 T = TypeVar("T")
 TOKEN_HEADER = "Mangoramp-Session"
 TOKEN_COOKIE = "mangoramp-session"
+COOKIE_RULES = "HttpOnly; Path=/; SameSite=Strict"
 MAX_BODY_BYTES = 1_000_000
 MAX_DISCARDED_BYTES = 4_000_000
 DEFAULT_TIMEOUT_S = 10.0
@@ -73,6 +74,9 @@
         except RecursionError:
             return Failure(_bad("the body is refused: it is nested too deep"))
 
+    def compute_etag(self) -> None:
+        """No entity tag: no answer is the same as one before."""
+
     def answer(self, status: int, body: Any) -> None:
         """Send a JSON answer."""
         self.set_status(status)
@@ -126,7 +130,7 @@
     def show_token(self, token: str) -> None:
         """Give the session's next token, as a header and as a cookie."""
         self.set_header(TOKEN_HEADER, token)
-        self.set_cookie(TOKEN_COOKIE, token, httponly=True, samesite="Strict")
+        self.add_header("Set-Cookie", f"{TOKEN_COOKIE}={token}; {COOKIE_RULES}")
 
     @property
     def token(self) -> str:
