--- a/mangoramp/controller.py
+++ b/mangoramp/controller.py
@@ -44,6 +44,7 @@
         failure_domain: Where it runs.
         client: The platform.
         ask_view: Asks a failure domain for its view of a group.
+        on_failover: Called with the group's name when a failover is over.
         clock: Tells the time in seconds.
     """
 
@@ -54,12 +55,14 @@
         client: PlatformClient,
         ask_view: AskView,
         *,
+        on_failover: Callable[[str], None] = lambda group: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.name = group.spec.name
         self._group = group
         self._client = client
         self._ask_view = ask_view
+        self._on_failover = on_failover
         self._clock = clock
         self._spec = group.spec
         self._voters: tuple[str, ...] = ()
@@ -163,6 +166,8 @@
             reason=action.reason,
             outcome=outcome,
         )
+        if new.primary and outcome == "done":
+            self._on_failover(self.name)
         await self._read_back()
 
     @_carry_out.register(Fence)
--- a/mangoramp/controllers.py
+++ b/mangoramp/controllers.py
@@ -34,6 +34,7 @@
         homes: The homes; a group's controller runs where its home is.
         links: The way to the other proxies.
         client: The platform.
+        on_failover: Called with a group's name when its failover is over.
         clock: Tells the time in seconds.
     """
 
@@ -45,6 +46,7 @@
         links: Links,
         client: PlatformClient,
         *,
+        on_failover: Callable[[str], None] = lambda group: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._cfg = cfg
@@ -52,6 +54,7 @@
         self._homes = homes
         self._links = links
         self._client = client
+        self._on_failover = on_failover
         self._clock = clock
         self._controllers: dict[str, Controller] = {}
 
@@ -93,6 +96,7 @@
                 self._cfg.failure_domain,
                 self._client,
                 self._ask_view,
+                on_failover=self._on_failover,
                 clock=self._clock,
             )
         return self._controllers[name]
--- a/mangoramp/demo.py
+++ b/mangoramp/demo.py
@@ -27,9 +27,8 @@
     await fleet.start()
     customer, key = next(iter(fleet.keys.items()))
     domains = len(fleet.options.domains)
-    print(
-        f"{domains} database servers, {len(fleet.proxies)} proxies; {customer} calls\n"
-    )
+    proxies = len(fleet.proxies)
+    print(f"{domains} database servers, {proxies} proxies; the caller is {customer}.\n")
     # Without retries of the client's own, so that each refusal is seen.
     budget = RetryBudget(share=0.0, most=0.0)
     first, second = list(fleet.proxies)[:2]
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -48,7 +48,12 @@
         self._links = Links(self._address_of)
         self.homes = Homes(cfg, self.catalog, self._links)
         self.controllers = Controllers(
-            cfg, self.catalog, self.homes, self._links, self._client
+            cfg,
+            self.catalog,
+            self.homes,
+            self._links,
+            self._client,
+            on_failover=lambda group: self.metrics.failovers.labels(group).inc(),
         )
         self.catalog.on_change = self._refresh
         self._ingress = Ingress(
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,12 +1,32 @@
+import pytest
+
 from mangoramp import demo
+from mangoramp.standins.fleet import Fleet
+
+from .test_metrics import scraped
 
 
 class TestDemo:
-    async def test_shows_writes_reads_and_a_lost_primary(self, capsys, monkeypatch):
-        monkeypatch.setattr(demo, "GIVE_UP_S", 1.0)
+    @pytest.fixture
+    def counted(self, monkeypatch):
+        """Collects the failovers that the proxies count before they stop."""
+        found = []
+        stop = Fleet.stop
+
+        async def counting_stop(fleet):
+            for proxy in fleet.proxies.values():
+                name = 'mangoramp_failovers_total{group="register"}'
+                found.append((await scraped(proxy)).get(name, 0.0))
+            await stop(fleet)
+
+        monkeypatch.setattr(Fleet, "stop", counting_stop)
+        return found
+
+    async def test_shows_a_write_after_the_primary_is_lost(self, capsys, counted):
         await demo.demo()
         shown = capsys.readouterr().out
         before, _, after = shown.partition("The primary is cut off.")
         assert before.count("done at") == 1 + 2 * demo.SHEETS
         assert "[['A-003', 3]]" in after.splitlines()[1]
-        assert "issue B-000" in after
+        assert after.splitlines()[-1].endswith("[['B-000', 0]]")
+        assert sum(counted) >= 1
