--- /dev/null
+++ b/mangoramp/confirmation.py
@@ -0,0 +1,124 @@
+"""Whether a write outlasts a failover: known of a majority, before it is said."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from .endpoints.connection import FAILURES, Conn
+from .endpoints.group import Group
+from .endpoints.run import read_status
+from .events import WRITE_CONFIRMED, emit
+from .faults import no_server, unconfirmed, unproven
+from .policy.quorum import ServerStatus
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class Confirmation:
+    """Finds the primary of a group, and waits until a majority holds its writes.
+
+    Args:
+        group: The group's servers.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self, group: Group, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._group = group
+        self._clock = clock
+
+    async def primary(self, deadline: float) -> ServerStatus:
+        """Wait for the group's primary.
+
+        Args:
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: There was none in time.
+        """
+        while True:
+            primary = self._group.primary
+            if primary is not None:
+                return primary
+            if not await self._group.changed(deadline):
+                raise no_server("the group has no primary now")
+
+    async def status(
+        self, conn: Conn, primary: ServerStatus, deadline: float
+    ) -> ServerStatus:
+        """Learn what the primary holds after a write.
+
+        Args:
+            conn: The connection on which the write was run.
+            primary: The primary before the write.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It was not learnt in time.
+        """
+        now = self._clock()
+        limit_s = min(STATUS_TIMEOUT_S, max(deadline - now, 0.0))
+        try:
+            return await read_status(conn, asked_at=now, timeout_s=limit_s)
+        except FAILURES:
+            conn.terminate()
+        return await self._heard(primary, now, deadline)
+
+    async def wait(
+        self, primary: ServerStatus, status: ServerStatus, deadline: float
+    ) -> None:
+        """Wait until a majority holds what the primary held after a write.
+
+        Args:
+            primary: The primary before the write.
+            status: What it said after the write.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It is not certain that the write outlasts a failover.
+        """
+        if not status.is_primary or status.term != primary.term:
+            raise unconfirmed("the term ended during the write", primary.name)
+        view = self._group.view
+        while not self._is_certain(status):
+            if not view.cfg.lineage.contains(status.tail):
+                raise unconfirmed("the primary was replaced", primary.name)
+            if not await self._group.changed(deadline):
+                raise unconfirmed("no majority confirmed it in time", primary.name)
+        emit(WRITE_CONFIRMED, server=status.name, position=status.held)
+
+    async def fresh(self, status: ServerStatus, since: float, deadline: float) -> None:
+        """Wait until what the primary showed is known to be the primary's of then.
+
+        Args:
+            status: What it said after the reads.
+            since: A moment after the reads, in seconds.
+            deadline: When to stop waiting, on this object's clock.
+
+        Raises:
+            FaultError: It was not proven in time.
+        """
+        while True:
+            as_of = self._group.as_of(status.position)
+            if as_of is not None and as_of >= since:
+                return
+            if not await self._group.changed(deadline):
+                raise unproven("the reads were not proven fresh in time", status.name)
+
+    def _is_certain(self, status: ServerStatus) -> bool:
+        """Whether a majority holds it, in its term or in one that came out of it."""
+        view = self._group.view
+        inside = view.cfg.lineage.contains(status.tail)
+        return inside and view.is_committed(status.tail)
+
+    async def _heard(
+        self, primary: ServerStatus, since: float, deadline: float
+    ) -> ServerStatus:
+        while True:
+            found = self._group.statuses.get(primary.name)
+            if found is not None and found.asked_at >= since:
+                return found
+            if not await self._group.changed(deadline):
+                raise unconfirmed("the primary was not heard after it", primary.name)
