--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -40,6 +40,7 @@
         admission: Lets requests in.
         instance: This proxy's name, which the ids of transactions carry.
         transactions: The limits of transactions.
+        on_wait: Called with the group and the seconds that a request waited here.
         clock: Tells the time in seconds.
     """
 
@@ -50,6 +51,7 @@
         *,
         instance: str = "",
         transactions: TransactionSettings | None = None,
+        on_wait: Callable[[str, float], None] = lambda group, wait_s: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.group = group
@@ -64,15 +66,18 @@
         self._reader = Reader(group, clock=clock)
         self._writer = Writer(group, clock=clock)
         self._clock = clock
+        self._on_wait = on_wait
 
     async def serve(self, req: Request) -> Message:
         """Run one request and answer it, with what it asks or with a fault."""
-        deadline = self._clock() + req.timeout_s
+        taken_at = self._clock()
+        deadline = taken_at + req.timeout_s
         started = False
         try:
             async with asyncio.timeout(req.timeout_s + BACKSTOP_S):
                 async with self._turn(req):
                     started = True
+                    self._on_wait(req.group, self._clock() - taken_at)
                     return await self._run(req, deadline)
         except FaultError as exc:
             return Refused(fault=exc.fault)
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from returns.result import Success
 
 from .admission import Admission, Limits
@@ -27,9 +29,18 @@
         cfg: The proxy's settings.
         catalog: What is known from the platform.
         links: The way to the other proxies.
+        on_wait: Called with the group and the seconds that a request waited here.
     """
 
-    def __init__(self, cfg: ProxySettings, catalog: Catalog, links: Links) -> None:
+    def __init__(
+        self,
+        cfg: ProxySettings,
+        catalog: Catalog,
+        links: Links,
+        *,
+        on_wait: Callable[[str, float], None] = lambda group, wait_s: None,
+    ) -> None:
+        self._on_wait = on_wait
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
@@ -117,6 +128,7 @@
                 admission,
                 instance=self._cfg.name,
                 transactions=self._cfg.transactions,
+                on_wait=self._on_wait,
             )
         return self._homes[name]
 
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -139,6 +139,16 @@
         seen = session.merged(group, position)
         return "" if keys is None else encode_session(seen, keys)
 
+    def done(self, group: str, customer: str, *, replica: bool | None = None) -> None:
+        """Count a request that was answered.
+
+        Args:
+            group: Its database group.
+            customer: Whose it was.
+            replica: Whether a replica served it; None if it was no read.
+        """
+        self._metrics.done(group, customer, replica=replica)
+
     def refused(self, group: str, fault: Fault, *, key: str = "") -> None:
         """Count and log a refusal, without what the caller wrote.
 
@@ -181,7 +191,7 @@
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
         reads = prepared.unwrap().kind is Kind.READ
         replica = answer.replica if reads else None
-        self._metrics.done(req.group, session.customer, replica=replica)
+        self.done(req.group, session.customer, replica=replica)
         token = self.token(session, req.group, answer.position)
         return Success(StatementAnswer(answer, token))
 
--- a/mangoramp/metrics.py
+++ b/mangoramp/metrics.py
@@ -27,7 +27,7 @@
             came are counted together.
         reads: Reads by group and kind of server.
         times: Seconds from a request to its answer, by group.
-        waits: Seconds that requests waited, by group and step.
+        waits: Seconds that requests waited for their turn at a home, by group.
         failovers: Failovers that this proxy finished, by group.
     """
 
@@ -64,6 +64,15 @@
         if customer:
             self.customers.labels(self._label(customer), fault.outcome).inc()
 
+    def waited(self, group: str, wait_s: float) -> None:
+        """Count what a request waited for its turn at a home.
+
+        Args:
+            group: Its database group.
+            wait_s: Seconds that it waited.
+        """
+        self.waits.labels(group).observe(wait_s)
+
     def _label(self, customer: str) -> str:
         if customer in self.known_customers:
             return customer
@@ -103,8 +112,8 @@
         ),
         waits=Histogram(
             "mangoramp_wait_seconds",
-            "Seconds that requests waited",
-            ("group", "step"),
+            "Seconds that requests waited for their turn at a home",
+            ("group",),
             registry=registry,
             buckets=SECONDS,
         ),
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -58,7 +58,7 @@
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog(self._client)
         self._links = Links(self._address_of)
-        self.homes = Homes(cfg, self.catalog, self._links)
+        self.homes = Homes(cfg, self.catalog, self._links, on_wait=self.metrics.waited)
         self.controllers = Controllers(
             cfg,
             self.catalog,
--- a/mangoramp/transaction_ingress.py
+++ b/mangoramp/transaction_ingress.py
@@ -82,6 +82,7 @@
         )
         answer = await self._homes.send(req)
         if isinstance(answer, TransactionBegun):
+            self._ingress.done(caller.group, req.customer)
             return Success(answer)
         return self._refused(caller, _fault(answer))
 
@@ -113,6 +114,7 @@
         )
         answer = await self._pinned.send(req)
         if isinstance(answer, Rows):
+            self._ingress.done(caller.group, req.customer)
             return Success(answer)
         return self._refused(caller, _fault(answer))
 
@@ -144,6 +146,7 @@
             answer = await self._settled(req, _fault(answer), deadline)
         if not isinstance(answer, TransactionEnded):
             return self._refused(caller, _fault(answer))
+        self._ingress.done(caller.group, req.customer)
         token = self._ingress.token(session.unwrap(), caller.group, answer.position)
         return Success(EndedAnswer(answer, token))
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -360,6 +360,10 @@
         assert (await caller.post(url, "SELECT 'A-1")).status == 400
         wrong = url.replace("register", caller.key)
         assert (await caller.post(wrong, "SELECT 1")).status == 404
+        inside = url.replace("statements", "transactions/none-x/statements")
+        for sql, status in (("SELECT 'A-1", 400), ("COMMIT", 400), ("SELECT 1", 404)):
+            reply = await caller.post(inside, sql)
+            assert (reply.status, reply.body["outcome"]) == (status, "not_run")
         signing = fleet.proxies["d2-p0"].catalog.signing_keys
         for ahead in (Position(1, 1_000), Position(7, 1)):
             seen = Session("tala", {"register": ahead})
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -20,7 +20,7 @@
 
 class TestMetrics:
     async def test_counts_what_callers_saw(self):
-        fleet = Fleet(FleetOptions())
+        fleet = Fleet(FleetOptions(domains=("d1",)))
         await fleet.start()
         try:
             found = await self._walk(fleet)
@@ -28,15 +28,16 @@
             await fleet.stop()
         requests = "mangoramp_requests_total"
         failed = '{code="statement_failed",group="register",outcome="not_run"}'
-        assert found[requests + '{code="",group="register",outcome="done"}'] == 4
+        assert found[requests + '{code="",group="register",outcome="done"}'] == 5
         assert found[requests + failed] == 1
         unknown = '{code="group_unknown",group="",outcome="not_run"}'
         assert found[requests + unknown] == 1
         reads = [v for k, v in found.items() if k.startswith("mangoramp_reads_total")]
         assert sum(reads) == 3
         assert found['mangoramp_request_seconds_count{group="register"}'] == 4
+        assert found['mangoramp_wait_seconds_count{group="register"}'] == 6
         tala = 'mangoramp_customer_requests_total{customer="tala",outcome="done"}'
-        assert found[tala] == 4
+        assert found[tala] == 5
         assert found["mangoramp_table_version"] > 0
         assert found["mangoramp_ready"] == 1
         assert found['mangoramp_group_term{group="register"}'] == 1
@@ -63,6 +64,8 @@
             await caller.post(url, "SELECT id FROM sheet")
         await caller.post(url, "SELECT id FROM nowhere")
         await caller.post(url.replace("register", "none"), "SELECT 1")
+        begun = await caller.post(url.replace("statements", "transactions"), "")
+        assert begun.status == 201
         return await scraped(fleet.proxies["d1-p0"])
 
     def test_has_a_bounded_number_of_customers(self):
