--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -5,20 +5,18 @@
 import logging
 import re
 import sys
-from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from loguru import logger
 
-if TYPE_CHECKING:
-    from loguru import Message
-
 KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
 MAX_SAID_CHARS = 500
 TEXT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
+_encode = msgspec.json.Encoder(enc_hook=str).encode
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -99,23 +97,25 @@
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
 
 
-def json_line(record: Mapping[str, Any]) -> str:
-    """One line of the log as JSON: time, level, event, text and the line's facts."""
+def _write_json(message: Any) -> None:
+    record = message.record
     line = {
-        "time": record["time"].isoformat(timespec="milliseconds"),
+        "time": record["time"].timestamp(),
         "level": record["level"].name,
-        "text": record["message"],
+        "message": record["message"],
         **record["extra"],
     }
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    if record["exception"] is not None:
+        line["exception"] = _without_key(repr(record["exception"].value))
+    sys.stderr.write(_encode(line).decode() + "\n")
 
 
-def _write_json(message: Message) -> None:
-    sys.stderr.write(json_line(message.record) + "\n")
+def _without_key(text: str) -> str:
+    return KEY_LIKE.sub("mr_...", text)[:MAX_SAID_CHARS]
 
 
 class _LibraryHandler(logging.Handler):
     def emit(self, record: logging.LogRecord) -> None:
         """Log a library's message as an event, without any key in it."""
-        said = KEY_LIKE.sub("mr_...", record.getMessage())
-        emit(LIBRARY_MESSAGE, library=record.name, said=said[:MAX_SAID_CHARS])
+        said = _without_key(record.getMessage())
+        emit(LIBRARY_MESSAGE, library=record.name, said=said)
