--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -89,6 +89,7 @@
 
     def close(self) -> None:
         """Close the connections to the servers."""
+        self.admission.close()
         self.transactions.end_all()
         self._writer.close()
         self.group.close()
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from ..errors import Fault
+from ..platform.objects import GroupObject
+from ..policy.loans import Ask, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 from ..policy.suspicion import View
@@ -187,15 +189,49 @@
 
 
 class AskView(Envelope, frozen=True):
-    """Tell what is seen of a group's primary from another failure domain."""
+    """Tell what is seen of a group's primary from another failure domain.
+
+    Attributes:
+        group: The group's name.
+        version: The platform's version of its object that the asker knows.
+    """
 
     group: str
+    version: int
 
 
 class ViewAnswer(Envelope, frozen=True):
-    """What is seen of a group's primary."""
+    """What is seen of a group's primary.
+
+    Attributes:
+        view: What is seen.
+        version: The platform's version of the group object that is known here.
+        newer: That object, if the asker's is older.
+    """
 
     view: View
+    version: int = 0
+    newer: GroupObject | None = None
+
+
+class AskTokens(Envelope, frozen=True):
+    """Asks the home of a group in another failure domain for tokens.
+
+    Attributes:
+        group: The database group.
+        customer: Whose rate it is.
+        ask: What is asked.
+    """
+
+    group: str
+    customer: str
+    ask: Ask
+
+
+class GrantTokens(Envelope, frozen=True):
+    """The answer to an ask for tokens."""
+
+    grant: Grant
 
 
 Request = (
@@ -207,7 +243,8 @@
 )
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
-Message = Request | Answer | Refused | AskView | ViewAnswer
+Between = AskView | ViewAnswer | AskTokens | GrantTokens
+Message = Request | Answer | Refused | Between
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
