Pass the platform's objects on between proxies, and shut down without a cut

Cause: each proxy held 5 waiting calls at the platform (10,000 at 2,000 daemons) and a stopping proxy dropped its requests.

The relay of a failure domain and one stand-by watch the platform; members follow the relay by long polls over pynng. A relay also follows two instances of other domains. Homes go by the settled view; a shutdown leaves readiness, hands over, drains, then closes.

--- a/mangoramp/callers/app.py
+++ b/mangoramp/callers/app.py
@@ -11,6 +11,7 @@
 from ..errors import Code, Fault, Outcome, Step
 from ..ingress import Ingress, StatementAnswer, StatementRequest
 from ..proxies.messages import Param
+from .in_flight import InFlight
 
 MAX_BODY_BYTES = 1_000_000
 DEFAULT_TIMEOUT_S = 10.0
@@ -54,6 +55,22 @@
 class BaseHandler(tornado.web.RequestHandler):
     """What all handlers share: one form for answers and one for errors."""
 
+    def prepare(self) -> None:
+        """Count the request as in flight."""
+        self.in_flight.enter()
+        if self.in_flight.closing:
+            self.set_header("Connection", "close")
+
+    def on_finish(self) -> None:
+        """Count the request as done."""
+        self.in_flight.leave()
+
+    @property
+    def in_flight(self) -> InFlight:
+        """The requests in flight at this application."""
+        found: InFlight = self.settings["in_flight"]
+        return found
+
     def answer(self, status: int, body: Any) -> None:
         """Send a JSON answer."""
         self.set_status(status)
@@ -180,18 +197,23 @@
 
     def prepare(self) -> None:
         """Refuse."""
+        super().prepare()
         self.refuse(Fault(Code.GROUP_UNKNOWN, "there is no such route", Step.PARSE))
 
 
-def callers_application(ingress: Ingress) -> tornado.web.Application:
+def callers_application(
+    ingress: Ingress, *, in_flight: InFlight | None = None
+) -> tornado.web.Application:
     """The application for callers.
 
     Args:
         ingress: Where requests go.
+        in_flight: Counts the requests in flight.
     """
     args = {"ingress": ingress}
     return tornado.web.Application(
         [(r"/v1/groups/([^/]+)/statements", StatementHandler, args)],
         default_handler_class=NotFoundHandler,
         log_function=lambda handler: None,
+        in_flight=in_flight or InFlight(),
     )
--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -1,13 +1,17 @@
-"""What a proxy knows from the platform: groups, table, keys and instances."""
+"""What a proxy knows of the platform's objects, from whichever source it came."""
 
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
+from typing import Any
 
-from .events import GROUP_CHANGED, TABLE_CHANGED, emit
-from .platform.client import PlatformClient, Versioned
+import msgspec
+
+from .events import GROUP_CHANGED, KEY_WITHDRAWN, TABLE_CHANGED, emit
 from .platform.objects import (
+    DomainObject,
     GroupObject,
     InstanceObject,
     KeyObject,
@@ -15,7 +19,7 @@
     SigningKey,
     TableShard,
 )
-from .platform.watch import Watch
+from .policy.cache import Cache, Delta, Item
 from .policy.keys import KeyRecord
 from .policy.session import SigningKeys
 
@@ -24,35 +28,68 @@
 KIND_KEY = "key"
 KIND_SIGNING_KEY = "signing-key"
 KIND_INSTANCE = "instance"
+KIND_DOMAIN = "domain"
+
+NEVER = float("-inf")
 
 
 class Catalog:
-    """Follows the platform's objects and keeps the last good version of each.
+    """Keeps the newest accepted version of each object.
 
     Args:
-        client: The platform.
+        clock: Tells the time in seconds.
+
+    Attributes:
+        on_change: Called after changes of anything but keys.
+        on_key_withdrawn: Called with a withdrawn key's public id and its customer.
     """
 
-    def __init__(self, client: PlatformClient) -> None:
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.groups: dict[str, GroupObject] = {}
         self.keys: dict[str, KeyRecord] = {}
         self.instances: dict[str, InstanceObject] = {}
+        self.domains: dict[str, DomainObject] = {}
         self.on_change: Callable[[], None] = lambda: None
-        self._shards: dict[str, Versioned[TableShard]] = {}
+        self.on_key_withdrawn: Callable[[str, str], None] = lambda key_id, customer: (
+            None
+        )
+        self._clock = clock
+        self._fresh_at = NEVER
+        self._shards: dict[str, TableShard] = {}
+        self._table_version = 0
         self._rows: dict[tuple[str, str], Row] = {}
         self._signing: dict[str, SigningKey] = {}
-        self._watches = (
-            Watch(client, KIND_GROUP, GroupObject, self._take_group),
-            Watch(client, KIND_TABLE, TableShard, self._take_shard),
-            Watch(client, KIND_KEY, KeyObject, self._take_key),
-            Watch(client, KIND_SIGNING_KEY, SigningKey, self._take_signing),
-            Watch(client, KIND_INSTANCE, InstanceObject, self._take_instance),
-        )
+        self._listed = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._takers: dict[str, tuple[Any, Callable[[Item, Any], None]]] = {
+            KIND_GROUP: (GroupObject, self._take_group),
+            KIND_TABLE: (TableShard, self._take_shard),
+            KIND_KEY: (KeyObject, self._take_key),
+            KIND_SIGNING_KEY: (SigningKey, _taker(self._signing)),
+            KIND_INSTANCE: (InstanceObject, _taker(self.instances)),
+            KIND_DOMAIN: (DomainObject, _taker(self.domains)),
+        }
+        self.cache = Cache(self._takers)
+
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """The kinds of object that are kept."""
+        return tuple(self._takers)
 
     @property
     def table_version(self) -> int:
         """The version of the table that is in force."""
-        return max((shard.version for shard in self._shards.values()), default=0)
+        return self._table_version
+
+    @property
+    def age_s(self) -> float:
+        """For how long no news of keys could be had, in seconds."""
+        return self._clock() - self._fresh_at
+
+    @property
+    def fresh_at(self) -> float:
+        """The moment up to which changes of keys are known, in seconds."""
+        return self._fresh_at
 
     @property
     def signing_keys(self) -> SigningKeys | None:
@@ -71,57 +108,83 @@
         """All rows of the table."""
         return list(self._rows.values())
 
-    async def run(self) -> None:
-        """Follow the platform until cancelled."""
-        await asyncio.gather(*(watch.run() for watch in self._watches))
+    def take(self, delta: Delta) -> None:
+        """Take over changes from any source; older versions are passed over."""
+        type_, taker = self._takers.get(delta.kind, (None, None))
+        if taker is None:
+            return
+        accepted = self.cache.take(delta)
+        for item in sorted(accepted, key=lambda i: i.version):
+            raw = item.value
+            taker(item, None if raw is None else msgspec.json.decode(raw, type=type_))
+        if self.cache.is_listed:
+            self._listed.set()
+        if not accepted:
+            return
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if delta.kind != KIND_KEY:
+            self.on_change()
+
+    def refresh(self, fresh_at: float) -> None:
+        """Note that all changes of keys up to a moment are in force here.
+
+        Args:
+            fresh_at: The moment, in seconds on this catalog's clock.
+        """
+        self._fresh_at = max(self._fresh_at, fresh_at)
 
     async def ready(self) -> None:
         """Wait until everything was read once."""
-        for watch in self._watches:
-            await watch.ready()
+        await self._listed.wait()
 
-    def _take_group(self, found: Versioned[GroupObject]) -> None:
-        if found.value is None:
-            self.groups.pop(found.name, None)
-        else:
-            self.groups[found.name] = found.value
-            group = found.value
-            emit(
-                GROUP_CHANGED,
-                group=group.name,
-                term=group.term,
-                primary=group.primary,
-                version=found.version,
-            )
-        self.on_change()
-
-    def _take_shard(self, found: Versioned[TableShard]) -> None:
-        known = self._shards.get(found.name)
-        if known is not None and found.version <= known.version:
+    async def changed(self, timeout_s: float) -> None:
+        """Wait for the next change, but no longer than a time."""
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
             return
-        self._shards[found.name] = found
-        shards = (s.value for s in self._shards.values() if s.value is not None)
-        self._rows = {(r.customer, r.group): r for s in shards for r in s.rows}
-        emit(TABLE_CHANGED, version=found.version, rows=len(self._rows))
-        self.on_change()
 
-    def _take_key(self, found: Versioned[KeyObject]) -> None:
-        if found.value is None:
-            self.keys.pop(found.name, None)
+    def _take_group(self, item: Item, group: GroupObject | None) -> None:
+        if group is None:
+            self.groups.pop(item.name, None)
             return
-        key = found.value
-        salt, digest = bytes.fromhex(key.salt), bytes.fromhex(key.digest)
-        self.keys[found.name] = KeyRecord(key.customer, salt, digest)
+        self.groups[item.name] = group
+        emit(
+            GROUP_CHANGED,
+            group=group.name,
+            term=group.term,
+            primary=group.primary,
+            leaving=[server.name for server in group.servers if server.leaving],
+            version=item.version,
+        )
 
-    def _take_signing(self, found: Versioned[SigningKey]) -> None:
-        if found.value is None:
-            self._signing.pop(found.name, None)
+    def _take_shard(self, item: Item, shard: TableShard | None) -> None:
+        if shard is None:
+            self._shards.pop(item.name, None)
         else:
-            self._signing[found.name] = found.value
+            self._shards[item.name] = shard
+        self._table_version = max(self._table_version, item.version)
+        shards = self._shards.values()
+        self._rows = {(r.customer, r.group): r for s in shards for r in s.rows}
+        emit(TABLE_CHANGED, version=item.version, rows=len(self._rows))
+
+    def _take_key(self, item: Item, key: KeyObject | None) -> None:
+        if key is not None:
+            salt, digest = bytes.fromhex(key.salt), bytes.fromhex(key.digest)
+            self.keys[item.name] = KeyRecord(key.customer, salt, digest)
+            return
+        known = self.keys.pop(item.name, None)
+        if known is not None:
+            emit(KEY_WITHDRAWN, key_id=item.name, customer=known.customer)
+            self.on_key_withdrawn(item.name, known.customer)
 
-    def _take_instance(self, found: Versioned[InstanceObject]) -> None:
-        if found.value is None:
-            self.instances.pop(found.name, None)
+
+def _taker(into: dict[str, Any]) -> Callable[[Item, Any], None]:
+    def take(item: Item, value: Any) -> None:
+        if value is None:
+            into.pop(item.name, None)
         else:
-            self.instances[found.name] = found.value
-        self.on_change()
+            into[item.name] = value
+
+    return take
--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -184,9 +184,22 @@
     return stopped
 
 
+def _stop_signals() -> tuple[asyncio.Event, asyncio.Event]:
+    first, second = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def stop() -> None:
+        (second if first.is_set() else first).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    return first, second
+
+
 async def _run_proxy(cfg: ProxySettings) -> None:
     proxy = Proxy(cfg)
-    await run_until_stopped(proxy, _stop_signal())
+    stopped, hurry = _stop_signals()
+    await run_until_stopped(proxy, stopped, hurry)
 
 
 async def _run_platform(port: int) -> None:
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from collections.abc import Callable
+
+from msgspec.structs import replace
 from returns.result import Success
 
 from .admission import Admission, Limits
@@ -10,6 +15,7 @@
 from .errors import Code, Fault, Outcome, Step
 from .events import HOME_PLACED, REQUEST_FORWARDED, emit
 from .home import Home
+from .membership import Membership
 from .policy._rendezvous import rendezvous
 from .proxies.links import Links
 from .proxies.messages import Message, Refused, RunStatement
@@ -18,6 +24,7 @@
 CONTROL_CONNECTIONS = 1
 RETRY_AFTER_S = 0.5
 FORWARD_MARGIN_S = 0.2
+MOVE_WAIT_S = 0.25
 
 
 class Homes:
@@ -27,64 +34,131 @@
         cfg: The proxy's settings.
         catalog: What is known from the platform.
         links: The way to the other proxies.
+        membership: Tells which instance is home of what.
+        clock: Tells the time in seconds.
     """
 
-    def __init__(self, cfg: ProxySettings, catalog: Catalog, links: Links) -> None:
+    def __init__(
+        self,
+        cfg: ProxySettings,
+        catalog: Catalog,
+        links: Links,
+        membership: Membership,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
         self._links = links
-        self._placed: dict[str, str] = {}
+        self._membership = membership
+        self._clock = clock
+        self._placed: dict[str, tuple[tuple[str, ...], str | None]] = {}
+        self._running: dict[str, int] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests run at the homes here."""
+        return sum(self._running.values())
 
     async def send(self, req: RunStatement) -> Message:
-        """Have a request run at the home of its group."""
-        owner = self.owner(req.group)
-        if owner is None:
-            return _refused(Code.NO_HOME, "the group has no home here now")
-        if owner == self._cfg.name:
-            return await self.serve(req)
-        emit(REQUEST_FORWARDED, group=req.group, peer=owner)
-        timeout_s = req.timeout_s + FORWARD_MARGIN_S
-        answer = await self._links.call(owner, req, timeout_s=timeout_s)
-        if not isinstance(answer, Success):
-            return Refused(fault=answer.failure())
-        reply: Message = answer.unwrap()
-        return reply
+        """Have a request run at the home of its group.
+
+        One that was refused because the home had moved is sent once more.
+        """
+        deadline = self._clock() + req.timeout_s
+        answer = await self._send_once(req)
+        if not _has_moved(answer):
+            return answer
+        left = deadline - self._clock()
+        if left <= MOVE_WAIT_S:
+            return answer
+        await asyncio.sleep(MOVE_WAIT_S)
+        left = deadline - self._clock()
+        return await self._send_once(replace(req, timeout_s=left))
 
     async def serve(self, req: RunStatement) -> Message:
         """Run a request at a home that is here."""
-        if self.owner(req.group) != self._cfg.name:
+        if not self.holds(req.group, self._clock()):
             return _refused(Code.NO_HOME, "the group's home is not here")
-        return await self._home(req.group).serve(req)
+        if req.group not in self._catalog.groups:
+            message = f"there is no database group {req.group!r}"
+            return Refused(fault=Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
+        if req.key_id and req.key_id not in self._catalog.keys:
+            message = "the key is not in force"
+            return Refused(fault=Fault(Code.KEY_UNKNOWN, message, Step.KEY))
+        home = self._home(req.group)
+        self._running[req.group] = self._running.get(req.group, 0) + 1
+        try:
+            return await home.serve(req)
+        finally:
+            self._running[req.group] -= 1
+            self._drop_moved()
+
+    def holds(self, group: str, now: float) -> bool:
+        """Whether this process is the group's home in this failure domain.
+
+        Args:
+            group: The group.
+            now: The time, in seconds.
+        """
+        return self._membership.holds(group, now)
 
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
-        members = [
-            instance.name
-            for instance in self._catalog.instances.values()
-            if instance.failure_domain == self._cfg.failure_domain
-            and not instance.leaving
-        ]
+        members = self._membership.live_in(self._cfg.failure_domain)
+        known = self._placed.get(group)
+        if known is not None and known[0] is members:
+            return known[1]
         owner = rendezvous(group, members)
-        if owner is not None and self._placed.get(group) != owner:
-            self._placed[group] = owner
+        if owner is not None and (known is None or known[1] != owner):
             emit(HOME_PLACED, group=group, instance=owner, considered=members)
+        self._placed[group] = (members, owner)
         return owner
 
+    def owner_in(self, failure_domain: str, group: str) -> str | None:
+        """The instance that is the group's home in a failure domain, if one is known.
+
+        It is a hint: only the instance itself knows whether it holds the home.
+        """
+        return rendezvous(group, self._membership.live_in(failure_domain))
+
     def refresh(self) -> None:
-        """Take over changes of the groups."""
+        """Take over changes of the groups, and close homes that have moved."""
         for name, home in list(self._homes.items()):
             spec = self._catalog.groups.get(name)
             if spec is None:
                 self._homes.pop(name).close()
-            else:
+            elif spec != home.group.spec:
                 home.group.update(spec)
+        self._drop_moved()
 
     def close(self) -> None:
         """Close every home."""
         for home in self._homes.values():
             home.close()
 
+    async def _send_once(self, req: RunStatement) -> Message:
+        if self.holds(req.group, self._clock()):
+            return await self.serve(req)
+        owner = self.owner(req.group)
+        if owner is None or owner == self._cfg.name:
+            return _refused(Code.NO_HOME, "the group has no home here now")
+        emit(REQUEST_FORWARDED, group=req.group, peer=owner)
+        timeout_s = req.timeout_s + FORWARD_MARGIN_S
+        answer = await self._links.call(owner, req, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Refused(fault=answer.failure())
+        reply: Message = answer.unwrap()
+        return reply
+
+    def _drop_moved(self) -> None:
+        now = self._clock()
+        for name in list(self._homes):
+            if not self._running.get(name) and not self.holds(name, now):
+                self._homes.pop(name).close()
+                self._running.pop(name, None)
+
     def _home(self, name: str) -> Home:
         if name not in self._homes:
             spec = self._catalog.groups[name]
@@ -103,6 +177,13 @@
         return Limits(row.rate / domains, max(1.0, row.burst / domains), row.weight)
 
 
+def _has_moved(answer: Message) -> bool:
+    if not isinstance(answer, Refused):
+        return False
+    fault = answer.fault
+    return fault.code is Code.NO_HOME and fault.outcome is Outcome.NOT_RUN
+
+
 def _refused(code: Code, message: str) -> Refused:
     fault = Fault(code, message, Step.FORWARD, "", Outcome.NOT_RUN, RETRY_AFTER_S)
     return Refused(fault=fault)
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -10,7 +10,7 @@
 from .errors import Code, Fault, Outcome, Step
 from .events import REQUEST_REFUSED, emit
 from .homes import Homes
-from .policy.keys import check_key
+from .policy.keys import check_key, key_id
 from .policy.session import Session, decode_session, encode_session
 from .policy.statement import classify
 from .proxies.messages import Param, Refused, Rows, RunStatement
@@ -56,12 +56,21 @@
         catalog: What is known from the platform.
         homes: The way to the groups' homes.
         failure_domain: Where this proxy runs.
+        key_max_age_s: Seconds for which keys are served without news of them.
     """
 
-    def __init__(self, catalog: Catalog, homes: Homes, failure_domain: str) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        homes: Homes,
+        failure_domain: str,
+        *,
+        key_max_age_s: float = float("inf"),
+    ) -> None:
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
+        self._key_max_age_s = key_max_age_s
 
     async def run(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
         """Run one statement for a caller."""
@@ -80,6 +89,8 @@
         return answer
 
     async def _checked(self, req: StatementRequest) -> Result[StatementAnswer, Fault]:
+        if self._catalog.age_s > self._key_max_age_s:
+            return Failure(_keys_too_old())
         customer = check_key(req.key, self._catalog.keys)
         if not isinstance(customer, Success):
             return Failure(customer.failure())
@@ -125,5 +136,11 @@
                 timeout_s=req.timeout_s,
                 idempotency_key=req.idempotency_key,
                 failure_domain=self._failure_domain,
+                key_id=key_id(req.key),
             )
         )
+
+
+def _keys_too_old() -> Fault:
+    message = "withdrawn keys were not heard of for too long"
+    return Fault(Code.NO_SERVER, message, Step.KEY, retry_after_s=1.0)
--- a/mangoramp/operators/keys.py
+++ b/mangoramp/operators/keys.py
@@ -15,6 +15,7 @@
 from ..policy.keys import key_digest, make_key
 
 SALT_BYTES = 16
+FIRST_SIGNING_KEY = "first"
 RANDOM_BYTES = 32
 
 
@@ -68,6 +69,16 @@
     return changed
 
 
+async def make_first_signing_key(client: PlatformClient) -> Result[bool, Fault]:
+    """Make the first key that signs session tokens, if nobody else has made it.
+
+    Returns:
+        Whether it was made here.
+    """
+    key = SigningKey(os.urandom(RANDOM_BYTES).hex(), time.time())
+    return await client.put(KIND_SIGNING_KEY, FIRST_SIGNING_KEY, key, version=0)
+
+
 async def make_signing_key(client: PlatformClient) -> Result[bool, Fault]:
     """Make a new key that signs session tokens; older ones go on verifying."""
     key_id = os.urandom(4).hex()
--- a/mangoramp/platform/objects.py
+++ b/mangoramp/platform/objects.py
@@ -109,6 +109,22 @@
     created_s: float
 
 
+class DomainObject(msgspec.Struct, frozen=True):
+    """The live members of a failure domain, in the kind ``domain``.
+
+    Attributes:
+        relay: The domain's relay.
+        token: The relay's fencing token.
+        number: The number of its view.
+        members: The members' names.
+    """
+
+    relay: str
+    token: int
+    number: int
+    members: tuple[str, ...]
+
+
 class InstanceObject(msgspec.Struct, frozen=True):
     """An instance of the system, in the kind ``instance``.
 
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -1,4 +1,4 @@
-"""A watch: keeps the objects of one kind as the platform last told them."""
+"""A watch: follows the objects of one kind by long polls."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from ..events import PLATFORM_BACK, PLATFORM_LOST, emit
-from .client import Changes, PlatformClient, Versioned
+from .client import Changes, PlatformClient
 
 T = TypeVar("T")
 WAIT_S = 20.0
@@ -26,8 +26,11 @@
         client: The platform.
         kind: The kind to follow.
         type_: What to decode its objects to.
-        on_change: Called with each changed object, in the order of versions.
+        since: Tells the version up to which the kind is known, -1 for nothing.
+        on_changes: Called with each answer, the version that was asked from, and when
+            it was asked, in seconds.
         rng: Source of the jitter after failures.
+        clock: Tells the time in seconds.
     """
 
     def __init__(
@@ -35,50 +38,45 @@
         client: PlatformClient,
         kind: str,
         type_: type[T],
-        on_change: Callable[[Versioned[T]], None],
         *,
+        since: Callable[[], int],
+        on_changes: Callable[[Changes[T], int, float], None],
         rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._client = client
         self._kind = kind
         self._type = type_
-        self._on_change = on_change
+        self._since = since
+        self._on_changes = on_changes
         self._rng = rng or random.Random()
-        self._ready = asyncio.Event()
-        self.version = 0
-        self.heard_at = -1.0
+        self._clock = clock
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         failures = 0
         while True:
-            wait_s = WAIT_S if self._ready.is_set() else 0.0
+            known = self._since()
+            asked_at = self._clock()
             answer = await self._client.changes(
-                self._kind, self._type, since=self.version, wait_s=wait_s
+                self._kind,
+                self._type,
+                since=max(0, known),
+                wait_s=WAIT_S if known > 0 and not failures else 0.0,
             )
             if not isinstance(answer, Success):
                 failures += 1
+                reason = answer.failure().message
                 if failures == 1:
-                    emit(
-                        PLATFORM_LOST, kind=self._kind, reason=answer.failure().message
-                    )
+                    emit(PLATFORM_LOST, kind=self._kind, reason=reason)
                 await asyncio.sleep(self._backoff(failures))
                 continue
             if failures:
                 emit(PLATFORM_BACK, kind=self._kind, failures=failures)
             failures = 0
-            self._take(answer.unwrap())
-
-    async def ready(self) -> None:
-        """Wait for the first listing."""
-        await self._ready.wait()
-
-    def _take(self, changes: Changes[T]) -> None:
-        self.heard_at = time.monotonic()
-        for versioned in changes.objects:
-            self._on_change(versioned)
-        self.version = max(self.version, changes.version)
-        self._ready.set()
+            self._on_changes(answer.unwrap(), max(0, known), asked_at)
+            if known == 0 == answer.unwrap().version:
+                await asyncio.sleep(self._backoff(1))
 
     def _backoff(self, failures: int) -> float:
         longest = min(RETRY_MAX_S, RETRY_BASE_S * 2 ** min(failures, 10))
--- a/mangoramp/policy/cache.py
+++ b/mangoramp/policy/cache.py
@@ -7,6 +7,7 @@
 import msgspec
 
 MAX_TOMBSTONES = 4096
+UNLISTED = -1
 
 
 class Item(msgspec.Struct, frozen=True, array_like=True):
@@ -47,19 +48,24 @@
     """
 
     def __init__(self, kinds: Iterable[str]) -> None:
-        self._complete = dict.fromkeys(kinds, 0)
+        self._complete = dict.fromkeys(kinds, UNLISTED)
         self._floors = dict.fromkeys(self._complete, 0)
+        self._last = dict.fromkeys(self._complete, 0)
         self._items: dict[str, dict[str, Item]] = {k: {} for k in self._complete}
 
     @property
     def newest(self) -> int:
         """The highest version of any object that is in force."""
-        held = (i.version for items in self._items.values() for i in items.values())
-        return max(held, default=0)
+        return max(self._last.values(), default=0)
 
     def versions(self) -> dict[str, int]:
-        """The version up to which each kind is complete."""
-        return dict(self._complete)
+        """The version up to which each kind is complete, for those once listed."""
+        return {k: v for k, v in self._complete.items() if v != UNLISTED}
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether every kind was listed once."""
+        return UNLISTED not in self._complete.values()
 
     def take(self, delta: Delta) -> tuple[Item, ...]:
         """Take over changes from any source, in any order and number.
@@ -76,7 +82,7 @@
         if delta.since == 0:
             items += self._missing(delta)
         accepted = tuple(item for item in items if self._accept(delta.kind, item))
-        if delta.since <= self._complete[delta.kind]:
+        if delta.since == 0 or delta.since <= self._complete[delta.kind]:
             self._complete[delta.kind] = max(self._complete[delta.kind], delta.version)
         self._prune(delta.kind)
         return accepted
@@ -84,7 +90,7 @@
     def since(self, kind: str, version: int) -> Delta:
         """What changed in a kind after a version."""
         items = self._items[kind].values()
-        if version < self._floors[kind] or version == 0:
+        if version < self._floors[kind] or version <= 0:
             found = [item for item in items if item.value is not None]
             return Delta(kind, 0, self._complete[kind], tuple(found))
         found = [item for item in items if item.version > version]
@@ -93,9 +99,17 @@
     def news(self, versions: Mapping[str, int]) -> tuple[Delta, ...]:
         """The kinds of which more is known here than a peer has in force."""
         return tuple(
-            self.since(kind, versions.get(kind, 0))
+            self.since(kind, versions.get(kind, UNLISTED))
             for kind, complete in self._complete.items()
-            if complete > versions.get(kind, 0)
+            if complete > versions.get(kind, UNLISTED)
+        )
+
+    def has_news(self, versions: Mapping[str, int]) -> bool:
+        """Whether an object changed here that a peer has not in force."""
+        return any(
+            kind not in versions or last > versions[kind]
+            for kind, last in self._last.items()
+            if self._complete[kind] != UNLISTED
         )
 
     def is_behind(self, versions: Mapping[str, int]) -> bool:
@@ -110,6 +124,7 @@
         if item.version <= oldest:
             return False
         self._items[kind][item.name] = item
+        self._last[kind] = max(self._last[kind], item.version)
         return True
 
     def _missing(self, delta: Delta) -> tuple[Item, ...]:
--- a/mangoramp/policy/domain.py
+++ b/mangoramp/policy/domain.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from .lease import DRIFT, NEVER, Lease, LeaseRecord
-from .membership import Beat, Grant, Member, Relay, View, grant_period
+from .membership import Beat, Grant, Member, Relay, View, grant_period, lease_ttl
 
-TTL_S = 2.5
 FORGET_S = 60.0
 
 
@@ -19,23 +18,15 @@
         incarnation: This process.
         address: Where it listens for its peers.
         now: The time at its start, in seconds.
-        ttl_s: Seconds for which the relay's lease is taken.
     """
 
     def __init__(
-        self,
-        name: str,
-        incarnation: str,
-        address: str,
-        *,
-        now: float,
-        ttl_s: float = TTL_S,
+        self, name: str, incarnation: str, address: str, *, now: float
     ) -> None:
         self.name = name
-        self.lease = Lease(name, incarnation, address, ttl_s=ttl_s)
+        self.lease = Lease(name, incarnation, address)
         self.member = Member(name, incarnation, now=now)
         self.relay: Relay | None = None
-        self._ttl_s = ttl_s
         self._before: LeaseRecord | None = None
 
     @property
@@ -95,13 +86,12 @@
             return None
         rec = self.lease.record
         self._before = rec
-        # Whoever takes the lease from this process will not wait for its homes.
-        self.member.cap(now + self._ttl_s * (1 - DRIFT))
         earlier = rec.members if rec is not None else ()
-        members = tuple(sorted({self.name, *earlier}))
         longest = rec.grant_s if rec is not None else 0.0
-        grant_s = max(longest, grant_period(len(members)))
-        return self.lease.ask(now, grant_s=grant_s, members=members)
+        wanted = self._ask(now, earlier, longest)
+        # Whoever takes the lease from this process will not wait for its homes.
+        self.member.cap(now + wanted.ttl_s * (1 - DRIFT))
+        return wanted
 
     def release(self, now: float) -> LeaseRecord | None:
         """The record that gives the lease up, None if it is not held."""
@@ -154,9 +144,13 @@
 
     def _renewal(self, relay: Relay, now: float) -> LeaseRecord:
         relay.forget(now, after_s=FORGET_S)
-        members = tuple(sorted({self.name, *relay.members}))
-        grant_s = max(relay.grant_s, grant_period(len(members)))
-        return self.lease.ask(now, grant_s=grant_s, members=members)
+        return self._ask(now, relay.members, relay.grant_s)
+
+    def _ask(self, now: float, others: Iterable[str], longest_s: float) -> LeaseRecord:
+        members = tuple(sorted({self.name, *others}))
+        grant_s = max(longest_s, grant_period(len(members)))
+        ttl_s = lease_ttl(len(members))
+        return self.lease.ask(now, ttl_s=ttl_s, grant_s=grant_s, members=members)
 
     def _take_over(self, token: int, now: float) -> Relay:
         before = self._before
--- a/mangoramp/policy/keys.py
+++ b/mangoramp/policy/keys.py
@@ -46,6 +46,12 @@
     return key_id, f"mr_{key_id}_{secret}"
 
 
+def key_id(key: str) -> str:
+    """The public id of a key, empty if it is none."""
+    found = KEY.fullmatch(key)
+    return found[1] if found else ""
+
+
 def key_digest(key: str, salt: bytes) -> bytes:
     """Hash a key; its 192 random bits need no slow hash."""
     return hashlib.sha256(salt + key.encode()).digest()
--- a/mangoramp/policy/lease.py
+++ b/mangoramp/policy/lease.py
@@ -47,18 +47,14 @@
         name: This instance.
         incarnation: This process.
         address: Where this process listens; no other can at the same time.
-        ttl_s: Seconds for which it is taken.
     """
 
-    def __init__(
-        self, name: str, incarnation: str, address: str, *, ttl_s: float
-    ) -> None:
+    def __init__(self, name: str, incarnation: str, address: str) -> None:
         self.version = 0
         self.record: LeaseRecord | None = None
         self._name = name
         self._incarnation = incarnation
         self._address = address
-        self._ttl_s = ttl_s
         self._moved_at = NEVER
         self._token = 0
         self._until = NEVER
@@ -105,7 +101,7 @@
         return now - self._moved_at >= rec.ttl_s
 
     def ask(
-        self, now: float, *, grant_s: float, members: tuple[str, ...]
+        self, now: float, *, ttl_s: float, grant_s: float, members: tuple[str, ...]
     ) -> LeaseRecord:
         """The record to write, over :attr:`version`, to take or renew the lease."""
         rec = self.record
@@ -114,7 +110,7 @@
             incarnation=self._incarnation,
             token=self._token if self.is_mine else self._token + 1,
             renewal=rec.renewal + 1 if rec is not None else 1,
-            ttl_s=self._ttl_s,
+            ttl_s=ttl_s,
             grant_s=grant_s,
             address=self._address,
             members=members,
--- a/mangoramp/policy/membership.py
+++ b/mangoramp/policy/membership.py
@@ -21,6 +21,7 @@
 BEAT_MIN_S = 0.8
 BEAT_PER_MEMBER_S = 0.02
 BEATS_PER_GRANT = 5
+BEATS_PER_TTL = 3
 MAX_VIEWS = 16
 
 
@@ -96,6 +97,11 @@
     return BEATS_PER_GRANT * beat_interval(members)
 
 
+def lease_ttl(members: int) -> float:
+    """Seconds for which a relay takes its lease in a failure domain of a size."""
+    return BEATS_PER_TTL * beat_interval(members)
+
+
 class Member:
     """One instance's part in its failure domain.
 
@@ -108,9 +114,11 @@
     def __init__(self, name: str, incarnation: str, *, now: float) -> None:
         self.view = View()
         self.grant_s = grant_period(1)
+        self.settled = False
         self._name = name
         self._incarnation = incarnation
         self._views: tuple[View, ...] = ()
+        self._mine: dict[str, bool] = {}
         self._until = NEVER
         self._started_at = now
         self._promised = NEVER
@@ -151,6 +159,7 @@
             return False
         if now >= self._until:
             self._views = ()
+            self._mine.clear()
         until = asked_at + grant.grant_s * (1 - DRIFT)
         if grant.token == self.view.token:
             until = max(self._until, until)
@@ -158,6 +167,7 @@
         self._take_view(grant)
         self._take_promise(grant, now)
         self.grant_s = grant.grant_s or self.grant_s
+        self.settled = grant.settled
         return True
 
     def cap(self, until: float) -> None:
@@ -168,7 +178,10 @@
         """Whether this process may serve a group as its home now."""
         if now >= self._until or not self._views:
             return False
-        return all(rendezvous(group, v.members) == self._name for v in self._views)
+        if group not in self._mine:
+            owners = {rendezvous(group, v.members) for v in self._views}
+            self._mine[group] = owners == {self._name}
+        return self._mine[group]
 
     def holds_any(self, now: float) -> bool:
         """Whether a settled view's grant is in force here."""
@@ -201,6 +214,7 @@
             self._views += (self.view,)
         if len(self._views) > MAX_VIEWS:
             self._views = ()
+        self._mine.clear()
 
 
 @dataclass(slots=True)
@@ -313,7 +327,7 @@
         return all(self._is_done(name, now) for name in self._pending)
 
     def forget(self, now: float, *, after_s: float) -> tuple[str, ...]:
-        """Forget the members that were not heard for long.
+        """Forget the members that have left or were not heard for long.
 
         Returns:
             Their names.
@@ -321,7 +335,8 @@
         gone = tuple(
             name
             for name, known in self._members.items()
-            if now - known.heard_at >= after_s and now >= known.until
+            if self._has_left(name, now)
+            or (now - known.heard_at >= after_s and now >= known.until)
         )
         for name in gone:
             del self._members[name]
@@ -345,6 +360,10 @@
             known = self._members[beat.sender] = _Known(beat.incarnation, now)
         return known
 
+    def _has_left(self, name: str, now: float) -> bool:
+        left = self._members[name].leaving and name not in self.view.members
+        return left and self.is_settled(now)
+
     def _may_differ(self, live: tuple[str, ...], now: float) -> frozenset[str]:
         left = set(self.view.members) - set(live)
         joined = set(live) - set(self.view.members)
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -34,6 +35,7 @@
     def __init__(self, address: str, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: Counter[type[Message]] = Counter()
         self._sock = pynng.Pair1(
             polyamorous=True,
             listen=address,
@@ -53,6 +55,10 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def busy(self, *, apart_from: type[Message]) -> int:
+        """How many requests are being answered, apart from those of one kind."""
+        return sum(n for kind, n in self._busy.items() if kind is not apart_from)
+
     def close(self) -> None:
         """Stop listening and drop what is being answered."""
         self._sock.close()
@@ -64,9 +70,13 @@
             req = decode(msg.bytes)
         except msgspec.DecodeError:
             return
-        answer = msgspec.structs.replace(await self._handler(req), id=req.id)
-        with contextlib.suppress(pynng.NNGException):
-            await msg.pipe.asend(encode(answer))
+        self._busy[type(req)] += 1
+        try:
+            answer = msgspec.structs.replace(await self._handler(req), id=req.id)
+            with contextlib.suppress(pynng.NNGException):
+                await msg.pipe.asend(encode(answer))
+        finally:
+            self._busy[type(req)] -= 1
 
 
 class Link:
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from ..errors import Fault
+from ..policy.cache import Delta
+from ..policy.membership import Beat, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 
@@ -35,6 +37,7 @@
         timeout_s: Seconds left to the request.
         idempotency_key: The caller's, empty if there is none.
         failure_domain: Where the request came in.
+        key_id: The public id of the key that came with the request.
     """
 
     customer: str
@@ -47,6 +50,7 @@
     timeout_s: float
     idempotency_key: str = ""
     failure_domain: str = ""
+    key_id: str = ""
 
 
 class Rows(Envelope, frozen=True):
@@ -79,7 +83,52 @@
     fault: Fault
 
 
-Message = RunStatement | Rows | Refused
+class Heartbeat(Envelope, frozen=True):
+    """A member's beat to its failure domain's relay."""
+
+    beat: Beat
+
+
+class Granted(Envelope, frozen=True, omit_defaults=True):
+    """The relay's answer to a heartbeat.
+
+    Attributes:
+        grant: What the member may do.
+        lost: The failure domains whose relay gives no sign of life.
+    """
+
+    grant: Grant
+    lost: tuple[str, ...] = ()
+
+
+class Follow(Envelope, frozen=True):
+    """Asks for the changes of the platform's objects, and waits for the first.
+
+    Attributes:
+        sender: Who asks.
+        versions: The version up to which each kind is complete there.
+        wait_s: Seconds to wait.
+    """
+
+    sender: str
+    versions: dict[str, int]
+    wait_s: float
+
+
+class Changed(Envelope, frozen=True):
+    """The changes of the platform's objects.
+
+    Attributes:
+        deltas: What changed, by kind.
+        fresh_s: When the platform was last heard, in seconds after the question came
+            (negative before it); None if it never was.
+    """
+
+    deltas: tuple[Delta, ...]
+    fresh_s: float | None
+
+
+Message = RunStatement | Rows | Refused | Heartbeat | Granted | Follow | Changed
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable
 from functools import singledispatch
 
 from prometheus_client import CollectorRegistry
@@ -12,19 +13,28 @@
 
 from .callers.app import MAX_BODY_BYTES, callers_application
 from .callers.health import health_application
+from .callers.in_flight import InFlight
 from .catalog import KIND_INSTANCE, Catalog
+from .distribution import Distribution
 from .errors import Code, Fault, Step
-from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
+from .events import DRAINED, PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .membership import Membership, withdraw_instance
+from .operators.keys import make_first_signing_key
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import Follow, Heartbeat, Message, Refused, RunStatement
 from .settings import ProxySettings
 
 REGISTER_RETRY_S = 0.2
+HOMES_WAIT_S = 3.0
+SIGNING_KEY_RETRY_S = 0.5
+POLL_S = 0.02
+LINGER_S = 0.1
+GOODBYE_S = 1.0
 
 
 class Proxy:
@@ -39,34 +49,96 @@
         self.registry = CollectorRegistry()
         self.ready = False
         self._client = PlatformClient(cfg.platform)
-        self.catalog = Catalog(self._client)
+        self.catalog = Catalog()
         self._links = Links(self._address_of)
-        self.homes = Homes(cfg, self.catalog, self._links)
+        self.distribution = Distribution(
+            cfg.name, self.catalog, self._client, self._links
+        )
+        self.membership = Membership(
+            cfg, self._client, self.catalog, self._links, self.distribution
+        )
+        self.homes = Homes(cfg, self.catalog, self._links, self.membership)
         self.catalog.on_change = self.homes.refresh
-        self._ingress = Ingress(self.catalog, self.homes, cfg.failure_domain)
+        self.membership.on_change = self.homes.refresh
+        self._ingress = Ingress(
+            self.catalog,
+            self.homes,
+            cfg.failure_domain,
+            key_max_age_s=cfg.key_max_age_s,
+        )
+        self._in_flight = InFlight()
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
         self._answer.register(RunStatement, self.homes.serve)
+        self._answer.register(Heartbeat, self.membership.hear)
+        self._answer.register(Follow, self.distribution.answer)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
         self._peers = LinkServer(self.cfg.peer_address, self._answer)
         self._tasks = [
             asyncio.ensure_future(self._peers.run()),
-            asyncio.ensure_future(self.catalog.run()),
+            asyncio.ensure_future(self.distribution.run()),
+            asyncio.ensure_future(self.membership.run()),
         ]
         self._listen()
-        await self._register()
+        await self._register(leaving=False)
         await self.catalog.ready()
+        await self._ensure_signing_key()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.membership.ready(), HOMES_WAIT_S)
         self.ready = True
         emit(PROXY_STARTED, name=self.cfg.name, failure_domain=self.cfg.failure_domain)
 
+    async def shut_down(self, hurry: asyncio.Event) -> None:
+        """Stop without cutting a request.
+
+        Args:
+            hurry: Set it to stop at once instead.
+        """
+        emit(PROXY_STOPPING, name=self.cfg.name)
+        self.ready = False
+        await _unless(hurry, self._drain(), self.cfg.drain_s + self.cfg.ready_grace_s)
+        await self._close()
+
     async def stop(self) -> None:
         """Stop at once."""
         emit(PROXY_STOPPING, name=self.cfg.name)
         self.ready = False
+        await self._close()
+
+    async def _drain(self) -> None:
+        marked = asyncio.ensure_future(self._register(leaving=True))
+        try:
+            await self._drain_requests()
+        finally:
+            marked.cancel()
+        with contextlib.suppress(TimeoutError):
+            gone = withdraw_instance(self._client, self.cfg.name)
+            await asyncio.wait_for(gone, GOODBYE_S)
+
+    async def _drain_requests(self) -> None:
+        # The only member has nobody to hand its homes to before its callers are gone.
+        alone = self.membership.view.members in ((), (self.cfg.name,))
+        self._in_flight.closing = True
+        grace = asyncio.sleep(self.cfg.ready_grace_s)
+        if alone:
+            await grace
+        else:
+            await asyncio.gather(grace, self.membership.leave())
+        for server in self._http:
+            server.stop()
+        await self._in_flight.idle()
+        while self._peers is not None and self._peers.busy(apart_from=Follow):
+            await asyncio.sleep(POLL_S)
+        emit(DRAINED, name=self.cfg.name)
+        if alone:
+            await self.membership.leave()
+        await asyncio.sleep(LINGER_S)
+
+    async def _close(self) -> None:
         for server in self._http:
             server.stop()
         for task in self._tasks:
@@ -84,7 +156,8 @@
     def _listen(self) -> None:
         cfg = self.cfg
         callers = HTTPServer(
-            callers_application(self._ingress), max_body_size=MAX_BODY_BYTES
+            callers_application(self._ingress, in_flight=self._in_flight),
+            max_body_size=MAX_BODY_BYTES,
         )
         callers.listen(cfg.listen_port, address=cfg.listen_host)
         health = HTTPServer(health_application(self.registry, lambda: self.ready))
@@ -92,12 +165,14 @@
         self._http = [callers, health]
 
     def _address_of(self, peer: str) -> str | None:
+        if peer == self.membership.relay:
+            return self.membership.relay_address
         instance = self.catalog.instances.get(peer)
         return instance.address if instance is not None else None
 
-    async def _register(self) -> None:
+    async def _register(self, *, leaving: bool) -> None:
         cfg = self.cfg
-        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address)
+        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address, leaving)
         while True:
             found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
             if isinstance(found, Success):
@@ -110,15 +185,46 @@
                 continue
             await asyncio.sleep(REGISTER_RETRY_S)
 
+    async def _ensure_signing_key(self) -> None:
+        while self.catalog.signing_keys is None:
+            await make_first_signing_key(self._client)
+            await self.catalog.changed(SIGNING_KEY_RETRY_S)
+
 
 async def _refuse_unknown(req: Message) -> Message:
     message = "this message is no request"
     return Refused(fault=Fault(Code.BAD_REQUEST, message, Step.FORWARD))
 
 
-async def run_until_stopped(proxy: Proxy, stopped: asyncio.Event) -> None:
-    """Run a proxy until an event is set."""
-    await proxy.start()
-    with contextlib.suppress(asyncio.CancelledError):
-        await stopped.wait()
-    await proxy.stop()
+async def _unless(
+    event: asyncio.Event, work: Awaitable[None], timeout_s: float
+) -> None:
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(event.wait())
+    first = asyncio.FIRST_COMPLETED
+    await asyncio.wait((working, waiting), timeout=timeout_s, return_when=first)
+    for task in (working, waiting):
+        task.cancel()
+    await asyncio.gather(working, waiting, return_exceptions=True)
+
+
+async def run_until_stopped(
+    proxy: Proxy, stopped: asyncio.Event, hurry: asyncio.Event | None = None
+) -> None:
+    """Run a proxy until an event is set, then shut it down.
+
+    Args:
+        proxy: The proxy.
+        stopped: Ends the run.
+        hurry: Makes the shutdown stop at once.
+    """
+    start = asyncio.ensure_future(proxy.start())
+    stop = asyncio.ensure_future(stopped.wait())
+    await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():
+        start.cancel()
+        await proxy.stop()
+        return
+    start.result()
+    await stop
+    await proxy.shut_down(hurry or asyncio.Event())
--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -37,6 +37,11 @@
         metrics_port: Port for metrics, on the same address.
         peer_address: Where other proxies reach this one, as ``tcp://ip:port``.
         failure_domains: How many failure domains share each server's connections.
+        key_max_age_s: Seconds for which known keys are served while no news of keys
+            can be had, neither from the platform nor from a peer.
+        ready_grace_s: Seconds between the end of readiness and the end of listening,
+            in which the balancer can notice.
+        drain_s: Seconds that a shutdown gives the requests in flight.
         log: How the process logs.
     """
 
@@ -48,6 +53,9 @@
     metrics_port: int
     peer_address: str
     failure_domains: int = 3
+    key_max_age_s: float = 7200.0
+    drain_s: float = 30.0
+    ready_grace_s: float = 2.0
     log: LogSettings = LogSettings()
 
 
