Hand homes over at once at a shutdown, and wake members at a new view

Seen in a run of two processes under load: callers got no_home for 2 s after the relay's SIGTERM. Causes: the relay released its lease before its members were told that the view without it is settled; a member that became a candidate after it read the lease never polled it again; a member that had left kept beating and was taken back.

--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import Any
@@ -121,8 +122,7 @@
             self._listed.set()
         if not accepted:
             return
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.wake()
         if delta.kind != KIND_KEY:
             self.on_change()
 
@@ -134,16 +134,20 @@
         """
         self._fresh_at = max(self._fresh_at, fresh_at)
 
+    def wake(self) -> None:
+        """Let all who wait for a change look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def ready(self) -> None:
         """Wait until everything was read once."""
         await self._listed.wait()
 
     async def changed(self, timeout_s: float) -> None:
         """Wait for the next change, but no longer than a time."""
-        try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     def _take_group(self, item: Item, group: GroupObject | None) -> None:
         if group is None:
--- a/mangoramp/distribution.py
+++ b/mangoramp/distribution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -36,6 +37,10 @@
         links: The way to the other proxies.
         rng: Source of the jitter.
         clock: Tells the time in seconds.
+
+    Attributes:
+        relay_stamp: Tells the view that is granted here, 0 if this is no relay.
+        on_stamp: Called when the relay's view has changed.
     """
 
     def __init__(
@@ -61,6 +66,9 @@
         self._pulling: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._heard_at = clock()
+        self._stamp = 0
+        self.relay_stamp: Callable[[], int] = lambda: 0
+        self.on_stamp: Callable[[], None] = lambda: None
 
     @property
     def is_watching(self) -> bool:
@@ -96,14 +104,21 @@
         cache = self._catalog.cache
         if cache.is_behind(req.versions):
             self._start_pull(req.sender)
-        while not cache.has_news(req.versions):
+        while not (cache.has_news(req.versions) or self._has_stamp(req)):
             left = arrived_at + req.wait_s - self._clock()
             if left <= 0:
                 break
             await self._catalog.changed(left)
         fresh_at = self._catalog.fresh_at
         fresh_s = fresh_at - arrived_at if fresh_at > float("-inf") else None
-        return Changed(deltas=cache.news(req.versions), fresh_s=fresh_s)
+        return Changed(
+            deltas=cache.news(req.versions),
+            fresh_s=fresh_s,
+            stamp=self.relay_stamp(),
+        )
+
+    def _has_stamp(self, req: Follow) -> bool:
+        return self.relay_stamp() not in (0, req.stamp)
 
     async def _run(self) -> None:
         patience_s = self._patience()
@@ -139,7 +154,9 @@
     async def _pull(self, source: str, wait_s: float) -> bool:
         asked_at = self._clock()
         versions = self._catalog.cache.versions()
-        req = Follow(sender=self._name, versions=versions, wait_s=wait_s)
+        req = Follow(
+            sender=self._name, versions=versions, wait_s=wait_s, stamp=self._stamp
+        )
         answer = await self._links.call(source, req, timeout_s=wait_s + ANSWER_S)
         if not isinstance(answer, Success):
             return False
@@ -150,6 +167,9 @@
             self._catalog.take(delta)
         if changed.fresh_s is not None:
             self._catalog.refresh(asked_at + changed.fresh_s)
+        if changed.stamp not in (0, self._stamp):
+            self._stamp = changed.stamp
+            self.on_stamp()
         return True
 
     def _start_pull(self, source: str) -> None:
@@ -204,7 +224,6 @@
         return FALLBACK_S + self._rng.uniform(0, FALLBACK_JITTER_S)
 
     async def _sleep(self, seconds: float) -> None:
-        try:
-            await asyncio.wait_for(self._changed.wait(), seconds)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -24,7 +24,7 @@
 CONTROL_CONNECTIONS = 1
 RETRY_AFTER_S = 0.5
 FORWARD_MARGIN_S = 0.2
-MOVE_WAIT_S = 0.25
+MOVE_WAITS_S = (0.1, 0.2, 0.4)
 
 
 class Homes:
@@ -64,18 +64,17 @@
     async def send(self, req: RunStatement) -> Message:
         """Have a request run at the home of its group.
 
-        One that was refused because the home had moved is sent once more.
+        One that was refused because the home is moving is sent again soon.
         """
         deadline = self._clock() + req.timeout_s
         answer = await self._send_once(req)
-        if not _has_moved(answer):
-            return answer
-        left = deadline - self._clock()
-        if left <= MOVE_WAIT_S:
-            return answer
-        await asyncio.sleep(MOVE_WAIT_S)
-        left = deadline - self._clock()
-        return await self._send_once(replace(req, timeout_s=left))
+        for wait_s in MOVE_WAITS_S:
+            left = deadline - self._clock() - wait_s
+            if not _is_moving(answer) or left <= 0:
+                return answer
+            await asyncio.sleep(wait_s)
+            answer = await self._send_once(replace(req, timeout_s=left))
+        return answer
 
     async def serve(self, req: RunStatement) -> Message:
         """Run a request at a home that is here."""
@@ -177,7 +176,7 @@
         return Limits(row.rate / domains, max(1.0, row.burst / domains), row.weight)
 
 
-def _has_moved(answer: Message) -> bool:
+def _is_moving(answer: Message) -> bool:
     if not isinstance(answer, Refused):
         return False
     fault = answer.fault
--- a/mangoramp/membership.py
+++ b/mangoramp/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import time
@@ -26,7 +27,7 @@
 from .platform.objects import DomainObject, InstanceObject
 from .policy._rendezvous import rendezvous
 from .policy.domain import DomainPart
-from .policy.lease import LeaseRecord
+from .policy.lease import LeaseRecord, candidates
 from .policy.membership import BEATS_PER_GRANT, View, lease_ttl
 from .policy.survey import Survey
 from .proxies.links import Links
@@ -42,7 +43,7 @@
 JITTER = 0.1
 LAG_S = 3.0
 LEAVE_S = 5.0
-FOREIGN_SOURCES = 2
+STAMP_BITS = 32
 
 
 class Membership:
@@ -88,12 +89,15 @@
         self._suspected = ""
         self._leaving = False
         self._left = asyncio.Event()
+        self._released = asyncio.Event()
         self._settled = asyncio.Event()
         self._nudge = asyncio.Event()
         self._renew = asyncio.Event()
         self._survey = Survey()
         self._lost: tuple[str, ...] = ()
         self._lag_since: dict[str, float] = {}
+        distribution.relay_stamp = self._stamp
+        distribution.on_stamp = self._nudge.set
 
     @property
     def view(self) -> View:
@@ -159,17 +163,21 @@
         self._leaving = True
         self._nudge.set()
         try:
-            await asyncio.wait_for(self._left.wait(), LEAVE_S)
+            async with asyncio.timeout(LEAVE_S):
+                await self._left.wait()
+                await self._released.wait()
         except TimeoutError:
             return False
-        finally:
-            await self._release()
         emit(HANDED_OVER, view=self.view.number, members=self.view.members)
         return True
 
     async def hear(self, req: Heartbeat) -> Message:
         """Answer a member's beat, if this process is the relay."""
+        known = self._stamp()
         grant = self.part.hear(req.beat, self._clock())
+        if self._stamp() != known:
+            self._nudge.set()
+            self._catalog.wake()
         if req.beat.sender not in self.part.lease.recorded:
             self._renew.set()
         if grant is None:
@@ -178,26 +186,41 @@
             return Refused(fault=fault)
         return Granted(grant=grant, lost=self._lost)
 
+    def _stamp(self) -> int:
+        relay, now = self.part.relay, self._clock()
+        if relay is None:
+            return 0
+        view = relay.view
+        return (view.token << STAMP_BITS | view.number) * 2 + relay.is_settled(now)
+
     async def _lead(self) -> None:
         while True:
             self._renew.clear()
             if self._needs_lease():
                 await self._hold_lease()
-            await _wait(self._renew, self._poll_interval())
+            leaving = self._left.is_set()
+            await _wait(self._renew, HELLO_S if leaving else self._poll_interval())
 
     def _needs_lease(self) -> bool:
         rec = self.part.lease.record
+        if self._left.is_set():
+            return not self._released.is_set()
         if rec is None or self._cfg.name in rec.candidates:
-            return not self._left.is_set()
+            return True
+        if self._cfg.name in candidates(self.relay, self.view.members):
+            return True
         silent_s = self._clock() - self._granted_at
         return silent_s > 2 * self._beat_interval() + self._rng.uniform(0, 1)
 
     async def _hold_lease(self) -> None:
         if not await self._read_lease():
             return
+        if self._left.is_set():
+            await self._release()
+            return
         listed = self._catalog.instances
         wanted = self.part.wanted(self._clock(), listed=listed)
-        if wanted is None or self._left.is_set():
+        if wanted is None:
             return
         await self._write_lease(wanted)
         await self._read_lease()
@@ -223,14 +246,22 @@
         await self._client.put(KIND_LEASE, self._lease_name, record, version=version)
 
     async def _release(self) -> None:
+        relay = self.part.relay
+        if relay is None:
+            self._released.set()
+            return
+        if not relay.is_told():
+            return
         released = self.part.release(self._clock())
         if released is not None:
             await self._write_lease(released)
+            self._renew.set()
 
     async def _beat(self) -> None:
         while True:
             self._nudge.clear()
-            if self.relay:
+            has_left = self._left.is_set() and self.part.relay is None
+            if self.relay and not has_left:
                 await self._beat_once(self.relay)
             else:
                 await _wait(self._nudge, HELLO_S)
@@ -286,6 +317,7 @@
         self._settled.set()
         if self._leaving and self._cfg.name not in self.view.members:
             self._left.set()
+            self._renew.set()
 
     def _suspect(self, relay: str) -> None:
         if self._suspected != relay:
@@ -323,6 +355,7 @@
             await asyncio.sleep(self._rng.uniform(0.5, 1.5) * SURVEY_S)
             if self.part.relay is None:
                 continue
+            self._assign_sources()
             await self._publish_view()
             self._note_lag()
             await self._survey_next()
@@ -380,10 +413,9 @@
 
 
 async def _wait(event: asyncio.Event, seconds: float) -> None:
-    try:
-        await asyncio.wait_for(event.wait(), seconds)
-    except TimeoutError:
-        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
 
 
 async def withdraw_instance(client: PlatformClient, name: str) -> None:
--- a/mangoramp/policy/lease.py
+++ b/mangoramp/policy/lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 DRIFT = 0.02
@@ -36,8 +37,13 @@
     @property
     def candidates(self) -> tuple[str, ...]:
         """The instances that may take the lease when it is over."""
-        others = [name for name in self.members if name != self.holder]
-        return (self.holder, *others[: CANDIDATES - 1])
+        return candidates(self.holder, self.members)
+
+
+def candidates(holder: str, members: Iterable[str]) -> tuple[str, ...]:
+    """The instances that may take a lease when it is over, its holder first."""
+    others = sorted(name for name in members if name != holder)
+    return (holder, *others[: CANDIDATES - 1])
 
 
 class Lease:
--- a/mangoramp/policy/membership.py
+++ b/mangoramp/policy/membership.py
@@ -226,6 +226,7 @@
     leaving: bool = False
     in_force: int = 0
     view: tuple[int, int] = field(default=(0, 0))
+    told: tuple[int, int] = field(default=(0, 0))
 
 
 class Relay:
@@ -275,6 +276,7 @@
         """
         known = self._member(beat, now)
         if known is None or beat.sender not in recorded:
+            # It is put into the lease first; until then it may do nothing new.
             return Grant(self.view.token, 0, False, 0.0, now)
         known.heard_at = now
         known.leaving = beat.leaving
@@ -286,10 +288,13 @@
         known.until = max(known.until, now + self.grant_s)
         self.review(now, recorded=recorded)
         has_it = (beat.token, beat.number) == self.view.key
+        settled = self.is_settled(now)
+        if settled:
+            known.told = self.view.key
         return Grant(
             token=self.view.token,
             number=self.view.number,
-            settled=self.is_settled(now),
+            settled=settled,
             grant_s=self.grant_s,
             stamp=now,
             members=None if has_it or not self.view.number else self.view.members,
@@ -326,6 +331,11 @@
             return False
         return all(self._is_done(name, now) for name in self._pending)
 
+    def is_told(self) -> bool:
+        """Whether each member of the view was told that it is settled."""
+        known = self._members
+        return all(known[name].told == self.view.key for name in self.view.members)
+
     def forget(self, now: float, *, after_s: float) -> tuple[str, ...]:
         """Forget the members that have left or were not heard for long.
 
@@ -352,6 +362,8 @@
 
     def _member(self, beat: Beat, now: float) -> _Known | None:
         known = self._members.get(beat.sender)
+        if known is None and beat.leaving:
+            return None
         if known is None:
             known = self._members[beat.sender] = _Known(beat.incarnation, now)
         elif known.incarnation != beat.incarnation:
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -130,7 +130,8 @@
         self._waiting[msg_id] = fut
         try:
             data = encode(msgspec.structs.replace(req, id=msg_id))
-            await asyncio.wait_for(self._exchange(pipes[0], data, fut), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._exchange(pipes[0], data, fut)
             return Success(fut.result())
         except TimeoutError:
             return Failure(self._lost(Code.TIMEOUT, "did not answer in time"))
@@ -148,10 +149,9 @@
         if self.connected:
             return True
         self._joined.clear()
-        try:
-            await asyncio.wait_for(self._joined.wait(), timeout_s)
-        except TimeoutError:
-            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._joined.wait()
         return self.connected
 
     async def _exchange(
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -108,11 +108,13 @@
         sender: Who asks.
         versions: The version up to which each kind is complete there.
         wait_s: Seconds to wait.
+        stamp: The last :attr:`Changed.stamp` that the sender has seen.
     """
 
     sender: str
     versions: dict[str, int]
     wait_s: float
+    stamp: int = 0
 
 
 class Changed(Envelope, frozen=True):
@@ -122,10 +124,13 @@
         deltas: What changed, by kind.
         fresh_s: When the platform was last heard, in seconds after the question came
             (negative before it); None if it never was.
+        stamp: Tells the relay's view, and whether it is settled; 0 if the answering
+            process is no relay. A member that sees it change is to beat at once.
     """
 
     deltas: tuple[Delta, ...]
     fresh_s: float | None
+    stamp: int = 0
 
 
 Message = RunStatement | Rows | Refused | Heartbeat | Granted | Follow | Changed
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterable
 from functools import singledispatch
 
 from prometheus_client import CollectorRegistry
@@ -34,6 +34,7 @@
 SIGNING_KEY_RETRY_S = 0.5
 POLL_S = 0.02
 LINGER_S = 0.1
+CANCEL_RETRY_S = 0.1
 GOODBYE_S = 1.0
 
 
@@ -88,7 +89,8 @@
         await self.catalog.ready()
         await self._ensure_signing_key()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.membership.ready(), HOMES_WAIT_S)
+            async with asyncio.timeout(HOMES_WAIT_S):
+                await self.membership.ready()
         self.ready = True
         emit(PROXY_STARTED, name=self.cfg.name, failure_domain=self.cfg.failure_domain)
 
@@ -116,8 +118,8 @@
         finally:
             marked.cancel()
         with contextlib.suppress(TimeoutError):
-            gone = withdraw_instance(self._client, self.cfg.name)
-            await asyncio.wait_for(gone, GOODBYE_S)
+            async with asyncio.timeout(GOODBYE_S):
+                await withdraw_instance(self._client, self.cfg.name)
 
     async def _drain_requests(self) -> None:
         # The only member has nobody to hand its homes to before its callers are gone.
@@ -141,11 +143,9 @@
     async def _close(self) -> None:
         for server in self._http:
             server.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._peers is not None:
             self._peers.close()
+        await _cancel(self._tasks)
         self.homes.close()
         self._links.close()
         self._client.close()
@@ -196,6 +196,15 @@
     return Refused(fault=Fault(Code.BAD_REQUEST, message, Step.FORWARD))
 
 
+async def _cancel(tasks: Iterable[asyncio.Task[None]]) -> None:
+    # A receive of pynng that has just got a message passes over a cancellation.
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_S)
+
+
 async def _unless(
     event: asyncio.Event, work: Awaitable[None], timeout_s: float
 ) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,273 @@
+"""The fleet's members: distribution, withdrawn keys and shutdown."""
+
+import asyncio
+import json
+import signal
+import time
+from contextlib import asynccontextmanager
+from urllib.error import URLError
+from urllib.request import urlopen
+
+import pytest
+from tornado.httpclient import HTTPClientError
+
+from mangoramp.catalog import KIND_GROUP, KIND_KEY
+from mangoramp.operators.keys import withdraw_key
+from mangoramp.operators.table import import_table
+from mangoramp.platform.client import PlatformClient
+from mangoramp.platform.objects import GroupObject, Row
+from mangoramp.policy.cache import Cache, Delta
+from mangoramp.standins.fleet import Fleet, FleetOptions
+
+from .caller import Caller
+from .processes import Processes
+
+NOWHERE = "http://127.0.0.1:9"
+WITHDRAWN_S = 5.0
+EDIT_S = 6.0
+LEAVING_S = 3.0
+RESTART_S = 5.0
+TABLE = "customer,group,weight,rate,burst,read_age_s\ntala,register,1,9000,9000,5\n"
+
+
+@asynccontextmanager
+async def running(**options):
+    fleet = Fleet(FleetOptions(**options))
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def until(condition, seconds):
+    """Poll a condition; returns whether it held in time."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        await asyncio.sleep(0.01)
+    return True
+
+
+def rows(rate):
+    return (Row("tala", "register", 1.0, rate, 300.0, 1.0),)
+
+
+def rates(fleet):
+    return {p.catalog.row("tala", "register").rate for p in fleet.proxies.values()}
+
+
+def cut_off(proxy):
+    proxy._client._url = NOWHERE
+    proxy.distribution._watch(on=False)
+
+
+class TestDistribution:
+    async def test_only_relay_and_standby_watch_and_all_follow(self):
+        async with running(domains=("d1",), proxies=5) as fleet:
+            proxies = fleet.proxies.values()
+            assert await until(lambda: _is_spread(proxies, 2), 10)
+            await import_table(fleet.client, rows(7.0))
+            assert await until(lambda: rates(fleet) == {7.0}, EDIT_S)
+
+    async def test_fails_without_followers(self, monkeypatch):
+        monkeypatch.setattr("mangoramp.distribution.FALLBACK_S", 60.0)
+        async with running(domains=("d1",), proxies=3) as fleet:
+            assert await until(lambda: _is_spread(fleet.proxies.values(), 2), 10)
+            monkeypatch.setattr(Cache, "has_news", lambda *args: False)
+            await import_table(fleet.client, rows(7.0))
+            assert not await until(lambda: rates(fleet) == {7.0}, EDIT_S)
+
+    async def test_a_domain_cut_off_from_the_platform_learns_from_others(self):
+        async with running(domains=("d1", "d2"), proxies=2) as fleet:
+            cut = [p for name, p in fleet.proxies.items() if name.startswith("d1")]
+            relay = next(p for p in cut if p.membership.relay == p.cfg.name)
+            assert await until(lambda: relay.distribution._sources, 5)
+            for proxy in cut:
+                cut_off(proxy)
+            key_id = next(iter(cut[0].catalog.keys))
+            await withdraw_key(fleet.client, key_id)
+            gone = await until(
+                lambda: all(key_id not in p.catalog.keys for p in cut), WITHDRAWN_S
+            )
+            assert gone
+
+    async def test_keeps_the_last_good_version_and_its_age_in_an_outage(self):
+        async with running(domains=("d1",), proxies=2) as fleet:
+            proxy = fleet.proxies["d1-p0"]
+            fleet.platform.faults.down = True
+            fleet.platform.wake()
+            at = proxy.catalog.fresh_at
+            await asyncio.sleep(0.5)
+            assert proxy.catalog.fresh_at == at
+            assert proxy.catalog.age_s >= 0.5
+            caller = Caller(fleet.keys["tala"])
+            assert (await caller.post(fleet.url("d1-p1"), "SELECT 1")).status == 200
+            proxy._ingress._key_max_age_s = 0.5
+            late = await caller.post(fleet.url("d1-p0"), "SELECT 1")
+            assert (late.status, late.body["outcome"]) == (503, "not_run")
+
+    async def test_an_old_answer_brings_no_withdrawn_key_back(self):
+        async with running(domains=("d1",), proxies=2) as fleet:
+            catalog = fleet.proxies["d1-p1"].catalog
+            key_id = next(iter(catalog.keys))
+            old = catalog.cache.since(KIND_KEY, 0)
+            await withdraw_key(fleet.client, key_id)
+            assert await until(lambda: key_id not in catalog.keys, WITHDRAWN_S)
+            catalog.take(old)
+            catalog.take(Delta(KIND_KEY, 1, old.version, old.items))
+            assert key_id not in catalog.keys
+
+
+class TestLeavingServer:
+    async def test_gets_no_reads_soon_after_it_was_marked(self):
+        async with running(domains=("d1", "d2", "d3"), proxies=1) as fleet:
+            found = await fleet.client.get(KIND_GROUP, "register", GroupObject)
+            before = found.unwrap()
+            group = _with_leaving(before.value, "d2-s")
+            caller = Caller(fleet.keys["tala"])
+            url = fleet.url("d2-p0")
+            await caller.post(url, "SELECT 1")
+            version = before.version
+            await fleet.client.put(KIND_GROUP, "register", group, version=version)
+            catalogs = [p.catalog for p in fleet.proxies.values()]
+            taken = lambda: all(c.groups["register"] == group for c in catalogs)  # noqa: E731
+            assert await until(taken, LEAVING_S)
+            servers = {(await _read(caller, url)).body["server"] for _ in range(10)}
+            assert "d2-s" not in servers
+
+
+class TestShutdown:
+    @pytest.fixture
+    def fleet(self, tmp_path):
+        processes = Processes(tmp_path, domains=1, proxies=2)
+        try:
+            processes.start()
+            yield processes
+        finally:
+            processes.stop()
+
+    @pytest.fixture
+    def key(self, fleet):
+        table = fleet.folder / "table.csv"
+        table.write_text(TABLE)
+        target = ["--platform", fleet.platform]
+        fleet.command("table", "import", *target, "--file", str(table))
+        given = fleet.command("keys", "give", *target, "--customer", "tala")
+        return json.loads(given)
+
+    async def test_cuts_no_request_under_load(self, fleet, key):
+        for name in ("p0", "p1"):
+            statuses = await _load_while_stopping(fleet, key["key"], name, signals=1)
+            assert set(statuses) == {200}
+            assert fleet.running.pop(name).wait() == 0
+            fleet.start_proxy(name)
+            started = time.monotonic()
+            await asyncio.to_thread(fleet.wait_ready, name)
+            assert time.monotonic() - started < RESTART_S
+
+    async def test_cuts_requests_if_it_is_hurried(self, fleet, key):
+        statuses = await _load_while_stopping(fleet, key["key"], "p0", signals=2)
+        assert set(statuses) > {200}
+
+    async def test_withdrawn_key_stops_though_the_relay_is_killed(self, fleet, key):
+        client = PlatformClient(fleet.platform)
+        relay = await _relay(client)
+        other = next(name for name in fleet.proxies if name != relay)
+        caller = Caller(key["key"])
+        assert (await _first_done(caller, fleet.url(other))).status == 200
+        fleet.kill(relay)
+        await withdraw_key(client, key["key_id"])
+        started = time.monotonic()
+        while (await caller.post(fleet.url(other), "SELECT 1")).status != 401:
+            assert time.monotonic() - started < WITHDRAWN_S
+        client.close()
+
+
+def _is_spread(proxies, watchers):
+    settled = all(len(p.membership.view.members) == len(proxies) for p in proxies)
+    return settled and sum(p.distribution.is_watching for p in proxies) == watchers
+
+
+def _with_leaving(group, name):
+    servers = [
+        {**_fields(s), "leaving": s.name == name or s.leaving} for s in group.servers
+    ]
+    fields = {
+        **_fields(group),
+        "servers": tuple(type(group.servers[0])(**s) for s in servers),
+    }
+    return type(group)(**fields)
+
+
+def _fields(struct):
+    return {name: getattr(struct, name) for name in struct.__struct_fields__}
+
+
+async def _read(caller, url):
+    return await caller.post(url, "SELECT 1")
+
+
+async def _first_done(caller, url):
+    while True:
+        reply = await caller.post(url, "SELECT 1")
+        if reply.status not in (401, 403):
+            return reply
+        await asyncio.sleep(0.02)
+
+
+async def _relay(client):
+    found = await client.get("lease", "relay.d0", dict)
+    return found.unwrap().value["holder"]
+
+
+def _is_ready(fleet, name):
+    try:
+        urlopen(f"http://127.0.0.1:{fleet.proxies[name][1]}/ready", timeout=1)
+    except (URLError, OSError):
+        return False
+    return True
+
+
+async def _load_while_stopping(fleet, key, name, *, signals):
+    """Statuses of callers that a balancer keeps away from proxies not ready."""
+    fleet.set_faults("s0", late_s=0.05)
+    for proxy in fleet.proxies:
+        await _first_done(Caller(key), fleet.url(proxy))
+    ready, statuses = set(fleet.proxies), []
+    stopping = asyncio.Event()
+
+    async def call(number):
+        caller = Caller(key)
+        while not stopping.is_set():
+            pool = sorted(ready)
+            url = fleet.url(pool[number % len(pool)])
+            statuses.append(await _status(caller, url))
+
+    async def balance():
+        while not stopping.is_set():
+            for proxy in list(fleet.proxies):
+                up = await asyncio.to_thread(_is_ready, fleet, proxy)
+                (ready.add if up else ready.discard)(proxy)
+            await asyncio.sleep(0.1)
+
+    tasks = [asyncio.ensure_future(call(n)) for n in range(8)]
+    tasks.append(asyncio.ensure_future(balance()))
+    await asyncio.sleep(0.5)
+    for _ in range(signals):
+        fleet.signal(name, signal.SIGTERM)
+        await asyncio.sleep(0.02)
+    await asyncio.to_thread(fleet.running[name].wait)
+    stopping.set()
+    await asyncio.gather(*tasks)
+    fleet.set_faults("s0")
+    return statuses
+
+
+async def _status(caller, url):
+    try:
+        reply = await caller.post(url, "SELECT 1")
+        return reply.status
+    except (OSError, ValueError, HTTPClientError):
+        return 599
