Go on past a silent relay; drop dead instances from the list

Control has links of its own, so that a beat that goes unanswered can reset its connection without ending callers' work.

--- a/mangoramp/distribution.py
+++ b/mangoramp/distribution.py
@@ -34,7 +34,7 @@
         name: This instance.
         catalog: What is to be kept up to date.
         client: The platform.
-        links: The way to the other proxies.
+        links: The way to the other proxies, for control only.
         rng: Source of the jitter.
         clock: Tells the time in seconds.
 
--- a/mangoramp/membership.py
+++ b/mangoramp/membership.py
@@ -26,7 +26,7 @@
 from .platform.client import PlatformClient
 from .platform.objects import DomainObject, InstanceObject
 from .policy._rendezvous import rendezvous
-from .policy.domain import DomainPart
+from .policy.domain import FORGET_S, DomainPart
 from .policy.lease import LeaseRecord, candidates
 from .policy.membership import BEATS_PER_GRANT, View, lease_ttl
 from .policy.survey import Survey
@@ -53,7 +53,7 @@
         cfg: The proxy's settings.
         client: The platform.
         catalog: What is known from the platform.
-        links: The way to the other proxies.
+        links: The way to the other proxies, for control only.
         distribution: Told where changes are to come from.
         rng: Source of the jitter.
         clock: Tells the time in seconds.
@@ -86,6 +86,7 @@
         self._clock = clock
         self._lease_name = f"relay.{cfg.failure_domain}"
         self._granted_at = float("-inf")
+        self._led_since = now
         self._suspected = ""
         self._leaving = False
         self._left = asyncio.Event()
@@ -232,6 +233,7 @@
         led, relay = self.part.relay is not None, self.relay
         read = found.unwrap()
         if self.part.observe(read.version, read.value, self._clock()):
+            self._led_since = self._clock()
             emit(RELAY_TAKEN, domain=self._cfg.failure_domain, version=read.version)
         if led and self.part.relay is None:
             emit(RELAY_LOST, domain=self._cfg.failure_domain, holder=self.relay)
@@ -281,8 +283,7 @@
         if mine:
             answer = await self.hear(req)
         else:
-            called = await self._links.call(relay, req, timeout_s=BEAT_TIMEOUT_S)
-            answer = called.value_or(Refused(fault=_silent(relay)))
+            answer = await self._call_relay(relay, req)
         if not isinstance(answer, Granted):
             self._suspect(relay)
             return
@@ -298,6 +299,17 @@
         self._note_settled()
         self.on_change()
 
+    async def _call_relay(self, relay: str, req: Heartbeat) -> Message:
+        called = await self._links.call(relay, req, timeout_s=BEAT_TIMEOUT_S)
+        if isinstance(called, Success):
+            answer: Message = called.unwrap()
+            return answer
+        fault = called.failure()
+        if fault.code is Code.TIMEOUT:
+            # The connection may be silent for good while a new one works.
+            self._links.reset(relay)
+        return Refused(fault=fault)
+
     def _take_view(self) -> None:
         view = self.view
         emit(
@@ -359,6 +371,7 @@
             await self._publish_view()
             self._note_lag()
             await self._survey_next()
+            await self._drop_dead()
 
     async def _publish_view(self) -> None:
         view, name = self.view, self._cfg.failure_domain
@@ -386,6 +399,16 @@
             elif now - self._lag_since.setdefault(name, now) > LAG_S:
                 emit(MEMBER_LAGS, member=name, in_force=in_force, newest=newest)
 
+    async def _drop_dead(self) -> None:
+        relay, now = self.part.relay, self._clock()
+        if relay is None or now - self._led_since < FORGET_S:
+            return
+        for instance in list(self._catalog.instances.values()):
+            mine = instance.failure_domain == self._cfg.failure_domain
+            if mine and instance.name not in relay.members:
+                await withdraw_instance(self._client, instance.name)
+                return
+
     async def _survey_next(self) -> None:
         domains = {i.failure_domain for i in self._catalog.instances.values()}
         name = self._survey.next(domains - {self._cfg.failure_domain})
@@ -424,7 +447,3 @@
     if isinstance(found, Success) and found.unwrap().value is not None:
         version = found.unwrap().version
         await client.put(KIND_INSTANCE, name, None, version=version)
-
-
-def _silent(relay: str) -> Fault:
-    return Fault(Code.NO_HOME, "the relay does not answer", Step.FORWARD, relay)
--- a/mangoramp/proxies/links.py
+++ b/mangoramp/proxies/links.py
@@ -42,6 +42,12 @@
             return Failure(fault)
         return await link.call(req, timeout_s=timeout_s)
 
+    def reset(self, peer: str) -> None:
+        """Close the link to a proxy that went silent; the next call opens another."""
+        known = self._links.pop(peer, None)
+        if known is not None:
+            known.close()
+
     def close(self) -> None:
         """Close every link."""
         for link in self._links.values():
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -34,6 +34,7 @@
 SIGNING_KEY_RETRY_S = 0.5
 POLL_S = 0.02
 LINGER_S = 0.1
+RELIST_S = 5.0
 CANCEL_RETRY_S = 0.1
 GOODBYE_S = 1.0
 
@@ -52,11 +53,13 @@
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog()
         self._links = Links(self._address_of)
+        # Beats do not wait behind callers' work, nor end it when they reset a link.
+        self._control = Links(self._address_of)
         self.distribution = Distribution(
-            cfg.name, self.catalog, self._client, self._links
+            cfg.name, self.catalog, self._client, self._control
         )
         self.membership = Membership(
-            cfg, self._client, self.catalog, self._links, self.distribution
+            cfg, self._client, self.catalog, self._control, self.distribution
         )
         self.homes = Homes(cfg, self.catalog, self._links, self.membership)
         self.catalog.on_change = self.homes.refresh
@@ -83,6 +86,7 @@
             asyncio.ensure_future(self._peers.run()),
             asyncio.ensure_future(self.distribution.run()),
             asyncio.ensure_future(self.membership.run()),
+            asyncio.ensure_future(self._stay_listed()),
         ]
         self._listen()
         await self._register(leaving=False)
@@ -148,6 +152,7 @@
         await _cancel(self._tasks)
         self.homes.close()
         self._links.close()
+        self._control.close()
         self._client.close()
         for server in self._http:
             await server.close_all_connections()
@@ -185,6 +190,12 @@
                 continue
             await asyncio.sleep(REGISTER_RETRY_S)
 
+    async def _stay_listed(self) -> None:
+        while True:
+            await asyncio.sleep(RELIST_S)
+            if self.ready and self.cfg.name not in self.catalog.instances:
+                await self._register(leaving=False)
+
     async def _ensure_signing_key(self) -> None:
         while self.catalog.signing_keys is None:
             await make_first_signing_key(self._client)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,11 +12,13 @@
 from tornado.httpclient import HTTPClientError
 
 from mangoramp.catalog import KIND_GROUP, KIND_KEY
+from mangoramp.membership import Membership
 from mangoramp.operators.keys import withdraw_key
 from mangoramp.operators.table import import_table
 from mangoramp.platform.client import PlatformClient
 from mangoramp.platform.objects import GroupObject, Row
 from mangoramp.policy.cache import Cache, Delta
+from mangoramp.proxies.links import Links
 from mangoramp.standins.fleet import Fleet, FleetOptions
 
 from .caller import Caller
@@ -93,6 +95,38 @@
             )
             assert gone
 
+    @pytest.mark.parametrize("suspects", [True, False])
+    async def test_goes_on_though_the_relay_is_silent(self, suspects, monkeypatch):
+        if not suspects:
+            monkeypatch.setattr(Membership, "_suspect", lambda *args: None)
+            monkeypatch.setattr(Links, "reset", lambda *args: None)
+        async with running(domains=("d1",), proxies=4) as fleet:
+            proxies = list(fleet.proxies.values())
+            assert await until(lambda: _is_spread(proxies, 2), 10)
+            relay = next(p for p in proxies if p.membership.relay == p.cfg.name)
+            relay._peers._handler = _never
+            key_id = next(iter(relay.catalog.keys))
+            await withdraw_key(fleet.client, key_id)
+            gone = await until(
+                lambda: all(key_id not in p.catalog.keys for p in proxies), WITHDRAWN_S
+            )
+            assert gone == suspects
+
+    async def test_a_home_refuses_what_came_with_a_withdrawn_key(self):
+        async with running(domains=("d1",), proxies=2) as fleet:
+            proxies = list(fleet.proxies.values())
+            home = next(
+                p for p in proxies if p.homes.holds("register", time.monotonic())
+            )
+            other = next(p for p in proxies if p is not home)
+            caller = Caller(fleet.keys["tala"])
+            assert (
+                await caller.post(fleet.url(other.cfg.name), "SELECT 1")
+            ).status == 200
+            home.catalog.keys.clear()
+            late = await caller.post(fleet.url(other.cfg.name), "SELECT 1")
+            assert (late.status, late.body["outcome"]) == (401, "not_run")
+
     async def test_keeps_the_last_good_version_and_its_age_in_an_outage(self):
         async with running(domains=("d1",), proxies=2) as fleet:
             proxy = fleet.proxies["d1-p0"]
@@ -185,6 +219,10 @@
         client.close()
 
 
+async def _never(req):
+    await asyncio.Event().wait()
+
+
 def _is_spread(proxies, watchers):
     settled = all(len(p.membership.view.members) == len(proxies) for p in proxies)
     return settled and sum(p.distribution.is_watching for p in proxies) == watchers
