--- a/benchmarks/test_distribution.py
+++ b/benchmarks/test_distribution.py
@@ -12,8 +12,7 @@
 import pytest
 
 from mangoramp.operators.keys import give_key, withdraw_key
-from mangoramp.operators.table import import_table
-from mangoramp.platform.objects import Row
+from mangoramp.operators.table import set_row
 from mangoramp.policy.domain import DomainPart
 from mangoramp.policy.lease import LeaseRecord
 from mangoramp.policy.membership import beat_interval, grant_period, lease_ttl
@@ -88,10 +87,6 @@
     return time.monotonic() - started
 
 
-def rows(rate):
-    return (Row("tala", "register", 1.0, rate, 300.0, 1.0),)
-
-
 class TestDelay:
     @pytest.mark.timeout(120)
     async def test_of_edits_and_withdrawals(self):
@@ -100,7 +95,7 @@
             catalogs = [p.catalog for p in fleet.proxies.values()]
             for number in range(CHANGES):
                 rate = 100.0 + number
-                await import_table(fleet.client, rows(rate))
+                await set_row(fleet.client, ("tala", "register"), {"rate": rate})
                 in_force = lambda want=rate: all(  # noqa: E731
                     c.row("tala", "register").rate == want for c in catalogs
                 )
@@ -217,7 +212,7 @@
         )
         traffic.clear()
         calls = Counter(fleet.platform.calls)
-        await import_table(fleet.client, rows(7.0))
+        await set_row(fleet.client, ("tala", "register"), {"rate": 7.0})
         await asyncio.sleep(0.5)
         calls = Counter(fleet.platform.calls) - calls
         size = traffic.mean("Changed", "Follow")
--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -30,6 +30,7 @@
 KIND_SIGNING_KEY = "signing-key"
 KIND_INSTANCE = "instance"
 KIND_DOMAIN = "domain"
+SIGNING_KEY_SETTLES_S = 30.0
 
 NEVER = float("-inf")
 
@@ -47,6 +48,7 @@
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.groups: dict[str, GroupObject] = {}
+        self.group_versions: dict[str, int] = {}
         self.keys: dict[str, KeyRecord] = {}
         self.instances: dict[str, InstanceObject] = {}
         self.domains: dict[str, DomainObject] = {}
@@ -87,6 +89,11 @@
         """For how long no news of keys could be had, in seconds."""
         return self._clock() - self._fresh_at
 
+    @property
+    def heard_at(self) -> float | None:
+        """When the platform was last heard, here or by a peer, None if never."""
+        return self._fresh_at if self._fresh_at > NEVER else None
+
     @property
     def fresh_at(self) -> float:
         """The moment up to which changes of keys are known, in seconds."""
@@ -97,7 +104,13 @@
         """The keys that sign session tokens, None before there are any."""
         if not self._signing:
             return None
-        current = max(self._signing, key=lambda i: (self._signing[i].created_s, i))
+        # A new key signs only after every proxy has had the time to learn it.
+        settled_s = time.time() - SIGNING_KEY_SETTLES_S
+        settled = [i for i in self._signing if self._signing[i].created_s < settled_s]
+        if settled:
+            current = max(settled, key=lambda i: (self._signing[i].created_s, i))
+        else:
+            current = min(self._signing, key=lambda i: (self._signing[i].created_s, i))
         secrets = {i: bytes.fromhex(k.secret) for i, k in self._signing.items()}
         return SigningKeys(secrets, current)
 
@@ -152,8 +165,10 @@
     def _take_group(self, item: Item, group: GroupObject | None) -> None:
         if group is None:
             self.groups.pop(item.name, None)
+            self.group_versions.pop(item.name, None)
             return
         self.groups[item.name] = group
+        self.group_versions[item.name] = item.version
         emit(
             GROUP_CHANGED,
             group=group.name,
--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -65,6 +65,7 @@
         self.size = size
         self.busy = 0
         self._idle: deque[asyncpg.Connection] = deque()
+        self._closed = False
         self._room = asyncio.Semaphore(size)
 
     @asynccontextmanager
@@ -84,6 +85,11 @@
             self.busy -= 1
 
     def close(self) -> None:
+        """Close the idle connections, and each other one once it is given back."""
+        self._closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
         """Close the idle connections."""
         while self._idle:
             self._idle.pop().terminate()
@@ -96,8 +102,11 @@
         return await connect(self.server, role="work")
 
     def _give_back(self, conn: asyncpg.Connection, *, clean: bool) -> None:
-        if clean and not conn.is_closed() and not conn.is_in_transaction():
+        clean = clean and not conn.is_closed() and not conn.is_in_transaction()
+        if clean and not self._closed:
             self._idle.append(conn)
             return
         conn.terminate()
+        if clean:
+            return
         emit(CONNECTION_CLOSED, server=self.server.name, reason="not clean")
--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -82,6 +82,11 @@
         for name in list(self.pools):
             self._drop(name)
 
+    def close_idle(self) -> None:
+        """Close the connections that no request uses now."""
+        for pool in self.pools.values():
+            pool.close_idle()
+
     def candidates(self) -> list[Candidate]:
         """The servers that may get reads now."""
         busy = {name: pool.busy for name, pool in self.pools.items()}
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import logging
+import re
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from loguru import logger
 
-_encode = msgspec.json.Encoder(enc_hook=str).encode
+if TYPE_CHECKING:
+    from loguru import Message
+
+KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
+MAX_SAID_CHARS = 500
+TEXT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +38,8 @@
 PROXY_STARTED = Event(100, "INFO", "proxy started")
 PROXY_STOPPING = Event(101, "INFO", "proxy stopping")
 PROXY_STOPPED = Event(102, "INFO", "proxy stopped")
+LIBRARY_MESSAGE = Event(103, "WARNING", "message of a library")
+HANDLER_FAILED = Event(104, "ERROR", "handler of a request failed")
 REQUEST_ROUTED = Event(200, "INFO", "request routed to a server")
 REQUEST_FORWARDED = Event(201, "INFO", "request forwarded to the home of its group")
 REQUEST_REFUSED = Event(202, "INFO", "request refused")
@@ -52,6 +62,8 @@
 SERVER_BACK = Event(411, "INFO", "database server answers again")
 CONNECTION_CLOSED = Event(412, "INFO", "connection to a database server closed")
 FAILOVER_STEP = Event(500, "WARNING", "failover step")
+PRIMARY_SUSPECTED = Event(501, "WARNING", "primary silent, other domains asked")
+FAILOVER_COMMAND = Event(502, "INFO", "failover command given to a server")
 
 CATALOGUE: tuple[Event, ...] = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
@@ -76,21 +88,31 @@
         json: One JSON object a line if true, else text for people.
     """
     logger.remove()
-    text = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
+    # With diagnose, tracebacks would show the values of variables, keys among them.
     if json:
-        logger.add(_write_json, level=level, format="")
+        logger.add(_write_json, level=level, format="", diagnose=False)
     else:
-        logger.add(sys.stderr, level=level, format=text)
+        logger.add(sys.stderr, level=level, format=TEXT, diagnose=False)
+    logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
 
 
-def _write_json(message: Any) -> None:
-    record = message.record
+def json_line(record: Mapping[str, Any]) -> str:
+    """One line of the log as JSON: time, level, event, text and the line's facts."""
     line = {
-        "time": record["time"].timestamp(),
+        "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
-        "message": record["message"],
+        "text": record["message"],
         **record["extra"],
     }
-    if record["exception"] is not None:
-        line["exception"] = repr(record["exception"].value)
-    sys.stderr.write(_encode(line).decode() + "\n")
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _write_json(message: Message) -> None:
+    sys.stderr.write(json_line(message.record) + "\n")
+
+
+class _LibraryHandler(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a library's message as an event, without any key in it."""
+        said = KEY_LIKE.sub("mr_...", record.getMessage())
+        emit(LIBRARY_MESSAGE, library=record.name, said=said[:MAX_SAID_CHARS])
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -36,6 +36,9 @@
         links: The way to the other proxies.
         membership: Tells which instance is home of what.
         clock: Tells the time in seconds.
+
+    Attributes:
+        on_drop: Called with a group before its home here is closed.
     """
 
     def __init__(
@@ -55,12 +58,18 @@
         self._clock = clock
         self._placed: dict[str, tuple[tuple[str, ...], str | None]] = {}
         self._running: dict[str, int] = {}
+        self.on_drop: Callable[[str], None] = lambda group: None
 
     @property
     def in_flight(self) -> int:
         """How many requests run at the homes here."""
         return sum(self._running.values())
 
+    @property
+    def running(self) -> dict[str, Group]:
+        """The groups whose homes run here, by name."""
+        return {name: home.group for name, home in self._homes.items()}
+
     async def send(self, req: RunStatement) -> Message:
         """Have a request run at the home of its group.
 
@@ -122,6 +131,10 @@
         """
         return rendezvous(group, self._membership.live_in(failure_domain))
 
+    def group(self, name: str) -> Group:
+        """The servers of a group whose home is here."""
+        return self._home(name).group
+
     def refresh(self) -> None:
         """Take over changes of the groups, and close homes that have moved."""
         for name, home in list(self._homes.items()):
@@ -153,15 +166,21 @@
 
     def _drop_moved(self) -> None:
         now = self._clock()
-        for name in list(self._homes):
-            if not self._running.get(name) and not self.holds(name, now):
-                self._homes.pop(name).close()
-                self._running.pop(name, None)
+        moved = [name for name in self._homes if not self.holds(name, now)]
+        for name in moved:
+            if self._running.get(name):
+                self._homes[name].group.close_idle()
+                continue
+            self.on_drop(name)
+            self._homes.pop(name).close()
+            self._running.pop(name, None)
 
     def _home(self, name: str) -> Home:
         if name not in self._homes:
             spec = self._catalog.groups[name]
             connections = min(server.connections for server in spec.servers)
+            # The replicas' connections, and one for a failover.
+            connections -= len(spec.servers)
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
             admission = Admission(name, lambda customer: self._limits(customer, name))
--- a/mangoramp/membership.py
+++ b/mangoramp/membership.py
@@ -94,6 +94,7 @@
         self._settled = asyncio.Event()
         self._nudge = asyncio.Event()
         self._renew = asyncio.Event()
+        self._place: tuple[View, bool, bool] | None = None
         self._survey = Survey()
         self._lost: tuple[str, ...] = ()
         self._lag_since: dict[str, float] = {}
@@ -147,6 +148,12 @@
             if instance.failure_domain == domain and not instance.leaving
         )
 
+    def has_moved(self) -> bool:
+        """Whether homes may have moved since this was last asked."""
+        member, before = self.part.member, self._place
+        self._place = (member.view, member.settled, member.holds_any(self._clock()))
+        return self._place != before
+
     async def ready(self) -> None:
         """Wait until a settled view of the failure domain is known."""
         await self._settled.wait()
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -9,6 +9,7 @@
 from ..policy.membership import Beat, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
+from ..policy.suspicion import View
 
 Param = str | int | float | bool | None
 
@@ -139,7 +140,20 @@
     stamp: int = 0
 
 
-Message = RunStatement | Rows | Refused | Heartbeat | Granted | Follow | Changed
+class AskView(Envelope, frozen=True):
+    """Tell what is seen of a group's primary from another failure domain."""
+
+    group: str
+
+
+class ViewAnswer(Envelope, frozen=True):
+    """What is seen of a group's primary."""
+
+    view: View
+
+
+Control = Heartbeat | Granted | Follow | Changed
+Message = RunStatement | Rows | Refused | AskView | ViewAnswer | Control
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -11,22 +11,32 @@
 from returns.result import Success
 from tornado.httpserver import HTTPServer
 
-from .callers.app import MAX_BODY_BYTES, callers_application
+from .callers.app import MAX_DISCARDED_BYTES, callers_application
 from .callers.health import health_application
 from .callers.in_flight import InFlight
 from .catalog import KIND_INSTANCE, Catalog
+from .controllers import Controllers
 from .distribution import Distribution
 from .errors import Code, Fault, Step
 from .events import DRAINED, PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
 from .membership import Membership, withdraw_instance
+from .metrics import ReportCollector, make_metrics
 from .operators.keys import make_first_signing_key
+from .operators.report import ProxyReport, report
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
-from .proxies.messages import Follow, Heartbeat, Message, Refused, RunStatement
+from .proxies.messages import (
+    AskView,
+    Follow,
+    Heartbeat,
+    Message,
+    Refused,
+    RunStatement,
+)
 from .settings import ProxySettings
 
 REGISTER_RETRY_S = 0.2
@@ -49,6 +59,8 @@
     def __init__(self, cfg: ProxySettings) -> None:
         self.cfg = cfg
         self.registry = CollectorRegistry()
+        self.metrics = make_metrics(self.registry)
+        self.registry.register(ReportCollector(self.report))
         self.ready = False
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog()
@@ -62,13 +74,18 @@
             cfg, self._client, self.catalog, self._control, self.distribution
         )
         self.homes = Homes(cfg, self.catalog, self._links, self.membership)
-        self.catalog.on_change = self.homes.refresh
-        self.membership.on_change = self.homes.refresh
+        self.controllers = Controllers(
+            cfg, self.catalog, self.homes, self._links, self._client
+        )
+        self.homes.on_drop = self.controllers.drop
+        self.catalog.on_change = self._refresh
+        self.membership.on_change = self._refresh_homes
         self._ingress = Ingress(
             self.catalog,
             self.homes,
             cfg.failure_domain,
-            key_max_age_s=cfg.key_max_age_s,
+            knows_keys=lambda: self.catalog.age_s <= cfg.key_max_age_s,
+            metrics=self.metrics,
         )
         self._in_flight = InFlight()
         self._http: list[HTTPServer] = []
@@ -76,6 +93,7 @@
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
         self._answer.register(RunStatement, self.homes.serve)
+        self._answer.register(AskView, self.controllers.answer_view)
         self._answer.register(Heartbeat, self.membership.hear)
         self._answer.register(Follow, self.distribution.answer)
 
@@ -115,6 +133,19 @@
         self.ready = False
         await self._close()
 
+    def report(self) -> ProxyReport:
+        """What this proxy knows and does."""
+        return report(self.cfg, self.catalog, self.homes, ready=self.ready)
+
+    def _refresh(self) -> None:
+        self.homes.refresh()
+        self.controllers.refresh()
+
+    def _refresh_homes(self) -> None:
+        self.homes.refresh()
+        if self.membership.has_moved():
+            self.controllers.refresh()
+
     async def _drain(self) -> None:
         marked = asyncio.ensure_future(self._register(leaving=True))
         try:
@@ -150,6 +181,7 @@
         if self._peers is not None:
             self._peers.close()
         await _cancel(self._tasks)
+        self.controllers.close()
         self.homes.close()
         self._links.close()
         self._control.close()
@@ -162,10 +194,12 @@
         cfg = self.cfg
         callers = HTTPServer(
             callers_application(self._ingress, in_flight=self._in_flight),
-            max_body_size=MAX_BODY_BYTES,
+            max_body_size=MAX_DISCARDED_BYTES,
         )
         callers.listen(cfg.listen_port, address=cfg.listen_host)
-        health = HTTPServer(health_application(self.registry, lambda: self.ready))
+        health = HTTPServer(
+            health_application(self.registry, lambda: self.ready, self.report)
+        )
         health.listen(cfg.metrics_port, address=cfg.listen_host)
         self._http = [callers, health]
 
@@ -177,7 +211,13 @@
 
     async def _register(self, *, leaving: bool) -> None:
         cfg = self.cfg
-        mine = InstanceObject(cfg.name, cfg.failure_domain, cfg.peer_address, leaving)
+        mine = InstanceObject(
+            cfg.name,
+            cfg.failure_domain,
+            cfg.peer_address,
+            leaving=leaving,
+            admin=cfg.admin_address,
+        )
         while True:
             found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
             if isinstance(found, Success):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,9 +14,9 @@
 from mangoramp.catalog import KIND_GROUP, KIND_KEY
 from mangoramp.membership import Membership
 from mangoramp.operators.keys import withdraw_key
-from mangoramp.operators.table import import_table
+from mangoramp.operators.table import set_row
 from mangoramp.platform.client import PlatformClient
-from mangoramp.platform.objects import GroupObject, Row
+from mangoramp.platform.objects import GroupObject
 from mangoramp.policy.cache import Cache, Delta
 from mangoramp.proxies.links import Links
 from mangoramp.standins.fleet import Fleet, FleetOptions
@@ -52,10 +52,6 @@
     return True
 
 
-def rows(rate):
-    return (Row("tala", "register", 1.0, rate, 300.0, 1.0),)
-
-
 def rates(fleet):
     return {p.catalog.row("tala", "register").rate for p in fleet.proxies.values()}
 
@@ -70,7 +66,7 @@
         async with running(domains=("d1",), proxies=5) as fleet:
             proxies = fleet.proxies.values()
             assert await until(lambda: _is_spread(proxies, 2), 10)
-            await import_table(fleet.client, rows(7.0))
+            await set_row(fleet.client, ("tala", "register"), {"rate": 7.0})
             assert await until(lambda: rates(fleet) == {7.0}, EDIT_S)
 
     async def test_fails_without_followers(self, monkeypatch):
@@ -78,7 +74,7 @@
         async with running(domains=("d1",), proxies=3) as fleet:
             assert await until(lambda: _is_spread(fleet.proxies.values(), 2), 10)
             monkeypatch.setattr(Cache, "has_news", lambda *args: False)
-            await import_table(fleet.client, rows(7.0))
+            await set_row(fleet.client, ("tala", "register"), {"rate": 7.0})
             assert not await until(lambda: rates(fleet) == {7.0}, EDIT_S)
 
     async def test_a_domain_cut_off_from_the_platform_learns_from_others(self):
@@ -138,7 +134,7 @@
             assert proxy.catalog.age_s >= 0.5
             caller = Caller(fleet.keys["tala"])
             assert (await caller.post(fleet.url("d1-p1"), "SELECT 1")).status == 200
-            proxy._ingress._key_max_age_s = 0.5
+            proxy._ingress._knows_keys = lambda: proxy.catalog.age_s <= 0.5
             late = await caller.post(fleet.url("d1-p0"), "SELECT 1")
             assert (late.status, late.body["outcome"]) == (503, "not_run")
 
