--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from .events import GROUP_CHANGED, KEY_WITHDRAWN, TABLE_CHANGED, emit
+from .platform.client import Versioned
 from .platform.objects import (
     DomainObject,
     GroupObject,
@@ -139,6 +140,13 @@
         if delta.kind != KIND_KEY:
             self.on_change()
 
+    def take_group(self, found: Versioned[GroupObject]) -> None:
+        """Take over a group object of a peer, if it is newer."""
+        raw = None if found.value is None else msgspec.json.encode(found.value)
+        item = Item(found.name, found.version, raw)
+        # It says nothing of other groups' changes, so it completes no version.
+        self.take(Delta(KIND_GROUP, found.version, found.version, (item,)))
+
     def refresh(self, fresh_at: float) -> None:
         """Note that all changes of keys up to a moment are in force here.
 
--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -45,6 +45,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     GROUP_UNKNOWN = "group_unknown"
     TRANSACTION_UNKNOWN = "transaction_unknown"
+    TRANSACTION_BUSY = "transaction_busy"
     KEY_REUSED = "idempotency_key_reused"
     STATEMENT_FAILED = "statement_failed"
     OVER_RATE = "over_rate"
@@ -69,6 +70,7 @@
     Code.METHOD_NOT_ALLOWED: 405,
     Code.GROUP_UNKNOWN: 404,
     Code.TRANSACTION_UNKNOWN: 404,
+    Code.TRANSACTION_BUSY: 409,
     Code.KEY_REUSED: 409,
     Code.STATEMENT_FAILED: 422,
     Code.OVER_RATE: 429,
--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -5,16 +5,32 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 
 from .admission import Admission
 from .endpoints.group import Group
 from .errors import FaultError
-from .faults import out_of_time
+from .events import REQUEST_FAILED, emit
+from .faults import failed, out_of_time
 from .policy.statement import Kind
-from .proxies.messages import Message, Refused, Rows, RunStatement
+from .proxies.messages import (
+    Answer,
+    BeginTransaction,
+    EndTransaction,
+    Message,
+    Refused,
+    Request,
+    RunInTransaction,
+    RunStatement,
+    SettleTransaction,
+)
 from .reader import Reader
+from .settings import TransactionSettings
+from .transactions import Transactions
 from .writer import Writer
 
+BACKSTOP_S = 0.1
+
 
 class Home:
     """Runs the requests of one group within one failure domain.
@@ -22,6 +38,8 @@
     Args:
         group: The group's servers.
         admission: Lets requests in.
+        instance: This proxy's name, which the ids of transactions carry.
+        transactions: The limits of transactions.
         clock: Tells the time in seconds.
     """
 
@@ -30,30 +48,63 @@
         group: Group,
         admission: Admission,
         *,
+        instance: str = "",
+        transactions: TransactionSettings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.group = group
         self.admission = admission
+        self.transactions = Transactions(
+            group,
+            instance,
+            transactions or TransactionSettings(),
+            room=max(1, group.pool_size // 2),
+            clock=clock,
+        )
         self._reader = Reader(group, clock=clock)
         self._writer = Writer(group, clock=clock)
         self._clock = clock
 
-    async def serve(self, req: RunStatement) -> Message:
-        """Run one request and answer it, with rows or with a fault."""
+    async def serve(self, req: Request) -> Message:
+        """Run one request and answer it, with what it asks or with a fault."""
         deadline = self._clock() + req.timeout_s
+        started = False
         try:
-            async with asyncio.timeout(req.timeout_s), self.admission.turn(req):
-                return await self._run(req, deadline)
+            async with asyncio.timeout(req.timeout_s + BACKSTOP_S):
+                async with self._turn(req):
+                    started = True
+                    return await self._run(req, deadline)
         except FaultError as exc:
             return Refused(fault=exc.fault)
         except TimeoutError:
-            return Refused(fault=out_of_time().fault)
+            return Refused(fault=out_of_time(started=started).fault)
+        except Exception as exc:
+            emit(REQUEST_FAILED, group=req.group, error=type(exc).__name__)
+            return Refused(fault=failed(started=started).fault)
 
     def close(self) -> None:
         """Close the connections to the servers."""
+        self.admission.close()
+        self.transactions.end_all()
+        self._writer.close()
         self.group.close()
 
-    async def _run(self, req: RunStatement, deadline: float) -> Rows:
+    def _turn(self, req: Request) -> AbstractAsyncContextManager[None]:
+        if isinstance(req, RunStatement):
+            return self.admission.turn(req)
+        if not isinstance(req, EndTransaction):
+            self.admission.take_rate(req.customer)
+        return nullcontext()
+
+    async def _run(self, req: Request, deadline: float) -> Answer:
+        if isinstance(req, BeginTransaction):
+            return await self.transactions.begin(req, deadline)
+        if isinstance(req, RunInTransaction):
+            return await self.transactions.run(req, deadline)
+        if isinstance(req, EndTransaction):
+            return await self.transactions.end(req, deadline)
+        if isinstance(req, SettleTransaction):
+            return await self.transactions.settle(req, deadline)
         if req.kind is Kind.READ:
             return await self._reader.read(req, deadline)
         return await self._writer.write(req, deadline)
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -3,27 +3,40 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from collections.abc import Callable
 
 from msgspec.structs import replace
 from returns.result import Success
 
-from .admission import Admission, Limits
+from .admission import Admission
 from .catalog import Catalog
 from .endpoints.group import Group
-from .errors import Code, Fault, Outcome, Step
+from .errors import Code, Fault, FaultError, Outcome, Step
 from .events import HOME_PLACED, REQUEST_FORWARDED, emit
 from .home import Home
 from .membership import Membership
 from .policy._rendezvous import rendezvous
+from .policy.loans import Ask, Grant
+from .policy.statement import Kind
 from .proxies.links import Links
-from .proxies.messages import Message, Refused, RunStatement
+from .proxies.messages import (
+    AskTokens,
+    GrantTokens,
+    Message,
+    Refused,
+    Request,
+    RunStatement,
+)
+from .rates import Limits, Site
 from .settings import ProxySettings
 
 CONTROL_CONNECTIONS = 1
 RETRY_AFTER_S = 0.5
+RUN_BYTES = 4
 FORWARD_MARGIN_S = 0.2
+ASK_TIMEOUT_S = 0.5
 MOVE_WAITS_S = (0.1, 0.2, 0.4)
 
 
@@ -70,7 +83,7 @@
         """The groups whose homes run here, by name."""
         return {name: home.group for name, home in self._homes.items()}
 
-    async def send(self, req: RunStatement) -> Message:
+    async def send(self, req: Request) -> Message:
         """Have a request run at the home of its group.
 
         One that was refused because the home is moving is sent again soon.
@@ -85,14 +98,15 @@
             answer = await self._send_once(replace(req, timeout_s=left))
         return answer
 
-    async def serve(self, req: RunStatement) -> Message:
+    async def serve(self, req: Request) -> Message:
         """Run a request at a home that is here."""
         if not self.holds(req.group, self._clock()):
             return _refused(Code.NO_HOME, "the group's home is not here")
         if req.group not in self._catalog.groups:
             message = f"there is no database group {req.group!r}"
             return Refused(fault=Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
-        if req.key_id and req.key_id not in self._catalog.keys:
+        key_id = req.key_id if isinstance(req, RunStatement) else ""
+        if key_id and key_id not in self._catalog.keys:
             message = "the key is not in force"
             return Refused(fault=Fault(Code.KEY_UNKNOWN, message, Step.KEY))
         home = self._home(req.group)
@@ -101,7 +115,27 @@
             return await home.serve(req)
         finally:
             self._running[req.group] -= 1
-            self._drop_moved()
+            self.drop_moved()
+
+    def local(self, group: str) -> Home | None:
+        """The home of a group that is open here, even if it has moved on."""
+        return self._homes.get(group)
+
+    def end_customer(self, customer: str) -> int:
+        """End a customer's transactions that are open here; how many there were."""
+        homes = self._homes.values()
+        return sum(home.transactions.end_customer(customer) for home in homes)
+
+    async def lend(self, req: AskTokens) -> Message:
+        """Answer the home of another failure domain that asks for tokens."""
+        here = self.holds(req.group, self._clock())
+        if req.group not in self._catalog.groups or not here:
+            return _refused(Code.NO_HOME, "the group's home is not here")
+        try:
+            admission = self._home(req.group).admission
+            return GrantTokens(grant=admission.lend(req.customer, req.ask))
+        except FaultError as exc:
+            return Refused(fault=exc.fault)
 
     def holds(self, group: str, now: float) -> bool:
         """Whether this process is the group's home in this failure domain.
@@ -143,14 +177,32 @@
                 self._homes.pop(name).close()
             elif spec != home.group.spec:
                 home.group.update(spec)
-        self._drop_moved()
+        self.drop_moved()
+        self._begin_rows()
+
+    @property
+    def open_transactions(self) -> int:
+        """How many transactions are open at the homes here."""
+        return sum(len(home.transactions) for home in self._homes.values())
+
+    def drop_moved(self) -> None:
+        """Close the homes that have moved and serve nothing any more."""
+        now = self._clock()
+        moved = [name for name in self._homes if not self.holds(name, now)]
+        for name in moved:
+            if self._running.get(name) or len(self._homes[name].transactions):
+                self._homes[name].group.close_idle()
+                continue
+            self.on_drop(name)
+            self._homes.pop(name).close()
+            self._running.pop(name, None)
 
     def close(self) -> None:
         """Close every home."""
         for home in self._homes.values():
             home.close()
 
-    async def _send_once(self, req: RunStatement) -> Message:
+    async def _send_once(self, req: Request) -> Message:
         if self.holds(req.group, self._clock()):
             return await self.serve(req)
         owner = self.owner(req.group)
@@ -164,17 +216,6 @@
         reply: Message = answer.unwrap()
         return reply
 
-    def _drop_moved(self) -> None:
-        now = self._clock()
-        moved = [name for name in self._homes if not self.holds(name, now)]
-        for name in moved:
-            if self._running.get(name):
-                self._homes[name].group.close_idle()
-                continue
-            self.on_drop(name)
-            self._homes.pop(name).close()
-            self._running.pop(name, None)
-
     def _home(self, name: str) -> Home:
         if name not in self._homes:
             spec = self._catalog.groups[name]
@@ -183,16 +224,66 @@
             connections -= len(spec.servers)
             share = connections // self._cfg.failure_domains - CONTROL_CONNECTIONS
             group = Group(spec, pool_size=max(1, share))
-            admission = Admission(name, lambda customer: self._limits(customer, name))
-            self._homes[name] = Home(group, admission)
+            admission = Admission(
+                name,
+                lambda customer: self._limits(customer, name),
+                site=self._site(name),
+                holds=lambda now: self.holds(name, now),
+                slots=lambda kind: _slots(group, kind),
+            )
+            home = self._homes[name] = Home(
+                group,
+                admission,
+                instance=self._cfg.name,
+                transactions=self._cfg.transactions,
+            )
+            self._begin_rows()
+            return home
         return self._homes[name]
 
+    def _begin_rows(self) -> None:
+        for row in self._catalog.rows():
+            if row.group in self._homes:
+                self._homes[row.group].admission.begin(row.customer)
+
     def _limits(self, customer: str, group: str) -> Limits | None:
         row = self._catalog.row(customer, group)
         if row is None:
             return None
-        domains = self._cfg.failure_domains
-        return Limits(row.rate / domains, max(1.0, row.burst / domains), row.weight)
+        return Limits(row.rate, row.burst, row.weight)
+
+    def _site(self, group: str) -> Site:
+        async def ask(customer: str, ask: Ask) -> Grant | None:
+            return await self._ask_tokens(group, customer, ask)
+
+        run = secrets.token_hex(RUN_BYTES)
+        return Site(
+            domain=self._cfg.failure_domain,
+            home=f"{self._cfg.name}/{run}",
+            domains=self._cfg.failure_domains,
+            peers=self._other_domains,
+            ask=ask,
+        )
+
+    def _other_domains(self) -> list[str]:
+        domains = {i.failure_domain for i in self._catalog.instances.values()}
+        return sorted(domains - {self._cfg.failure_domain})
+
+    async def _ask_tokens(self, group: str, customer: str, ask: Ask) -> Grant | None:
+        owner = self.owner_in(ask.lender, group)
+        if owner is None:
+            return None
+        req = AskTokens(group=group, customer=customer, ask=ask)
+        answer = await self._links.call(owner, req, timeout_s=ASK_TIMEOUT_S)
+        reply = answer.value_or(None)
+        return reply.grant if isinstance(reply, GrantTokens) else None
+
+
+def _slots(group: Group, kind: Kind) -> int:
+    if kind is Kind.READ:
+        return sum(server.slots for server in group.spec.servers if not server.leaving)
+    slots = {server.name: server.slots for server in group.spec.servers}
+    return slots.get(group.spec.primary, max(slots.values()))
 
 
 def _is_moving(answer: Message) -> bool:
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from ..errors import Fault
+from ..platform.objects import GroupObject
+from ..policy import loans
 from ..policy.cache import Delta
+from ..policy.loans import Ask
 from ..policy.membership import Beat, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
@@ -78,6 +81,112 @@
     repeated: bool = False
 
 
+class BeginTransaction(Envelope, frozen=True):
+    """Open a transaction at the group's primary.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        seen: The position that the session has seen.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    seen: Position
+    timeout_s: float
+
+
+class TransactionBegun(Envelope, frozen=True):
+    """The answer to ``BeginTransaction``.
+
+    Attributes:
+        transaction: The transaction's id; it names the proxy that holds it.
+        server: The server at which it runs.
+        idle_s: Seconds without a statement after which it is rolled back.
+        limit_s: Seconds after which it is rolled back in any case.
+    """
+
+    transaction: str
+    server: str
+    idle_s: float
+    limit_s: float
+
+
+class RunInTransaction(Envelope, frozen=True):
+    """Run one statement in an open transaction.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        kind: Whether the statement reads or writes.
+        sql: The statement.
+        params: Its parameters.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    kind: Kind
+    sql: str
+    params: tuple[Param, ...]
+    timeout_s: float
+
+
+class EndTransaction(Envelope, frozen=True):
+    """Commit or roll back an open transaction.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        commit: Whether to commit it.
+        timeout_s: Seconds left to the request.
+        idempotency_key: The caller's, empty if there is none.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    commit: bool
+    timeout_s: float
+    idempotency_key: str = ""
+
+
+class SettleTransaction(Envelope, frozen=True):
+    """Find out whether a transaction was committed, or keep it from it for good.
+
+    Attributes:
+        customer: Whose key came with the request.
+        group: The database group.
+        transaction: The transaction's id.
+        timeout_s: Seconds left to the request.
+    """
+
+    customer: str
+    group: str
+    transaction: str
+    timeout_s: float
+
+
+class TransactionEnded(Envelope, frozen=True):
+    """The answer to ``EndTransaction`` and ``SettleTransaction``.
+
+    Attributes:
+        committed: Whether it was committed.
+        position: What the session has seen now.
+        server: The server that gave the answer.
+        repeated: Whether it had ended before this request.
+    """
+
+    committed: bool
+    position: Position
+    server: str
+    repeated: bool = False
+
+
 class Refused(Envelope, frozen=True):
     """A final answer that is a fault."""
 
@@ -141,19 +250,65 @@
 
 
 class AskView(Envelope, frozen=True):
-    """Tell what is seen of a group's primary from another failure domain."""
+    """Tell what is seen of a group's primary from another failure domain.
+
+    Attributes:
+        group: The group's name.
+        version: The platform's version of its object that the asker knows.
+    """
 
     group: str
+    version: int
 
 
 class ViewAnswer(Envelope, frozen=True):
-    """What is seen of a group's primary."""
+    """What is seen of a group's primary.
+
+    Attributes:
+        view: What is seen.
+        version: The platform's version of the group object that is known here.
+        newer: That object, if the asker's is older.
+    """
 
     view: View
+    version: int = 0
+    newer: GroupObject | None = None
 
 
 Control = Heartbeat | Granted | Follow | Changed
-Message = RunStatement | Rows | Refused | AskView | ViewAnswer | Control
+
+
+class AskTokens(Envelope, frozen=True):
+    """Asks the home of a group in another failure domain for tokens.
+
+    Attributes:
+        group: The database group.
+        customer: Whose rate it is.
+        ask: What is asked.
+    """
+
+    group: str
+    customer: str
+    ask: Ask
+
+
+class GrantTokens(Envelope, frozen=True):
+    """The answer to an ask for tokens."""
+
+    grant: loans.Grant
+
+
+Request = (
+    RunStatement
+    | BeginTransaction
+    | RunInTransaction
+    | EndTransaction
+    | SettleTransaction
+)
+Pinned = RunInTransaction | EndTransaction
+Answer = Rows | TransactionBegun | TransactionEnded
+Between = AskView | ViewAnswer | AskTokens | GrantTokens
+Message = Request | Answer | Refused | Between | Control
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -14,6 +14,7 @@
 from .callers.app import MAX_DISCARDED_BYTES, callers_application
 from .callers.health import health_application
 from .callers.in_flight import InFlight
+from .callers.transactions import transaction_routes
 from .catalog import KIND_INSTANCE, Catalog
 from .controllers import Controllers
 from .distribution import Distribution
@@ -25,19 +26,26 @@
 from .metrics import ReportCollector, make_metrics
 from .operators.keys import make_first_signing_key
 from .operators.report import ProxyReport, report
+from .pinned import Pinned
 from .platform.client import PlatformClient
 from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
+    AskTokens,
     AskView,
+    BeginTransaction,
+    EndTransaction,
     Follow,
     Heartbeat,
     Message,
     Refused,
+    RunInTransaction,
     RunStatement,
+    SettleTransaction,
 )
 from .settings import ProxySettings
+from .transaction_ingress import TransactionIngress
 
 REGISTER_RETRY_S = 0.2
 HOMES_WAIT_S = 3.0
@@ -77,6 +85,7 @@
         self.controllers = Controllers(
             cfg, self.catalog, self.homes, self._links, self._client
         )
+        self.catalog.on_key_withdrawn = self._end_transactions
         self.homes.on_drop = self.controllers.drop
         self.catalog.on_change = self._refresh
         self.membership.on_change = self._refresh_homes
@@ -87,15 +96,22 @@
             knows_keys=lambda: self.catalog.age_s <= cfg.key_max_age_s,
             metrics=self.metrics,
         )
+        self._pinned = Pinned(cfg.name, self.homes, self._links)
         self._in_flight = InFlight()
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
         self._answer = singledispatch(_refuse_unknown)
-        self._answer.register(RunStatement, self.homes.serve)
-        self._answer.register(AskView, self.controllers.answer_view)
-        self._answer.register(Heartbeat, self.membership.hear)
-        self._answer.register(Follow, self.distribution.answer)
+        register = self._answer.register
+        register(RunStatement, self.homes.serve)
+        register(BeginTransaction, self.homes.serve)
+        register(SettleTransaction, self.homes.serve)
+        register(RunInTransaction, self._pinned.serve)
+        register(EndTransaction, self._pinned.serve)
+        register(AskView, self.controllers.answer_view)
+        register(AskTokens, self.homes.lend)
+        register(Heartbeat, self.membership.hear)
+        register(Follow, self.distribution.answer)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
@@ -141,8 +157,11 @@
         self.homes.refresh()
         self.controllers.refresh()
 
+    def _end_transactions(self, key_id: str, customer: str) -> None:
+        self.homes.end_customer(customer)
+
     def _refresh_homes(self) -> None:
-        self.homes.refresh()
+        self.homes.drop_moved()
         if self.membership.has_moved():
             self.controllers.refresh()
 
@@ -168,13 +187,18 @@
         for server in self._http:
             server.stop()
         await self._in_flight.idle()
-        while self._peers is not None and self._peers.busy(apart_from=Follow):
+        while self._is_busy():
             await asyncio.sleep(POLL_S)
         emit(DRAINED, name=self.cfg.name)
         if alone:
             await self.membership.leave()
         await asyncio.sleep(LINGER_S)
 
+    def _is_busy(self) -> bool:
+        if self.homes.open_transactions:
+            return True
+        return self._peers is not None and bool(self._peers.busy(apart_from=Follow))
+
     async def _close(self) -> None:
         for server in self._http:
             server.stop()
@@ -192,10 +216,13 @@
 
     def _listen(self) -> None:
         cfg = self.cfg
-        callers = HTTPServer(
-            callers_application(self._ingress, in_flight=self._in_flight),
-            max_body_size=MAX_DISCARDED_BYTES,
+        transactions = TransactionIngress(self._ingress, self.homes, self._pinned)
+        app = callers_application(
+            self._ingress,
+            transaction_routes(transactions),
+            in_flight=self._in_flight,
         )
+        callers = HTTPServer(app, max_body_size=MAX_DISCARDED_BYTES)
         callers.listen(cfg.listen_port, address=cfg.listen_host)
         health = HTTPServer(
             health_application(self.registry, lambda: self.ready, self.report)
--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -34,6 +34,19 @@
     json: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class TransactionSettings:
+    """The limits of a transaction.
+
+    Attributes:
+        limit_s: Seconds after which it is rolled back in any case.
+        idle_s: Seconds without a statement after which it is rolled back.
+    """
+
+    limit_s: Annotated[float, Range(0.1, 3600, "seconds")] = 30.0
+    idle_s: Annotated[float, Range(0.1, 600, "seconds")] = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """The settings of one proxy.
@@ -53,6 +66,7 @@
             in which the balancer can notice.
         drain_s: Seconds that a shutdown gives the requests in flight.
         log: How the process logs.
+        transactions: The limits of transactions.
     """
 
     name: Name
@@ -67,6 +81,7 @@
     ready_grace_s: Annotated[float, Range(0, 60, "seconds")] = 2.0
     drain_s: Annotated[float, Range(0, 600, "seconds")] = 30.0
     log: LogSettings = LogSettings()
+    transactions: TransactionSettings = TransactionSettings()
 
     @property
     def admin_address(self) -> str:
--- a/mangoramp/standins/fleet.py
+++ b/mangoramp/standins/fleet.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-import os
-import socket
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,16 +15,10 @@
 from ..platform.objects import GroupObject, Row, ServerState, TableShard, TermStart
 from ..proxy import Proxy
 from ..settings import ProxySettings
+from ._ports import HOST, free_ports
 from .endpoint import Endpoint, EndpointOptions
 from .platform import Platform
 
-HOST = "127.0.0.1"
-PORTS = range(20_000, 32_000)
-PORT_STRIDE = 97
-
-_offset = os.getpid() * PORT_STRIDE % len(PORTS)
-_ports = itertools.cycle([*PORTS[_offset:], *PORTS[:_offset]])
-
 
 @dataclass(frozen=True, slots=True)
 class FleetOptions:
@@ -132,21 +123,3 @@
         proxy = Proxy(cfg)
         await proxy.start()
         return proxy
-
-
-def free_ports(count: int) -> list[int]:
-    """Find ports on loopback that nobody listens on.
-
-    They lie below those that the system gives to outgoing connections, which could
-    otherwise take one before its listener does.
-    """
-    return list(itertools.islice(filter(_is_free, _ports), count))
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-    return True
