--- a/mangoramp/callers/base.py
+++ b/mangoramp/callers/base.py
@@ -13,6 +13,7 @@
 
 from ..errors import Code, Fault, Outcome, Step
 from ..events import HANDLER_FAILED, emit
+from .in_flight import InFlight
 
 T = TypeVar("T")
 TOKEN_HEADER = "Mangoramp-Session"
@@ -49,14 +50,39 @@
     """
 
     _received = 0
+    _in_flight: InFlight | None = None
 
     def prepare(self) -> None:
         """Refuse at once a body that is too long even to be passed over."""
+        self.count()
         length = self.request.headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > MAX_DISCARDED_BYTES:
             self.set_header("Connection", "close")
             self.refuse(_too_large())
 
+    def count(self) -> None:
+        """Count the request as in flight until it is answered or given up."""
+        found: InFlight | None = self.settings.get("in_flight")
+        if found is None:
+            return
+        self._in_flight = found
+        found.enter()
+        if found.closing:
+            self.set_header("Connection", "close")
+
+    def on_finish(self) -> None:
+        """The request was answered."""
+        self._leave()
+
+    def on_connection_close(self) -> None:
+        """The caller is gone."""
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._in_flight is not None:
+            self._in_flight.leave()
+            self._in_flight = None
+
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body while it is within the limit."""
         self._received += len(chunk)
--- a/mangoramp/controllers.py
+++ b/mangoramp/controllers.py
@@ -65,6 +65,10 @@
         if self._due is None:
             self._due = asyncio.get_running_loop().call_soon(self._refresh)
 
+    def drop(self, group: str) -> None:
+        """Stop the controller of a group, if it runs here."""
+        self._drop(group)
+
     async def answer_view(self, req: AskView) -> Message:
         """Tell another failure domain what is seen of a group's primary here."""
         controller = self._controllers.get(req.group)
@@ -90,7 +94,7 @@
             servers = [server.failure_domain for server in spec.servers]
             voters = rank_voters(name, servers, domains)
             counts = self._cfg.failure_domain in voters
-            if counts and self._homes.owner(name) == self._cfg.name:
+            if counts and self._homes.holds(name, self._clock()):
                 version = self._catalog.group_versions[name]
                 self._controller(name).update(version, spec, voters)
             else:
--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -194,6 +194,10 @@
         if self._prober is not None:
             self._prober.cancel()
             self._prober = None
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
         while self._idle:
             self._idle.pop().terminate()
 
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
+import time
 from collections.abc import Callable
 
+from msgspec.structs import replace
 from returns.result import Success
 
 from .admission import Admission
@@ -13,6 +16,7 @@
 from .errors import Code, Fault, FaultError, Outcome, Step
 from .events import HOME_PLACED, REQUEST_FORWARDED, emit
 from .home import Home
+from .membership import Membership
 from .policy._rendezvous import rendezvous
 from .policy.loans import Ask, Grant
 from .policy.statement import Kind
@@ -23,6 +27,7 @@
     Message,
     Refused,
     Request,
+    RunStatement,
 )
 from .rates import Limits, Site
 from .settings import ProxySettings
@@ -32,6 +37,7 @@
 RUN_BYTES = 4
 FORWARD_MARGIN_S = 0.2
 ASK_TIMEOUT_S = 0.5
+MOVE_WAITS_S = (0.1, 0.2, 0.4)
 
 
 class Homes:
@@ -41,7 +47,12 @@
         cfg: The proxy's settings.
         catalog: What is known from the platform.
         links: The way to the other proxies.
+        membership: Tells which instance is home of what.
         on_wait: Called with the group and the seconds that a request waited here.
+        clock: Tells the time in seconds.
+
+    Attributes:
+        on_drop: Called with a group before its home here is closed.
     """
 
     def __init__(
@@ -49,15 +60,26 @@
         cfg: ProxySettings,
         catalog: Catalog,
         links: Links,
+        membership: Membership,
         *,
         on_wait: Callable[[str, float], None] = lambda group, wait_s: None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._on_wait = on_wait
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
         self._links = links
-        self._placed: dict[str, str] = {}
+        self._membership = membership
+        self._clock = clock
+        self._placed: dict[str, tuple[tuple[str, ...], str | None]] = {}
+        self._running: dict[str, int] = {}
+        self.on_drop: Callable[[str], None] = lambda group: None
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests run at the homes here."""
+        return sum(self._running.values())
 
     @property
     def running(self) -> dict[str, Group]:
@@ -65,25 +87,38 @@
         return {name: home.group for name, home in self._homes.items()}
 
     async def send(self, req: Request) -> Message:
-        """Have a request run at the home of its group."""
-        owner = self.owner(req.group)
-        if owner is None:
-            return _refused(Code.NO_HOME, "the group has no home here now")
-        if owner == self._cfg.name:
-            return await self.serve(req)
-        emit(REQUEST_FORWARDED, group=req.group, peer=owner)
-        timeout_s = req.timeout_s + FORWARD_MARGIN_S
-        answer = await self._links.call(owner, req, timeout_s=timeout_s)
-        if not isinstance(answer, Success):
-            return Refused(fault=answer.failure())
-        reply: Message = answer.unwrap()
-        return reply
+        """Have a request run at the home of its group.
+
+        One that was refused because the home is moving is sent again soon.
+        """
+        deadline = self._clock() + req.timeout_s
+        answer = await self._send_once(req)
+        for wait_s in MOVE_WAITS_S:
+            left = deadline - self._clock() - wait_s
+            if not _is_moving(answer) or left <= 0:
+                return answer
+            await asyncio.sleep(wait_s)
+            answer = await self._send_once(replace(req, timeout_s=left))
+        return answer
 
     async def serve(self, req: Request) -> Message:
         """Run a request at a home that is here."""
-        if self.owner(req.group) != self._cfg.name:
+        if not self.holds(req.group, self._clock()):
             return _refused(Code.NO_HOME, "the group's home is not here")
-        return await self._home(req.group).serve(req)
+        if req.group not in self._catalog.groups:
+            message = f"there is no database group {req.group!r}"
+            return Refused(fault=Fault(Code.GROUP_UNKNOWN, message, Step.ADMIT))
+        key_id = req.key_id if isinstance(req, RunStatement) else ""
+        if key_id and key_id not in self._catalog.keys:
+            message = "the key is not in force"
+            return Refused(fault=Fault(Code.KEY_UNKNOWN, message, Step.KEY))
+        home = self._home(req.group)
+        self._running[req.group] = self._running.get(req.group, 0) + 1
+        try:
+            return await home.serve(req)
+        finally:
+            self._running[req.group] -= 1
+            self.drop_moved()
 
     def local(self, group: str) -> Home | None:
         """The home of a group that is open here, even if it has moved on."""
@@ -96,7 +131,8 @@
 
     async def lend(self, req: AskTokens) -> Message:
         """Answer the home of another failure domain that asks for tokens."""
-        if req.group not in self._catalog.groups or not self._is_here(req.group):
+        here = self.holds(req.group, self._clock())
+        if req.group not in self._catalog.groups or not here:
             return _refused(Code.NO_HOME, "the group's home is not here")
         try:
             admission = self._home(req.group).admission
@@ -104,50 +140,85 @@
         except FaultError as exc:
             return Refused(fault=exc.fault)
 
+    def holds(self, group: str, now: float) -> bool:
+        """Whether this process is the group's home in this failure domain.
+
+        Args:
+            group: The group.
+            now: The time, in seconds.
+        """
+        return self._membership.holds(group, now)
+
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
-        members = [
-            instance.name
-            for instance in self._catalog.instances.values()
-            if instance.failure_domain == self._cfg.failure_domain
-            and not instance.leaving
-        ]
+        members = self._membership.live_in(self._cfg.failure_domain)
+        known = self._placed.get(group)
+        if known is not None and known[0] is members:
+            return known[1]
         owner = rendezvous(group, members)
-        if owner is not None and self._placed.get(group) != owner:
-            self._placed[group] = owner
+        if owner is not None and (known is None or known[1] != owner):
             emit(HOME_PLACED, group=group, instance=owner, considered=members)
+        self._placed[group] = (members, owner)
         return owner
 
+    def owner_in(self, failure_domain: str, group: str) -> str | None:
+        """The instance that is the group's home in a failure domain, if one is known.
+
+        It is a hint: only the instance itself knows whether it holds the home.
+        """
+        return rendezvous(group, self._membership.live_in(failure_domain))
+
     def group(self, name: str) -> Group:
         """The servers of a group whose home is here."""
         return self._home(name).group
 
-    def owner_in(self, failure_domain: str, group: str) -> str | None:
-        """The instance that is the group's home in a failure domain."""
-        members = [
-            instance.name
-            for instance in self._catalog.instances.values()
-            if instance.failure_domain == failure_domain and not instance.leaving
-        ]
-        return rendezvous(group, members)
-
     def refresh(self) -> None:
-        """Take over changes of the groups."""
+        """Take over changes of the groups, and close homes that have moved."""
         for name, home in list(self._homes.items()):
             spec = self._catalog.groups.get(name)
             if spec is None:
                 self._homes.pop(name).close()
-            else:
+            elif spec != home.group.spec:
                 home.group.update(spec)
-        for row in self._catalog.rows():
-            if row.group in self._homes:
-                self._homes[row.group].admission.begin(row.customer)
+        self.drop_moved()
+        self._begin_rows()
+
+    @property
+    def open_transactions(self) -> int:
+        """How many transactions are open at the homes here."""
+        return sum(len(home.transactions) for home in self._homes.values())
+
+    def drop_moved(self) -> None:
+        """Close the homes that have moved and serve nothing any more."""
+        now = self._clock()
+        moved = [name for name in self._homes if not self.holds(name, now)]
+        for name in moved:
+            if self._running.get(name) or len(self._homes[name].transactions):
+                self._homes[name].group.close_idle()
+                continue
+            self.on_drop(name)
+            self._homes.pop(name).close()
+            self._running.pop(name, None)
 
     def close(self) -> None:
         """Close every home."""
         for home in self._homes.values():
             home.close()
 
+    async def _send_once(self, req: Request) -> Message:
+        if self.holds(req.group, self._clock()):
+            return await self.serve(req)
+        owner = self.owner(req.group)
+        if owner is None or owner == self._cfg.name:
+            return _refused(Code.NO_HOME, "the group has no home here now")
+        emit(REQUEST_FORWARDED, group=req.group, peer=owner)
+        timeout_s = req.timeout_s + FORWARD_MARGIN_S
+        answer = await self._links.call(owner, req, timeout_s=timeout_s)
+        if not isinstance(answer, Success):
+            return Refused(fault=answer.failure())
+        reply: Message = answer.unwrap()
+        return reply
+
     def _home(self, name: str) -> Home:
         if name not in self._homes:
             spec = self._catalog.groups[name]
@@ -160,18 +231,25 @@
                 name,
                 lambda customer: self._limits(customer, name),
                 site=self._site(name),
+                holds=lambda now: self.holds(name, now),
                 slots=lambda kind: _slots(group, kind),
             )
-            self._homes[name] = Home(
+            home = self._homes[name] = Home(
                 group,
                 admission,
                 instance=self._cfg.name,
                 transactions=self._cfg.transactions,
                 on_wait=self._on_wait,
             )
-            self.refresh()
+            self._begin_rows()
+            return home
         return self._homes[name]
 
+    def _begin_rows(self) -> None:
+        for row in self._catalog.rows():
+            if row.group in self._homes:
+                self._homes[row.group].admission.begin(row.customer)
+
     def _limits(self, customer: str, group: str) -> Limits | None:
         row = self._catalog.row(customer, group)
         if row is None:
@@ -204,9 +282,6 @@
         reply = answer.value_or(None)
         return reply.grant if isinstance(reply, GrantTokens) else None
 
-    def _is_here(self, group: str) -> bool:
-        return self.owner(group) == self._cfg.name
-
 
 def _slots(group: Group, kind: Kind) -> int:
     if kind is Kind.READ:
@@ -215,6 +290,13 @@
     return slots.get(group.spec.primary, max(slots.values()))
 
 
+def _is_moving(answer: Message) -> bool:
+    if not isinstance(answer, Refused):
+        return False
+    fault = answer.fault
+    return fault.code is Code.NO_HOME and fault.outcome is Outcome.NOT_RUN
+
+
 def _refused(code: Code, message: str) -> Refused:
     fault = Fault(code, message, Step.FORWARD, "", Outcome.NOT_RUN, RETRY_AFTER_S)
     return Refused(fault=fault)
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -18,7 +18,7 @@
 from .homes import Homes
 from .metrics import Metrics, make_metrics
 from .platform.objects import Row
-from .policy.keys import check_key
+from .policy.keys import check_key, key_id
 from .policy.position import Position
 from .policy.retry import RetryRule
 from .policy.session import (
@@ -77,6 +77,7 @@
         catalog: What is known from the platform.
         homes: The way to the groups' homes.
         failure_domain: Where this proxy runs.
+        knows_keys: Tells whether withdrawn keys were heard of lately enough.
         metrics: Counts requests.
         clock: Tells the time in seconds.
     """
@@ -87,6 +88,7 @@
         homes: Homes,
         failure_domain: str,
         *,
+        knows_keys: Callable[[], bool] = lambda: True,
         metrics: Metrics | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -94,6 +96,7 @@
         self._catalog = catalog
         self._homes = homes
         self._failure_domain = failure_domain
+        self._knows_keys = knows_keys
         self._clock = clock
         self._retrier = Retrier(failure_domain, clock=clock, rule=FORWARD_RULE)
 
@@ -114,6 +117,8 @@
             key: The caller's key.
             token: The session token, empty for a new session.
         """
+        if not self._knows_keys():
+            return Failure(_keys_too_old())
         customer = check_key(key, self._catalog.keys)
         if not isinstance(customer, Success):
             return Failure(customer.failure())
@@ -250,5 +255,11 @@
                 timeout_s=req.timeout_s,
                 idempotency_key=req.idempotency_key,
                 failure_domain=self._failure_domain,
+                key_id=key_id(req.key),
             )
         )
+
+
+def _keys_too_old() -> Fault:
+    message = "withdrawn keys were not heard of for too long"
+    return Fault(Code.NO_SERVER, message, Step.KEY, retry_after_s=1.0)
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -6,7 +6,10 @@
 
 from ..errors import Fault
 from ..platform.objects import GroupObject
-from ..policy.loans import Ask, Grant
+from ..policy import loans
+from ..policy.cache import Delta
+from ..policy.loans import Ask
+from ..policy.membership import Beat, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 from ..policy.suspicion import View
@@ -38,6 +41,7 @@
         timeout_s: Seconds left to the request.
         idempotency_key: The caller's, empty if there is none.
         failure_domain: Where the request came in.
+        key_id: The public id of the key that came with the request.
     """
 
     customer: str
@@ -50,6 +54,7 @@
     timeout_s: float
     idempotency_key: str = ""
     failure_domain: str = ""
+    key_id: str = ""
 
 
 class Rows(Envelope, frozen=True):
@@ -188,6 +193,62 @@
     fault: Fault
 
 
+class Heartbeat(Envelope, frozen=True, tag="b", rename={"beat": "b"}):
+    """A member's beat to its failure domain's relay."""
+
+    beat: Beat
+
+
+class Granted(
+    Envelope,
+    frozen=True,
+    omit_defaults=True,
+    tag="g",
+    rename={"grant": "g"},
+):
+    """The relay's answer to a heartbeat.
+
+    Attributes:
+        grant: What the member may do.
+        lost: The failure domains whose relay gives no sign of life.
+    """
+
+    grant: Grant
+    lost: tuple[str, ...] = ()
+
+
+class Follow(Envelope, frozen=True):
+    """Asks for the changes of the platform's objects, and waits for the first.
+
+    Attributes:
+        sender: Who asks.
+        versions: The version up to which each kind is complete there.
+        wait_s: Seconds to wait.
+        stamp: The last :attr:`Changed.stamp` that the sender has seen.
+    """
+
+    sender: str
+    versions: dict[str, int]
+    wait_s: float
+    stamp: int = 0
+
+
+class Changed(Envelope, frozen=True):
+    """The changes of the platform's objects.
+
+    Attributes:
+        deltas: What changed, by kind.
+        fresh_s: When the platform was last heard, in seconds after the question came
+            (negative before it); None if it never was.
+        stamp: Tells the relay's view, and whether it is settled; 0 if the answering
+            process is no relay. A member that sees it change is to beat at once.
+    """
+
+    deltas: tuple[Delta, ...]
+    fresh_s: float | None
+    stamp: int = 0
+
+
 class AskView(Envelope, frozen=True):
     """Tell what is seen of a group's primary from another failure domain.
 
@@ -214,6 +275,9 @@
     newer: GroupObject | None = None
 
 
+Control = Heartbeat | Granted | Follow | Changed
+
+
 class AskTokens(Envelope, frozen=True):
     """Asks the home of a group in another failure domain for tokens.
 
@@ -231,7 +295,7 @@
 class GrantTokens(Envelope, frozen=True):
     """The answer to an ask for tokens."""
 
-    grant: Grant
+    grant: loans.Grant
 
 
 Request = (
@@ -244,7 +308,7 @@
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
 Between = AskView | ViewAnswer | AskTokens | GrantTokens
-Message = Request | Answer | Refused | Between
+Message = Request | Answer | Refused | Between | Control
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/settings.py
+++ b/mangoramp/settings.py
@@ -60,6 +60,11 @@
         metrics_port: Port for health, metrics and status, on the same address.
         peer_address: Where other proxies reach this one, as ``tcp://ip:port``.
         failure_domains: How many failure domains share each server's connections.
+        key_max_age_s: Seconds for which known keys are served while no news of keys
+            can be had, neither from the platform nor from a peer.
+        ready_grace_s: Seconds between the end of readiness and the end of listening,
+            in which the balancer can notice.
+        drain_s: Seconds that a shutdown gives the requests in flight.
         log: How the process logs.
         transactions: The limits of transactions.
     """
@@ -72,6 +77,9 @@
     metrics_port: Port
     peer_address: Peer
     failure_domains: Annotated[int, Range(1, 64, "failure domains")] = 3
+    key_max_age_s: Annotated[float, Range(1, 86_400, "seconds")] = 7200.0
+    ready_grace_s: Annotated[float, Range(0, 60, "seconds")] = 2.0
+    drain_s: Annotated[float, Range(0, 600, "seconds")] = 30.0
     log: LogSettings = LogSettings()
     transactions: TransactionSettings = TransactionSettings()
 
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from mangoramp.catalog import Catalog
-from mangoramp.platform.client import PlatformClient, Versioned
+from mangoramp.platform.client import Versioned
 from mangoramp.platform.objects import GroupObject, TermStart
 from mangoramp.standins.endpoint import Faults
 
@@ -29,7 +29,7 @@
 
 class TestCatalog:
     async def test_takes_no_older_group_object(self):
-        catalog = Catalog(PlatformClient("http://127.0.0.1:1"))
+        catalog = Catalog()
         starts = (TermStart(1, 0, 0),)
         for version, primary in ((5, "b"), (4, "a")):
             group = GroupObject("g", 2, primary, (), starts)
