--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -6,6 +6,7 @@
 
 from ..errors import Fault
 from ..platform.objects import GroupObject
+from ..policy.loans import Ask, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
 from ..policy.suspicion import View
@@ -213,6 +214,26 @@
     newer: GroupObject | None = None
 
 
+class AskTokens(Envelope, frozen=True):
+    """Asks the home of a group in another failure domain for tokens.
+
+    Attributes:
+        group: The database group.
+        customer: Whose rate it is.
+        ask: What is asked.
+    """
+
+    group: str
+    customer: str
+    ask: Ask
+
+
+class GrantTokens(Envelope, frozen=True):
+    """The answer to an ask for tokens."""
+
+    grant: Grant
+
+
 Request = (
     RunStatement
     | BeginTransaction
@@ -222,7 +243,8 @@
 )
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
-Message = Request | Answer | Refused | AskView | ViewAnswer
+Between = AskView | ViewAnswer | AskTokens | GrantTokens
+Message = Request | Answer | Refused | Between
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,7 +14,7 @@
 
 import yaml
 
-from mangoramp.standins.fleet import free_ports
+from mangoramp.standins._ports import free_ports
 
 READY_S = 20.0
 POLL_S = 0.02
@@ -128,9 +128,16 @@
             "standin", "seed", "--platform", self.platform, "--file", str(path)
         )
 
+    def _check_running(self) -> None:
+        for name, proc in self.running.items():
+            if proc.poll() is not None:
+                said = (self.folder / f"{name}.log").read_text()
+                raise RuntimeError(f"{name} ended: {said[-1000:]}")
+
     def _wait(self, url: str) -> None:
         deadline = time.monotonic() + READY_S
         while time.monotonic() < deadline:
+            self._check_running()
             try:
                 urlopen(url, timeout=1)
             except (URLError, OSError):
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mangoramp.standins.fleet import free_ports
+from mangoramp.standins._ports import free_ports
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "local-fleet"
 BLOCK = re.compile(r"```sh\n(.*?)```", re.DOTALL)
