Let open transactions end before their home is handed over

A shutdown now waits up to 5 s for open transactions first; with that off, test_can_be_ended_while_its_home_shuts_down fails with ('not_run', 'done').

--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -52,6 +52,7 @@
 SIGNING_KEY_RETRY_S = 0.5
 POLL_S = 0.02
 LINGER_S = 0.1
+TRANSACTIONS_WAIT_S = 5.0
 RELIST_S = 5.0
 CANCEL_RETRY_S = 0.1
 GOODBYE_S = 1.0
@@ -183,7 +184,7 @@
         if alone:
             await grace
         else:
-            await asyncio.gather(grace, self.membership.leave())
+            await asyncio.gather(grace, self._hand_over())
         for server in self._http:
             server.stop()
         await self._in_flight.idle()
@@ -194,6 +195,14 @@
             await self.membership.leave()
         await asyncio.sleep(LINGER_S)
 
+    async def _hand_over(self) -> None:
+        # A home that has moved may admit no more statements of open transactions.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(TRANSACTIONS_WAIT_S, self.cfg.drain_s)):
+                while self.homes.open_transactions:
+                    await asyncio.sleep(POLL_S)
+        await self.membership.leave()
+
     def _is_busy(self) -> bool:
         if self.homes.open_transactions:
             return True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from urllib.request import urlopen
 
 import pytest
-from tornado.httpclient import HTTPClientError
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from mangoramp.catalog import KIND_GROUP, KIND_KEY
 from mangoramp.membership import Membership
@@ -168,6 +168,31 @@
             assert "d2-s" not in servers
 
 
+class TestOpenTransaction:
+    async def test_can_be_ended_while_its_home_shuts_down(self):
+        async with running(domains=("d1",), proxies=2) as fleet:
+            home, other = _home_and_other(fleet)
+            begun = await _post(fleet, other, "transactions")
+            shutting = asyncio.ensure_future(home.shut_down(asyncio.Event()))
+            await asyncio.sleep(0.5)
+            assert not home.ready
+            path = f"transactions/{begun['transaction']}"
+            ran = await _post(fleet, other, f"{path}/statements", sql="SELECT 1")
+            ended = await _post(fleet, other, f"{path}/commit")
+            assert (ran["outcome"], ended["outcome"]) == ("done", "done")
+            await shutting
+            assert (await _post(fleet, other, "transactions"))["outcome"] == "done"
+
+    async def test_ends_when_its_key_is_withdrawn(self):
+        async with running(domains=("d1",), proxies=2) as fleet:
+            home, other = _home_and_other(fleet)
+            await _post(fleet, other, "transactions")
+            assert home.homes.open_transactions == 1
+            await withdraw_key(fleet.client, next(iter(home.catalog.keys)))
+            ended = await until(lambda: not home.homes.open_transactions, WITHDRAWN_S)
+            assert ended
+
+
 class TestShutdown:
     @pytest.fixture
     def fleet(self, tmp_path):
@@ -215,6 +240,25 @@
         client.close()
 
 
+def _home_and_other(fleet):
+    first, second = fleet.proxies.values()
+    if first.homes.holds("register", time.monotonic()):
+        return first, second
+    return second, first
+
+
+async def _post(fleet, proxy, path, **body):
+    base = fleet.url(proxy.cfg.name).removesuffix("statements")
+    resp = await AsyncHTTPClient().fetch(
+        base + path,
+        method="POST",
+        body=json.dumps(body) if body else "",
+        headers={"Authorization": f"Bearer {fleet.keys['tala']}"},
+        raise_error=False,
+    )
+    return json.loads(resp.body)
+
+
 def _silence(server):
     """Let a proxy take its peers' requests and answer none, as a lost route would."""
 
