--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -48,6 +48,7 @@
         catalog: What is known from the platform.
         links: The way to the other proxies.
         membership: Tells which instance is home of what.
+        on_wait: Called with the group and the seconds that a request waited here.
         clock: Tells the time in seconds.
 
     Attributes:
@@ -61,8 +62,10 @@
         links: Links,
         membership: Membership,
         *,
+        on_wait: Callable[[str, float], None] = lambda group, wait_s: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._on_wait = on_wait
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
@@ -236,6 +239,7 @@
                 admission,
                 instance=self._cfg.name,
                 transactions=self._cfg.transactions,
+                on_wait=self._on_wait,
             )
             self._begin_rows()
             return home
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -82,9 +82,20 @@
         self.membership = Membership(
             cfg, self._client, self.catalog, self._control, self.distribution
         )
-        self.homes = Homes(cfg, self.catalog, self._links, self.membership)
+        self.homes = Homes(
+            cfg,
+            self.catalog,
+            self._links,
+            self.membership,
+            on_wait=self.metrics.waited,
+        )
         self.controllers = Controllers(
-            cfg, self.catalog, self.homes, self._links, self._client
+            cfg,
+            self.catalog,
+            self.homes,
+            self._links,
+            self._client,
+            on_failover=lambda group: self.metrics.failovers.labels(group).inc(),
         )
         self.catalog.on_key_withdrawn = self._end_transactions
         self.homes.on_drop = self.controllers.drop
