--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -432,6 +432,8 @@
             self._bucket.give_back(loan)
             self._end(loan, loan.tokens)
         lenders = {loan.lender for loan in due}
+        if self._is_kept:
+            lenders.update(self._ended)
         return tuple(self._ask(lender, 0.0, 0.0, now) for lender in sorted(lenders))
 
     def _is_due(self, loan: Loan, now: float) -> bool:
