--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Callable
 
 from returns.result import Success
 
@@ -16,7 +17,13 @@
 from .policy.loans import Ask, Grant
 from .policy.statement import Kind
 from .proxies.links import Links
-from .proxies.messages import AskTokens, GrantTokens, Message, Refused, Request
+from .proxies.messages import (
+    AskTokens,
+    GrantTokens,
+    Message,
+    Refused,
+    Request,
+)
 from .rates import Limits, Site
 from .settings import ProxySettings
 
@@ -34,9 +41,18 @@
         cfg: The proxy's settings.
         catalog: What is known from the platform.
         links: The way to the other proxies.
+        on_wait: Called with the group and the seconds that a request waited here.
     """
 
-    def __init__(self, cfg: ProxySettings, catalog: Catalog, links: Links) -> None:
+    def __init__(
+        self,
+        cfg: ProxySettings,
+        catalog: Catalog,
+        links: Links,
+        *,
+        on_wait: Callable[[str, float], None] = lambda group, wait_s: None,
+    ) -> None:
+        self._on_wait = on_wait
         self._cfg = cfg
         self._catalog = catalog
         self._homes: dict[str, Home] = {}
@@ -69,6 +85,15 @@
             return _refused(Code.NO_HOME, "the group's home is not here")
         return await self._home(req.group).serve(req)
 
+    def local(self, group: str) -> Home | None:
+        """The home of a group that is open here, even if it has moved on."""
+        return self._homes.get(group)
+
+    def end_customer(self, customer: str) -> int:
+        """End a customer's transactions that are open here; how many there were."""
+        homes = self._homes.values()
+        return sum(home.transactions.end_customer(customer) for home in homes)
+
     async def lend(self, req: AskTokens) -> Message:
         """Answer the home of another failure domain that asks for tokens."""
         if req.group not in self._catalog.groups or not self._is_here(req.group):
@@ -79,15 +104,6 @@
         except FaultError as exc:
             return Refused(fault=exc.fault)
 
-    def local(self, group: str) -> Home | None:
-        """The home of a group that is open here, even if it has moved on."""
-        return self._homes.get(group)
-
-    def end_customer(self, customer: str) -> int:
-        """End a customer's transactions that are open here; how many there were."""
-        homes = self._homes.values()
-        return sum(home.transactions.end_customer(customer) for home in homes)
-
     def owner(self, group: str) -> str | None:
         """The instance that is the group's home in this failure domain."""
         members = [
@@ -102,6 +118,10 @@
             emit(HOME_PLACED, group=group, instance=owner, considered=members)
         return owner
 
+    def group(self, name: str) -> Group:
+        """The servers of a group whose home is here."""
+        return self._home(name).group
+
     def owner_in(self, failure_domain: str, group: str) -> str | None:
         """The instance that is the group's home in a failure domain."""
         members = [
@@ -111,10 +131,6 @@
         ]
         return rendezvous(group, members)
 
-    def group(self, name: str) -> Group:
-        """The servers of a group whose home is here."""
-        return self._home(name).group
-
     def refresh(self) -> None:
         """Take over changes of the groups."""
         for name, home in list(self._homes.items()):
@@ -151,6 +167,7 @@
                 admission,
                 instance=self._cfg.name,
                 transactions=self._cfg.transactions,
+                on_wait=self._on_wait,
             )
             self.refresh()
         return self._homes[name]
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -32,7 +32,7 @@
 from .proxies.messages import Message, Param, Refused, Rows, RunStatement
 from .retrier import Retrier
 
-FORWARD_RULE = RetryRule(first_share=1.0)
+FORWARD_RULE = RetryRule(share=0.5, burst=100, attempts=8, first_s=0.1, most_s=1.0)
 TERM_WAIT_S = 1.0
 TERM_POLL_S = 0.05
 
@@ -139,6 +139,16 @@
         seen = session.merged(group, position)
         return "" if keys is None else encode_session(seen, keys)
 
+    def done(self, group: str, customer: str, *, replica: bool | None = None) -> None:
+        """Count a request that was answered.
+
+        Args:
+            group: Its database group.
+            customer: Whose it was.
+            replica: Whether a replica served it; None if it was no read.
+        """
+        self._metrics.done(group, customer, replica=replica)
+
     def refused(self, group: str, fault: Fault, *, key: str = "") -> None:
         """Count and log a refusal, without what the caller wrote.
 
@@ -181,7 +191,7 @@
             return Failure(Fault(Code.INTERNAL, message, Step.FORWARD, "", unknown))
         reads = prepared.unwrap().kind is Kind.READ
         replica = answer.replica if reads else None
-        self._metrics.done(req.group, session.customer, replica=replica)
+        self.done(req.group, session.customer, replica=replica)
         token = self.token(session, req.group, answer.position)
         return Success(StatementAnswer(answer, token))
 
@@ -189,8 +199,8 @@
         """Send a request to its home; again where the way to it was at fault."""
         deadline = self._clock() + req.timeout_s
 
-        async def attempt(limit: float) -> Message:
-            left_s = max(0.0, limit - self._clock())
+        async def attempt(share: float) -> Message:
+            left_s = max(0.0, deadline - self._clock())
             answer = await self._homes.send(replace(req, timeout_s=left_s))
             if isinstance(answer, Refused) and answer.fault.step is Step.FORWARD:
                 raise FaultError(answer.fault)
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import Fault
+from ..platform.objects import GroupObject
 from ..policy.loans import Ask, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
@@ -187,6 +188,32 @@
     fault: Fault
 
 
+class AskView(Envelope, frozen=True):
+    """Tell what is seen of a group's primary from another failure domain.
+
+    Attributes:
+        group: The group's name.
+        version: The platform's version of its object that the asker knows.
+    """
+
+    group: str
+    version: int
+
+
+class ViewAnswer(Envelope, frozen=True):
+    """What is seen of a group's primary.
+
+    Attributes:
+        view: What is seen.
+        version: The platform's version of the group object that is known here.
+        newer: That object, if the asker's is older.
+    """
+
+    view: View
+    version: int = 0
+    newer: GroupObject | None = None
+
+
 class AskTokens(Envelope, frozen=True):
     """Asks the home of a group in another failure domain for tokens.
 
@@ -207,18 +234,6 @@
     grant: Grant
 
 
-class AskView(Envelope, frozen=True):
-    """Tell what is seen of a group's primary from another failure domain."""
-
-    group: str
-
-
-class ViewAnswer(Envelope, frozen=True):
-    """What is seen of a group's primary."""
-
-    view: View
-
-
 Request = (
     RunStatement
     | BeginTransaction
@@ -228,8 +243,8 @@
 )
 Pinned = RunInTransaction | EndTransaction
 Answer = Rows | TransactionBegun | TransactionEnded
-Peers = AskView | ViewAnswer | AskTokens | GrantTokens
-Message = Request | Answer | Refused | Peers
+Between = AskView | ViewAnswer | AskTokens | GrantTokens
+Message = Request | Answer | Refused | Between
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -59,9 +59,14 @@
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog(self._client)
         self._links = Links(self._address_of)
-        self.homes = Homes(cfg, self.catalog, self._links)
+        self.homes = Homes(cfg, self.catalog, self._links, on_wait=self.metrics.waited)
         self.controllers = Controllers(
-            cfg, self.catalog, self.homes, self._links, self._client
+            cfg,
+            self.catalog,
+            self.homes,
+            self._links,
+            self._client,
+            on_failover=lambda group: self.metrics.failovers.labels(group).inc(),
         )
         self.catalog.on_change = self._refresh
         self._ingress = Ingress(
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -12,7 +12,8 @@
 from mangoramp.client import Client, RetryBudget, Session
 from mangoramp.errors import HTTP_STATUS, Code, Outcome
 from mangoramp.load import Load, send
-from mangoramp.standins.fleet import Fleet, FleetOptions, free_ports
+from mangoramp.standins._ports import free_ports
+from mangoramp.standins.fleet import Fleet, FleetOptions
 
 DONE = {
     "columns": [], "rows": [], "count": 1, "server": "s", "replica": False,
