Ask at each decision whether the home is still here; say NO_HOME at a close

Cause: a home that closed told waiting requests that their rate was used up, and the rates asked no one whether the home had moved.

--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -96,7 +96,7 @@
 
     async def lend(self, req: AskTokens) -> Message:
         """Answer the home of another failure domain that asks for tokens."""
-        if req.group not in self._catalog.groups or not self._is_here(req.group):
+        if req.group not in self._catalog.groups or not self.holds(req.group):
             return _refused(Code.NO_HOME, "the group's home is not here")
         try:
             admission = self._home(req.group).admission
@@ -122,6 +122,10 @@
         """The servers of a group whose home is here."""
         return self._home(name).group
 
+    def holds(self, group: str) -> bool:
+        """Whether this process is the group's home in this failure domain."""
+        return self.owner(group) == self._cfg.name
+
     def owner_in(self, failure_domain: str, group: str) -> str | None:
         """The instance that is the group's home in a failure domain."""
         members = [
@@ -160,6 +164,7 @@
                 name,
                 lambda customer: self._limits(customer, name),
                 site=self._site(name),
+                holds=lambda at: self.holds(name),
                 slots=lambda kind: _slots(group, kind),
             )
             self._homes[name] = Home(
@@ -204,9 +209,6 @@
         reply = answer.value_or(None)
         return reply.grant if isinstance(reply, GrantTokens) else None
 
-    def _is_here(self, group: str) -> bool:
-        return self.owner(group) == self._cfg.name
-
 
 def _slots(group: Group, kind: Kind) -> int:
     if kind is Kind.READ:
--- a/mangoramp/rates.py
+++ b/mangoramp/rates.py
@@ -82,6 +82,7 @@
         self._holds = holds
         self._clock = clock
         self._began = clock()
+        self._closed = False
         self._buckets: dict[str, FleetBucket] = {}
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -124,6 +125,7 @@
 
     def close(self) -> None:
         """Stop; what waits is refused."""
+        self._closed = True
         for timer in self._timers.values():
             timer.cancel()
         for task in self._tasks:
@@ -208,7 +210,7 @@
             fut.set_exception(self._refused(customer, refusal))
 
     def _refused(self, customer: str, refusal: Refusal) -> FaultError:
-        if not self._holds(self._clock()):
+        if self._closed or not self._holds(self._clock()):
             message = "the group's home has moved"
             return FaultError(
                 Fault(Code.NO_HOME, message, Step.ADMIT, retry_after_s=LEASE_RETRY_S)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -71,6 +71,17 @@
             await home.take("tala", LIMITS)
         assert caught.value.fault.code is Code.NO_HOME
 
+    async def test_says_that_the_home_is_gone_when_it_closes(self):
+        clock = Clock()
+        home = lender(clock, {})("d1")
+        clock.now = 0.05
+        waiting = asyncio.ensure_future(home.take("tala", LIMITS))
+        await asyncio.sleep(0)
+        home.close()
+        with pytest.raises(FaultError) as caught:
+            await waiting
+        assert caught.value.fault.code is Code.NO_HOME
+
     async def test_gives_up_the_place_of_a_caller_that_left(self):
         clock = Clock()
         home = lender(clock, {})("d1")
