Let a home that takes over early wait for its predecessor's loans

Cause: a home that moves before its lease is over leaves loans behind that its successor does not know. Made to fail first: without the wait, more than the burst of 9 is admitted at one moment (CountsOnItsShareAtOnce); with it, at most 9.

--- a/mangoramp/admission.py
+++ b/mangoramp/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -24,6 +25,8 @@
         limits: Tells a customer's limits over the whole fleet, None if it has no row.
         site: Where the home runs, and how it reaches other domains' homes.
         holds: Tells whether the home's lease, as known now, covers a time.
+        settled_at: When loans of a predecessor that gave the home up before its lease
+            was over have ended, in seconds (`policy.loans.SHARE_HOLD_S` after it).
         slots: Tells how many requests of a kind may run here at the same time.
         clock: Tells the time in seconds.
     """
@@ -35,12 +38,15 @@
         *,
         site: Site = ALONE,
         holds: Callable[[float], bool] = lambda now: True,
+        settled_at: float = -math.inf,
         slots: Callable[[Kind], int] = lambda kind: MANY_SLOTS,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._group = group
         self._limits = limits
-        self._rates = Rates(group, site, holds=holds, clock=clock)
+        self._rates = Rates(
+            group, site, holds=holds, settled_at=settled_at, clock=clock
+        )
         self._turns = {
             kind: Turns(lambda kind=kind: slots(kind), clock=clock)  # type: ignore[misc]
             for kind in Kind
--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -133,6 +133,9 @@
         now: When this home began, in seconds; it begins with no tokens.
         holds: Tells whether this home's lease, as known now, covers a time. Nothing is
             admitted after its end, and nothing is lent that would outlast it.
+        settled_at: When loans of a predecessor are over at the latest, in seconds, if
+            it gave the home up before its lease was over; nothing of the own share is
+            used before.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         burst: float,
         now: float,
         holds: Callable[[float], bool] = lambda now: True,
+        settled_at: float = -math.inf,
     ) -> None:
         self.subject = subject
         self.domain = domain
@@ -154,7 +158,10 @@
         self.burst = burst
         self._domains = domains
         self._holds = holds
-        self._bucket = LendingBucket(self._own, now)
+        self._settled_at = settled_at
+        self._is_settled = now >= settled_at
+        own = self._own if self._is_settled else Share(0.0, 0.0)
+        self._bucket = LendingBucket(own, now)
         self._ended: dict[str, list[LoanEnd]] = {}
         self._sent: dict[int, _Sent] = {}
         self._peers: dict[str, _Peer] = {}
@@ -180,7 +187,8 @@
         self._settle(now)
         self.rate = rate
         self.burst = burst
-        self._bucket.resize(self._own, now)
+        if self._is_settled:
+            self._bucket.resize(self._own, now)
 
     def available(self, now: float) -> float:
         """Tokens that can be used here now."""
@@ -259,6 +267,9 @@
 
     def _settle(self, now: float) -> None:
         self._bucket.settle(now)
+        if not self._is_settled and now >= self._settled_at:
+            self._is_settled = True
+            self._bucket.resize(self._own, now)
         for number, sent in list(self._sent.items()):
             if now >= sent.until:
                 del self._sent[number]
@@ -485,7 +496,7 @@
             times.append(self._waiting[0].since + MAX_WAIT_S)
             times += [sent.at + ASK_TIMEOUT_S for sent in self._sent.values()]
             times += [peer.at + peer.pause_s for peer in self._peers.values()]
-            times.append(now + self._refill_s(now))
+            times += [now + self._refill_s(now), self._settled_at]
         later = [time for time in times if now < time < math.inf]
         return min(later, default=None)
 
--- a/mangoramp/rates.py
+++ b/mangoramp/rates.py
@@ -66,6 +66,7 @@
         group: The group's name.
         site: Where the home runs.
         holds: Tells whether the home's lease, as known now, covers a time.
+        settled_at: When loans of a predecessor that gave the home up early are over.
         clock: Tells the time in seconds.
     """
 
@@ -75,11 +76,13 @@
         site: Site,
         *,
         holds: Callable[[float], bool],
+        settled_at: float = -math.inf,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._group = group
         self._site = site
         self._holds = holds
+        self._settled_at = settled_at
         self._clock = clock
         self._began = clock()
         self._closed = False
@@ -154,6 +157,7 @@
                 burst=limits.burst,
                 now=self._began,
                 holds=self._holds,
+                settled_at=self._settled_at,
             )
             self._buckets[customer] = bucket
         if (bucket.rate, bucket.burst) != (limits.rate, limits.burst):
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -77,6 +77,12 @@
         self.fleet.kill(name)
         self.fleet.begin(name)
 
+    @precondition(lambda self: self.fleet)
+    @rule(domain=st.integers(0, 2))
+    def hand_over(self, domain):
+        self.fleet.kill(f"d{domain}")
+        self.fleet.begin(f"d{domain}", settle_s=loans.SHARE_HOLD_S)
+
     @precondition(lambda self: self.fleet and self.old)
     @rule(count=st.integers(1, 25))
     def resume(self, count):
@@ -122,6 +128,8 @@
         machine.split(domain, rng.random() < 0.5)
     elif chance < 0.93:
         machine.succeed(domain, rng.random() < 0.5)
+    elif chance < 0.95:
+        machine.hand_over(domain)
     elif chance < 0.98:
         machine.resume(count)
     elif rng.random() < 0.3:
@@ -142,6 +150,22 @@
     return sum(at == begin for at in fleet.admitted)
 
 
+def admitted_after_a_hand_over(make):
+    """Drain all domains soon after a home began whose predecessor lent its share."""
+    fleet = TokenFleet(domains=3, rate=240.0, burst=9.0, make=make)
+    fleet.run(fleet.now + 3.0)
+    levels = {name: fleet.buckets[name].available(fleet.now) for name in fleet.names}
+    lender = min(levels, key=levels.get)
+    fleet.kill(lender)
+    fleet.begin(lender, settle_s=loans.SHARE_HOLD_S)
+    fleet.run(fleet.now + 0.05)
+    begin = fleet.now
+    for domain in fleet.names:
+        for _ in range(20):
+            fleet.arrive(domain)
+    return sum(at == begin for at in fleet.admitted)
+
+
 class StartsFull(FleetBucket):
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -153,6 +177,11 @@
         super().__init__(*args, **{**kwargs, "holds": lambda now: True})
 
 
+class CountsOnItsShareAtOnce(FleetBucket):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **{**kwargs, "settled_at": 0.0})
+
+
 class TakesEveryGrant(FleetBucket):
     def receive(self, grant, now):
         if grant.borrower == self.home and grant.tokens > 0:
@@ -217,6 +246,12 @@
     def test_fails_without_keeping_the_room_of_a_loan_empty(self):
         assert admitted_while_tokens_are_lent(CountsOnLoansTooEarly) > 30
 
+    def test_waits_for_loans_of_a_predecessor_that_left_early(self):
+        assert admitted_after_a_hand_over(FleetBucket) <= 9
+
+    def test_fails_without_waiting_for_loans_of_a_predecessor(self):
+        assert admitted_after_a_hand_over(CountsOnItsShareAtOnce) > 9
+
     @pytest.mark.parametrize(("rate", "burst"), LIMITS)
     def test_one_domain_gets_the_whole_rate_and_burst(self, rate, burst):
         fleet = TokenFleet(domains=3, rate=rate, burst=burst)
--- a/tests/token_fleet.py
+++ b/tests/token_fleet.py
@@ -79,7 +79,7 @@
         if settled:
             self.run(1.0 + 2 * burst / rate)
 
-    def begin(self, domain: str) -> None:
+    def begin(self, domain: str, *, settle_s: float = 0.0) -> None:
         """Start a home with nothing known of its predecessor."""
         home = f"{domain}/{next(self._runs)}"
         self.leases[home] = float("inf")
@@ -93,6 +93,7 @@
             burst=burst,
             now=self.now,
             holds=lambda now: now < self.leases[home],
+            settled_at=self.now + settle_s,
         )
         self._decide(domain, bucket)
 
