--- a/mangoramp/home.py
+++ b/mangoramp/home.py
@@ -98,7 +98,7 @@
         if isinstance(req, RunStatement):
             return self.admission.turn(req)
         if not isinstance(req, EndTransaction):
-            self.admission.take_rate(req.customer)
+            return self.admission.counted(req.customer)
         return nullcontext()
 
     async def _run(self, req: Request, deadline: float) -> Answer:
--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -27,6 +27,7 @@
     LoanEnd,
     Share,
 )
+from .rate import Bucket
 
 RETURN_S = 0.3
 """Seconds from the ask until tokens that were not used go back."""
@@ -46,6 +47,10 @@
 """Seconds of demand that are borrowed ahead."""
 FANOUT = 3
 """Peers that are asked at the same time."""
+ROUNDS_S = 40.0
+"""Rounds of asks a second, over a long time."""
+ROUNDS_BURST = 40.0
+"""Rounds of asks at once."""
 ASK_GAP_S = 0.05
 """Seconds of refill that make an ask worth its message."""
 BACKOFF_S = 0.02
@@ -58,7 +63,7 @@
 """The part of the tokens looked for that makes an ask worth its message."""
 WORTH_RETURNING = 0.5
 """Tokens that make a return worth its message."""
-SPREAD_MIN = 8.0
+SPREAD_MIN = 4.0
 """Tokens of burst in each domain from which on no keeper is needed."""
 
 
@@ -128,6 +133,9 @@
         now: When this home began, in seconds; it begins with no tokens.
         holds: Tells whether this home's lease, as known now, covers a time. Nothing is
             admitted after its end, and nothing is lent that would outlast it.
+        settled_at: When loans of a predecessor are over at the latest, in seconds, if
+            it gave the home up before its lease was over; nothing of the own share is
+            used before.
     """
 
     def __init__(
@@ -141,6 +149,7 @@
         burst: float,
         now: float,
         holds: Callable[[float], bool] = lambda now: True,
+        settled_at: float = -math.inf,
     ) -> None:
         self.subject = subject
         self.domain = domain
@@ -149,12 +158,17 @@
         self.burst = burst
         self._domains = domains
         self._holds = holds
-        self._bucket = LendingBucket(self._own, now)
+        self._settled_at = settled_at
+        self._is_settled = now >= settled_at
+        own = self._own if self._is_settled else Share(0.0, 0.0)
+        self._bucket = LendingBucket(own, now)
         self._ended: dict[str, list[LoanEnd]] = {}
         self._sent: dict[int, _Sent] = {}
         self._peers: dict[str, _Peer] = {}
+        self._share_pauses: dict[str, float] = {}
         self._waiting: deque[_Waiting] = deque()
         self._number = 0
+        self._rounds = Bucket(ROUNDS_S, ROUNDS_BURST, now=now, level=ROUNDS_BURST)
         self._demand = 0.0
         self._demand_at = now
 
@@ -173,7 +187,8 @@
         self._settle(now)
         self.rate = rate
         self.burst = burst
-        self._bucket.resize(self._own, now)
+        if self._is_settled:
+            self._bucket.resize(self._own, now)
 
     def available(self, now: float) -> float:
         """Tokens that can be used here now."""
@@ -195,7 +210,7 @@
         self._settle(now)
         admitted = self._admit(now)
         asks = self._share_asks(now, peers) + self._asks(now, peers)
-        refused = self._refuse(now)
+        refused = self._refuse(now, peers)
         returns = self._returns(now)
         return Decision(admitted, refused, asks + returns, self._again_at(now, peers))
 
@@ -231,8 +246,10 @@
                 sent.lender, grant.share, grant.tokens, until=sent.until, now=now
             )
             return
-        if not sent.share:
-            self._learn(sent, grant, now)
+        if sent.share:
+            self._share_pauses[sent.lender] = now + ASK_TIMEOUT_S
+            return
+        self._learn(sent, grant, now)
         if grant.tokens > 0:
             loan = Loan(sent.lender, grant.number, grant.tokens, sent.until)
             self._bucket.borrow(loan)
@@ -250,6 +267,9 @@
 
     def _settle(self, now: float) -> None:
         self._bucket.settle(now)
+        if not self._is_settled and now >= self._settled_at:
+            self._is_settled = True
+            self._bucket.resize(self._own, now)
         for number, sent in list(self._sent.items()):
             if now >= sent.until:
                 del self._sent[number]
@@ -279,7 +299,10 @@
         pause_s = 0.0
         if self._is_kept:
             short = max(0.0, 1.0 - grant.left)
-            pause_s = 0.0 if grant.tokens > 0 else short / max(self.rate, EPSILON)
+            if grant.tokens <= EPSILON:
+                before = known.pause_s if known is not None else 0.0
+                least_s = max(BACKOFF_S, short / max(self.rate, EPSILON))
+                pause_s = max(least_s, before * 2)
             pause_s = min(MAX_BACKOFF_S, pause_s)
         elif grant.tokens < expected * LITTLE:
             before = known.pause_s if known is not None else 0.0
@@ -313,7 +336,11 @@
         return tuple(self._ask(peer, 0.0, 0.0, now, share=True) for peer in due)
 
     def _is_share_due(self, peer: str, now: float) -> bool:
-        return now >= self._bucket.share_until(peer) - RENEW_S
+        return now >= self._share_due_at(peer)
+
+    def _share_due_at(self, peer: str) -> float:
+        pause_until = self._share_pauses.get(peer, 0.0)
+        return max(pause_until, self._bucket.share_until(peer) - RENEW_S)
 
     def _asks(self, now: float, peers: Sequence[str]) -> tuple[Ask, ...]:
         demand = self._demand_rate(now)
@@ -342,6 +369,8 @@
         total = sum(expected[peer] for peer in fit) + self._pending(now)
         if self._bucket.available(now) + total < 1 - EPSILON:
             return ()
+        if not self._may_ask(now):
+            return ()
         asks = []
         for peer in fit:
             tokens = min(want, expected[peer])
@@ -352,6 +381,9 @@
             want -= tokens
         return tuple(asks)
 
+    def _may_ask(self, now: float) -> bool:
+        return self._rounds.take(now) == 0.0
+
     def _worth_asking(self, want: float, peers: int) -> float:
         part = min(1.0, want) / max(1, peers)
         enough = max(part, self._own.rate * ASK_GAP_S)
@@ -388,19 +420,33 @@
         first = [s for s in shares if self._bucket.share_until(s.lender) <= now]
         return sum(s.want for s in sent) + len(first) * self._own.burst
 
-    def _refuse(self, now: float) -> tuple[Refusal, ...]:
+    def _refuse(self, now: float, peers: Sequence[str]) -> tuple[Refusal, ...]:
+        if not self._waiting:
+            return ()
         refused = []
         kept: deque[_Waiting] = deque()
         tokens = self._bucket.available(now)
+        borrowed = max(self._pending(now), self._within_reach(now, peers))
         for waiting in self._waiting:
             short = len(kept) + 1 - tokens
-            if len(kept) < MAX_WAITING and self._in_time(short, waiting, now):
+            in_time = self._in_time(short - borrowed, waiting, now)
+            if len(kept) < MAX_WAITING and in_time:
                 kept.append(waiting)
                 continue
             refused.append(Refusal(waiting.ticket, self._retry_after(short)))
         self._waiting = kept
         return tuple(refused)
 
+    def _within_reach(self, now: float, peers: Sequence[str]) -> float:
+        if self._is_kept:
+            return 0.0
+        enough = self._worth_asking(1.0, len(peers))
+        free = (peer for peer in peers if not self._is_paused(peer, now))
+        if self._rounds.level(now) < 1 and not self._sent:
+            return 0.0
+        expected = [self._expected(peer, now) for peer in free]
+        return sum(tokens for tokens in expected if tokens >= enough)
+
     def _in_time(self, short: float, waiting: _Waiting, now: float) -> bool:
         left_s = waiting.since + MAX_WAIT_S - now
         if left_s <= 0:
@@ -409,7 +455,7 @@
         refill = share.rate * left_s if share.burst >= 1 else 0.0
         if self._is_kept:
             refill = max(refill, self.rate * left_s)
-        return short <= self._pending(now) + refill
+        return short <= refill
 
     def _retry_after(self, short: float) -> float:
         if self.rate <= 0 or self.burst < 1:
@@ -432,6 +478,8 @@
             self._bucket.give_back(loan)
             self._end(loan, loan.tokens)
         lenders = {loan.lender for loan in due}
+        if self._is_kept:
+            lenders.update(self._ended)
         return tuple(self._ask(lender, 0.0, 0.0, now) for lender in sorted(lenders))
 
     def _is_due(self, loan: Loan, now: float) -> bool:
@@ -442,13 +490,13 @@
     def _again_at(self, now: float, peers: Sequence[str]) -> float | None:
         times = [_return_at(loan) for loan in self._bucket.loans]
         if self._is_kept and self._keeper(peers) == self.domain:
-            times += [self._bucket.share_until(peer) - RENEW_S for peer in peers]
+            times += [self._share_due_at(peer) for peer in peers]
             times += [sent.until for sent in self._sent.values() if sent.share]
         if self._waiting:
             times.append(self._waiting[0].since + MAX_WAIT_S)
             times += [sent.at + ASK_TIMEOUT_S for sent in self._sent.values()]
             times += [peer.at + peer.pause_s for peer in self._peers.values()]
-            times.append(now + self._refill_s(now))
+            times += [now + self._refill_s(now), self._settled_at]
         later = [time for time in times if now < time < math.inf]
         return min(later, default=None)
 
--- a/mangoramp/rates.py
+++ b/mangoramp/rates.py
@@ -66,6 +66,7 @@
         group: The group's name.
         site: Where the home runs.
         holds: Tells whether the home's lease, as known now, covers a time.
+        settled_at: When loans of a predecessor that gave the home up early are over.
         clock: Tells the time in seconds.
     """
 
@@ -75,13 +76,16 @@
         site: Site,
         *,
         holds: Callable[[float], bool],
+        settled_at: float = -math.inf,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._group = group
         self._site = site
         self._holds = holds
+        self._settled_at = settled_at
         self._clock = clock
         self._began = clock()
+        self._closed = False
         self._buckets: dict[str, FleetBucket] = {}
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -102,19 +106,6 @@
                 self._buckets[customer].cancel(ticket)
             self._waiting.pop(ticket, None)
 
-    def take_now(self, customer: str, limits: Limits) -> None:
-        """Take a token that is there.
-
-        Raises:
-            FaultError: None is there.
-        """
-        ticket, fut = self._join(customer, limits)
-        self._waiting.pop(ticket, None)
-        if not fut.done():
-            self._buckets[customer].cancel(ticket)
-            raise self._refused(customer, Refusal(ticket, 1 / limits.rate))
-        fut.result()
-
     def lend(self, customer: str, limits: Limits, ask: Ask) -> Grant:
         """Answer another home's ask for tokens."""
         grant = self._bucket(customer, limits).lend(ask, self._clock())
@@ -137,6 +128,7 @@
 
     def close(self) -> None:
         """Stop; what waits is refused."""
+        self._closed = True
         for timer in self._timers.values():
             timer.cancel()
         for task in self._tasks:
@@ -165,6 +157,7 @@
                 burst=limits.burst,
                 now=self._began,
                 holds=self._holds,
+                settled_at=self._settled_at,
             )
             self._buckets[customer] = bucket
         if (bucket.rate, bucket.burst) != (limits.rate, limits.burst):
@@ -221,7 +214,7 @@
             fut.set_exception(self._refused(customer, refusal))
 
     def _refused(self, customer: str, refusal: Refusal) -> FaultError:
-        if not self._holds(self._clock()):
+        if self._closed or not self._holds(self._clock()):
             message = "the group's home has moved"
             return FaultError(
                 Fault(Code.NO_HOME, message, Step.ADMIT, retry_after_s=LEASE_RETRY_S)
