Load the stand-ins' libraries only where they are used

Cause: a proxy imported the stand-in of a database server and with it an SQL parser. Ruled out: separate programs for the stand-ins (one more thing to install).

--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -10,7 +10,6 @@
 from returns.result import Success
 
 from . import events
-from .demo import demo
 from .load import add_load_command
 from .operators.key_commands import add_key_commands
 from .operators.output import Exit
@@ -87,6 +86,9 @@
 
 
 def _demo(args: argparse.Namespace) -> Exit:
+    # The stand-ins' libraries are large, and a proxy does without them.
+    from .demo import demo
+
     events.configure(level="WARNING", json=False)
     asyncio.run(demo())
     return Exit.OK
--- a/mangoramp/standins/commands.py
+++ b/mangoramp/standins/commands.py
@@ -7,6 +7,7 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from returns.result import Success
@@ -14,10 +15,13 @@
 
 from ..operators.output import Exit, call, fail
 from ..signals import stop_signal
-from .endpoint import Endpoint, EndpointOptions, control_application
 from .platform import Platform
 from .seed import Seed, read_seed, seed
 
+# The server's library is large, and only the stand-in of a server needs it.
+if TYPE_CHECKING:
+    from .endpoint import EndpointOptions
+
 
 def add_standin_commands(parser: argparse.ArgumentParser) -> None:
     """Add the kinds of stand-ins."""
@@ -60,6 +64,8 @@
 
 
 def _endpoint(args: argparse.Namespace) -> Exit:
+    from .endpoint import EndpointOptions
+
     options = EndpointOptions(
         name=args.name,
         path=args.path,
@@ -123,6 +129,8 @@
 async def _run_endpoint(
     options: EndpointOptions, control_port: int, follow: int | None
 ) -> None:
+    from .endpoint import Endpoint, control_application
+
     endpoint = Endpoint(options)
     await endpoint.start()
     if follow is not None:
