--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -226,6 +226,20 @@
         statuses = await _load_while_stopping(fleet, key["key"], "p0", signals=2)
         assert set(statuses) > {200}
 
+    async def test_serves_soon_after_all_were_killed(self, fleet, key):
+        caller = Caller(key["key"])
+        for name in fleet.proxies:
+            await _first_done(caller, fleet.url(name))
+        for name in fleet.proxies:
+            fleet.kill(name)
+        for name in fleet.proxies:
+            fleet.start_proxy(name)
+        started = time.monotonic()
+        for name in fleet.proxies:
+            await asyncio.to_thread(fleet.wait_ready, name)
+            assert (await _first_done(caller, fleet.url(name))).status == 200
+        assert time.monotonic() - started < RESTART_S
+
     async def test_withdrawn_key_stops_though_the_relay_is_killed(self, fleet, key):
         client = PlatformClient(fleet.platform)
         relay = await _relay(client)
