--- a/mangoramp/callers/base.py
+++ b/mangoramp/callers/base.py
@@ -13,10 +13,12 @@
 
 from ..errors import Code, Fault, Outcome, Step
 from ..events import HANDLER_FAILED, emit
+from .in_flight import InFlight
 
 T = TypeVar("T")
 TOKEN_HEADER = "Mangoramp-Session"
 TOKEN_COOKIE = "mangoramp-session"
+COOKIE_RULES = "HttpOnly; Path=/; SameSite=Strict"
 MAX_BODY_BYTES = 1_000_000
 MAX_DISCARDED_BYTES = 4_000_000
 DEFAULT_TIMEOUT_S = 10.0
@@ -48,14 +50,39 @@
     """
 
     _received = 0
+    _in_flight: InFlight | None = None
 
     def prepare(self) -> None:
         """Refuse at once a body that is too long even to be passed over."""
+        self.count()
         length = self.request.headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > MAX_DISCARDED_BYTES:
             self.set_header("Connection", "close")
             self.refuse(_too_large())
 
+    def count(self) -> None:
+        """Count the request as in flight until it is answered or given up."""
+        found: InFlight | None = self.settings.get("in_flight")
+        if found is None:
+            return
+        self._in_flight = found
+        found.enter()
+        if found.closing:
+            self.set_header("Connection", "close")
+
+    def on_finish(self) -> None:
+        """The request was answered."""
+        self._leave()
+
+    def on_connection_close(self) -> None:
+        """The caller is gone."""
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._in_flight is not None:
+            self._in_flight.leave()
+            self._in_flight = None
+
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body while it is within the limit."""
         self._received += len(chunk)
@@ -73,6 +100,9 @@
         except RecursionError:
             return Failure(_bad("the body is refused: it is nested too deep"))
 
+    def compute_etag(self) -> None:
+        """No entity tag: no answer is the same as one before."""
+
     def answer(self, status: int, body: Any) -> None:
         """Send a JSON answer."""
         self.set_status(status)
@@ -126,7 +156,7 @@
     def show_token(self, token: str) -> None:
         """Give the session's next token, as a header and as a cookie."""
         self.set_header(TOKEN_HEADER, token)
-        self.set_cookie(TOKEN_COOKIE, token, httponly=True, samesite="Strict")
+        self.add_header("Set-Cookie", f"{TOKEN_COOKIE}={token}; {COOKIE_RULES}")
 
     @property
     def token(self) -> str:
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -5,20 +5,18 @@
 import logging
 import re
 import sys
-from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from loguru import logger
 
-if TYPE_CHECKING:
-    from loguru import Message
-
 KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
 MAX_SAID_CHARS = 500
 TEXT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
+_encode = msgspec.json.Encoder(enc_hook=str).encode
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -54,6 +52,15 @@
 HOME_PLACED = Event(300, "INFO", "home of a group placed")
 GROUP_CHANGED = Event(301, "INFO", "group object taken over")
 TABLE_CHANGED = Event(302, "INFO", "table version in force")
+RELAY_TAKEN = Event(310, "INFO", "relay's lease taken")
+RELAY_LOST = Event(311, "WARNING", "relay's lease lost")
+VIEW_CHANGED = Event(312, "INFO", "view of the failure domain changed")
+MEMBER_LAGS = Event(313, "WARNING", "member lags behind the version in force")
+SOURCE_CHANGED = Event(314, "INFO", "source of the platform's objects changed")
+KEY_WITHDRAWN = Event(315, "INFO", "key withdrawn")
+DOMAIN_LOST = Event(316, "WARNING", "failure domain gives no sign of life")
+HANDED_OVER = Event(317, "INFO", "homes handed over")
+DRAINED = Event(318, "INFO", "requests in flight finished")
 PLATFORM_LOST = Event(400, "WARNING", "platform does not answer")
 PLATFORM_BACK = Event(401, "INFO", "platform answers again")
 SERVER_LOST = Event(410, "WARNING", "database server does not answer")
@@ -61,6 +68,9 @@
 CONNECTION_CLOSED = Event(412, "INFO", "connection to a database server closed")
 CONNECTION_SILENT = Event(413, "WARNING", "open connection went silent")
 SERVER_FULL = Event(414, "WARNING", "database server has no room for a connection")
+RATE_REFUSED = Event(600, "INFO", "request refused over the customer's rate")
+TOKENS_BORROWED = Event(601, "DEBUG", "tokens asked of another failure domain")
+TOKENS_LENT = Event(602, "DEBUG", "tokens lent to another failure domain")
 FAILOVER_STEP = Event(500, "WARNING", "failover step")
 PRIMARY_SUSPECTED = Event(501, "WARNING", "primary silent, other domains asked")
 FAILOVER_COMMAND = Event(502, "INFO", "failover command given to a server")
@@ -96,23 +106,25 @@
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
 
 
-def json_line(record: Mapping[str, Any]) -> str:
-    """One line of the log as JSON: time, level, event, text and the line's facts."""
+def _write_json(message: Any) -> None:
+    record = message.record
     line = {
-        "time": record["time"].isoformat(timespec="milliseconds"),
+        "time": record["time"].timestamp(),
         "level": record["level"].name,
-        "text": record["message"],
+        "message": record["message"],
         **record["extra"],
     }
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    if record["exception"] is not None:
+        line["exception"] = _without_key(repr(record["exception"].value))
+    sys.stderr.write(_encode(line).decode() + "\n")
 
 
-def _write_json(message: Message) -> None:
-    sys.stderr.write(json_line(message.record) + "\n")
+def _without_key(text: str) -> str:
+    return KEY_LIKE.sub("mr_...", text)[:MAX_SAID_CHARS]
 
 
 class _LibraryHandler(logging.Handler):
     def emit(self, record: logging.LogRecord) -> None:
         """Log a library's message as an event, without any key in it."""
-        said = KEY_LIKE.sub("mr_...", record.getMessage())
-        emit(LIBRARY_MESSAGE, library=record.name, said=said[:MAX_SAID_CHARS])
+        said = _without_key(record.getMessage())
+        emit(LIBRARY_MESSAGE, library=record.name, said=said)
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -34,6 +35,7 @@
     def __init__(self, address: str, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: Counter[type[Message]] = Counter()
         self._sock = pynng.Pair1(
             polyamorous=True,
             listen=address,
@@ -53,6 +55,10 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def busy(self, *, apart_from: type[Message]) -> int:
+        """How many requests are being answered, apart from those of one kind."""
+        return sum(n for kind, n in self._busy.items() if kind is not apart_from)
+
     def close(self) -> None:
         """Stop listening and drop what is being answered."""
         self._sock.close()
@@ -64,9 +70,13 @@
             req = decode(msg.bytes)
         except msgspec.DecodeError:
             return
-        answer = msgspec.structs.replace(await self._handler(req), id=req.id)
-        with contextlib.suppress(pynng.NNGException):
-            await msg.pipe.asend(encode(answer))
+        self._busy[type(req)] += 1
+        try:
+            answer = msgspec.structs.replace(await self._handler(req), id=req.id)
+            with contextlib.suppress(pynng.NNGException):
+                await msg.pipe.asend(encode(answer))
+        finally:
+            self._busy[type(req)] -= 1
 
 
 class Link:
@@ -120,7 +130,8 @@
         self._waiting[msg_id] = fut
         try:
             data = encode(msgspec.structs.replace(req, id=msg_id))
-            await asyncio.wait_for(self._exchange(pipes[0], data, fut), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._exchange(pipes[0], data, fut)
             return Success(fut.result())
         except TimeoutError:
             return Failure(self._lost(Code.TIMEOUT, "did not answer in time"))
@@ -138,10 +149,9 @@
         if self.connected:
             return True
         self._joined.clear()
-        try:
-            await asyncio.wait_for(self._joined.wait(), timeout_s)
-        except TimeoutError:
-            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._joined.wait()
         return self.connected
 
     async def _exchange(
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Iterable
 from functools import singledispatch
 
 from prometheus_client import CollectorRegistry
@@ -12,14 +13,18 @@
 
 from .callers.app import MAX_DISCARDED_BYTES, callers_application
 from .callers.health import health_application
+from .callers.in_flight import InFlight
 from .callers.transactions import transaction_routes
 from .catalog import KIND_INSTANCE, Catalog
 from .controllers import Controllers
+from .distribution import Distribution
 from .errors import Code, Fault, Step
-from .events import PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
+from .events import DRAINED, PROXY_STARTED, PROXY_STOPPED, PROXY_STOPPING, emit
 from .homes import Homes
 from .ingress import Ingress
+from .membership import Membership, withdraw_instance
 from .metrics import ReportCollector, make_metrics
+from .operators.keys import make_first_signing_key
 from .operators.report import ProxyReport, report
 from .pinned import Pinned
 from .platform.client import PlatformClient
@@ -27,9 +32,12 @@
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
+    AskTokens,
     AskView,
     BeginTransaction,
     EndTransaction,
+    Follow,
+    Heartbeat,
     Message,
     Refused,
     RunInTransaction,
@@ -40,6 +48,14 @@
 from .transaction_ingress import TransactionIngress
 
 REGISTER_RETRY_S = 0.2
+HOMES_WAIT_S = 3.0
+SIGNING_KEY_RETRY_S = 0.5
+POLL_S = 0.02
+LINGER_S = 0.1
+TRANSACTIONS_WAIT_S = 5.0
+RELIST_S = 5.0
+CANCEL_RETRY_S = 0.1
+GOODBYE_S = 1.0
 
 
 class Proxy:
@@ -56,17 +72,44 @@
         self.registry.register(ReportCollector(self.report))
         self.ready = False
         self._client = PlatformClient(cfg.platform)
-        self.catalog = Catalog(self._client)
+        self.catalog = Catalog()
         self._links = Links(self._address_of)
-        self.homes = Homes(cfg, self.catalog, self._links)
+        # Beats do not wait behind callers' work, nor end it when they reset a link.
+        self._control = Links(self._address_of)
+        self.distribution = Distribution(
+            cfg.name, self.catalog, self._client, self._control
+        )
+        self.membership = Membership(
+            cfg, self._client, self.catalog, self._control, self.distribution
+        )
+        self.homes = Homes(
+            cfg,
+            self.catalog,
+            self._links,
+            self.membership,
+            on_wait=self.metrics.waited,
+        )
         self.controllers = Controllers(
-            cfg, self.catalog, self.homes, self._links, self._client
+            cfg,
+            self.catalog,
+            self.homes,
+            self._links,
+            self._client,
+            on_failover=lambda group: self.metrics.failovers.labels(group).inc(),
         )
+        self.catalog.on_key_withdrawn = self._end_transactions
+        self.homes.on_drop = self.controllers.drop
         self.catalog.on_change = self._refresh
+        self.membership.on_change = self._refresh_homes
         self._ingress = Ingress(
-            self.catalog, self.homes, cfg.failure_domain, metrics=self.metrics
+            self.catalog,
+            self.homes,
+            cfg.failure_domain,
+            knows_keys=lambda: self.catalog.age_s <= cfg.key_max_age_s,
+            metrics=self.metrics,
         )
         self._pinned = Pinned(cfg.name, self.homes, self._links)
+        self._in_flight = InFlight()
         self._http: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: LinkServer | None = None
@@ -78,51 +121,127 @@
         register(RunInTransaction, self._pinned.serve)
         register(EndTransaction, self._pinned.serve)
         register(AskView, self.controllers.answer_view)
+        register(AskTokens, self.homes.lend)
+        register(Heartbeat, self.membership.hear)
+        register(Follow, self.distribution.answer)
 
     async def start(self) -> None:
         """Listen, learn what the platform holds, then be ready."""
         self._peers = LinkServer(self.cfg.peer_address, self._answer)
         self._tasks = [
             asyncio.ensure_future(self._peers.run()),
-            asyncio.ensure_future(self.catalog.run()),
+            asyncio.ensure_future(self.distribution.run()),
+            asyncio.ensure_future(self.membership.run()),
+            asyncio.ensure_future(self._stay_listed()),
         ]
         self._listen()
-        await self._register()
+        await self._register(leaving=False)
         await self.catalog.ready()
+        await self._ensure_signing_key()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HOMES_WAIT_S):
+                await self.membership.ready()
         self.ready = True
         emit(PROXY_STARTED, name=self.cfg.name, failure_domain=self.cfg.failure_domain)
 
+    async def shut_down(self, hurry: asyncio.Event) -> None:
+        """Stop without cutting a request.
+
+        Args:
+            hurry: Set it to stop at once instead.
+        """
+        emit(PROXY_STOPPING, name=self.cfg.name)
+        self.ready = False
+        await _unless(hurry, self._drain(), self.cfg.drain_s + self.cfg.ready_grace_s)
+        await self._close()
+
     async def stop(self) -> None:
         """Stop at once."""
         emit(PROXY_STOPPING, name=self.cfg.name)
         self.ready = False
+        await self._close()
+
+    def report(self) -> ProxyReport:
+        """What this proxy knows and does."""
+        return report(self.cfg, self.catalog, self.homes, ready=self.ready)
+
+    def _refresh(self) -> None:
+        self.homes.refresh()
+        self.controllers.refresh()
+
+    def _end_transactions(self, key_id: str, customer: str) -> None:
+        self.homes.end_customer(customer)
+
+    def _refresh_homes(self) -> None:
+        self.homes.drop_moved()
+        if self.membership.has_moved():
+            self.controllers.refresh()
+
+    async def _drain(self) -> None:
+        marked = asyncio.ensure_future(self._register(leaving=True))
+        try:
+            await self._drain_requests()
+        finally:
+            marked.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GOODBYE_S):
+                await withdraw_instance(self._client, self.cfg.name)
+
+    async def _drain_requests(self) -> None:
+        # The only member has nobody to hand its homes to before its callers are gone.
+        alone = self.membership.view.members in ((), (self.cfg.name,))
+        self._in_flight.closing = True
+        grace = asyncio.sleep(self.cfg.ready_grace_s)
+        if alone:
+            await grace
+        else:
+            await asyncio.gather(grace, self._hand_over())
+        for server in self._http:
+            server.stop()
+        await self._in_flight.idle()
+        while self._is_busy():
+            await asyncio.sleep(POLL_S)
+        emit(DRAINED, name=self.cfg.name)
+        if alone:
+            await self.membership.leave()
+        await asyncio.sleep(LINGER_S)
+
+    async def _hand_over(self) -> None:
+        # A home that has moved may admit no more statements of open transactions.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(TRANSACTIONS_WAIT_S, self.cfg.drain_s)):
+                while self.homes.open_transactions:
+                    await asyncio.sleep(POLL_S)
+        await self.membership.leave()
+
+    def _is_busy(self) -> bool:
+        if self.homes.open_transactions:
+            return True
+        return self._peers is not None and bool(self._peers.busy(apart_from=Follow))
+
+    async def _close(self) -> None:
         for server in self._http:
             server.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._peers is not None:
             self._peers.close()
+        await _cancel(self._tasks)
         self.controllers.close()
         self.homes.close()
         self._links.close()
+        self._control.close()
         self._client.close()
         for server in self._http:
             await server.close_all_connections()
         emit(PROXY_STOPPED, name=self.cfg.name)
 
-    def report(self) -> ProxyReport:
-        """What this proxy knows and does."""
-        return report(self.cfg, self.catalog, self.homes, ready=self.ready)
-
-    def _refresh(self) -> None:
-        self.homes.refresh()
-        self.controllers.refresh()
-
     def _listen(self) -> None:
         cfg = self.cfg
         transactions = TransactionIngress(self._ingress, self.homes, self._pinned)
-        app = callers_application(self._ingress, transaction_routes(transactions))
+        app = callers_application(
+            self._ingress,
+            transaction_routes(transactions),
+            in_flight=self._in_flight,
+        )
         callers = HTTPServer(app, max_body_size=MAX_DISCARDED_BYTES)
         callers.listen(cfg.listen_port, address=cfg.listen_host)
         health = HTTPServer(
@@ -132,13 +251,19 @@
         self._http = [callers, health]
 
     def _address_of(self, peer: str) -> str | None:
+        if peer == self.membership.relay:
+            return self.membership.relay_address
         instance = self.catalog.instances.get(peer)
         return instance.address if instance is not None else None
 
-    async def _register(self) -> None:
+    async def _register(self, *, leaving: bool) -> None:
         cfg = self.cfg
         mine = InstanceObject(
-            cfg.name, cfg.failure_domain, cfg.peer_address, admin=cfg.admin_address
+            cfg.name,
+            cfg.failure_domain,
+            cfg.peer_address,
+            leaving=leaving,
+            admin=cfg.admin_address,
         )
         while True:
             found = await self._client.get(KIND_INSTANCE, cfg.name, InstanceObject)
@@ -152,15 +277,61 @@
                 continue
             await asyncio.sleep(REGISTER_RETRY_S)
 
+    async def _stay_listed(self) -> None:
+        while True:
+            await asyncio.sleep(RELIST_S)
+            if self.ready and self.cfg.name not in self.catalog.instances:
+                await self._register(leaving=False)
+
+    async def _ensure_signing_key(self) -> None:
+        while self.catalog.signing_keys is None:
+            await make_first_signing_key(self._client)
+            await self.catalog.changed(SIGNING_KEY_RETRY_S)
+
 
 async def _refuse_unknown(req: Message) -> Message:
     message = "this message is no request"
     return Refused(fault=Fault(Code.BAD_REQUEST, message, Step.FORWARD))
 
 
-async def run_until_stopped(proxy: Proxy, stopped: asyncio.Event) -> None:
-    """Run a proxy until an event is set."""
-    await proxy.start()
-    with contextlib.suppress(asyncio.CancelledError):
-        await stopped.wait()
-    await proxy.stop()
+async def _cancel(tasks: Iterable[asyncio.Task[None]]) -> None:
+    # A receive of pynng that has just got a message passes over a cancellation.
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_S)
+
+
+async def _unless(
+    event: asyncio.Event, work: Awaitable[None], timeout_s: float
+) -> None:
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(event.wait())
+    first = asyncio.FIRST_COMPLETED
+    await asyncio.wait((working, waiting), timeout=timeout_s, return_when=first)
+    for task in (working, waiting):
+        task.cancel()
+    await asyncio.gather(working, waiting, return_exceptions=True)
+
+
+async def run_until_stopped(
+    proxy: Proxy, stopped: asyncio.Event, hurry: asyncio.Event | None = None
+) -> None:
+    """Run a proxy until an event is set, then shut it down.
+
+    Args:
+        proxy: The proxy.
+        stopped: Ends the run.
+        hurry: Makes the shutdown stop at once.
+    """
+    start = asyncio.ensure_future(proxy.start())
+    stop = asyncio.ensure_future(stopped.wait())
+    await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():
+        start.cancel()
+        await proxy.stop()
+        return
+    start.result()
+    await stop
+    await proxy.shut_down(hurry or asyncio.Event())
