--- a/mangoramp/admission.py
+++ b/mangoramp/admission.py
@@ -96,6 +96,10 @@
         if limits is not None:
             self._rates.begin(customer, limits)
 
+    def restart(self) -> None:
+        """Forget all tokens: the home has moved, and may come back later."""
+        self._rates.restart()
+
     def close(self) -> None:
         """Stop; requests that wait for tokens are refused."""
         self._rates.close()
--- a/mangoramp/callers/app.py
+++ b/mangoramp/callers/app.py
@@ -21,6 +21,7 @@
     BaseHandler,
     FaultBody,
 )
+from .in_flight import InFlight
 
 MAX_AGE_S = 86_400.0
 MAX_PARAMS = 32_767
@@ -117,23 +118,29 @@
 
     def prepare(self) -> None:
         """Refuse."""
+        self.count()
         self.refuse(Fault(Code.ROUTE_UNKNOWN, "there is no such route", Step.PARSE))
 
 
 def callers_application(
-    ingress: Ingress, routes: Sequence[Route] = ()
+    ingress: Ingress,
+    routes: Sequence[Route] = (),
+    *,
+    in_flight: InFlight | None = None,
 ) -> tornado.web.Application:
     """The application for callers.
 
     Args:
         ingress: Where requests go.
         routes: Further routes.
+        in_flight: Counts the requests in flight.
     """
     args = {"ingress": ingress}
     return tornado.web.Application(
         [(r"/v1/groups/([^/]+)/statements", StatementHandler, args), *routes],
         default_handler_class=NotFoundHandler,
         log_function=lambda handler: None,
+        in_flight=in_flight or InFlight(),
     )
 
 
--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -18,7 +18,7 @@
 from .operators.table_commands import add_table_commands
 from .proxy import Proxy, run_until_stopped
 from .settings import ProxySettings, load_settings
-from .signals import stop_signal
+from .signals import stop_signals
 from .standins.commands import add_standin_commands
 
 EXIT_CODES = """exit codes: 0 done; 1 failed; 2 wrong usage, settings or table;
@@ -94,4 +94,5 @@
 
 async def _run_proxy(cfg: ProxySettings) -> None:
     proxy = Proxy(cfg)
-    await run_until_stopped(proxy, stop_signal())
+    stopped, hurry = stop_signals()
+    await run_until_stopped(proxy, stopped, hurry)
--- a/mangoramp/operators/keys.py
+++ b/mangoramp/operators/keys.py
@@ -16,6 +16,7 @@
 from .change import change, conflict
 
 SALT_BYTES = 16
+FIRST_SIGNING_KEY = "first"
 RANDOM_BYTES = 32
 SIGNING_KEYS_KEPT = 3
 
@@ -98,6 +99,16 @@
     return Success(tuple(sorted(keys, key=lambda key: (key.customer, key.created_s))))
 
 
+async def make_first_signing_key(client: PlatformClient) -> Result[bool, Fault]:
+    """Make the first key that signs session tokens, if nobody else has made it.
+
+    Returns:
+        Whether it was made here.
+    """
+    key = SigningKey(os.urandom(RANDOM_BYTES).hex(), time.time())
+    return await client.put(KIND_SIGNING_KEY, FIRST_SIGNING_KEY, key, version=0)
+
+
 async def make_signing_key(client: PlatformClient) -> Result[bool, Fault]:
     """Make a new key that signs session tokens; older ones go on verifying."""
     key_id = os.urandom(4).hex()
--- a/mangoramp/policy/tokens.py
+++ b/mangoramp/policy/tokens.py
@@ -448,10 +448,11 @@
         return sum(tokens for tokens in expected if tokens >= enough)
 
     def _in_time(self, short: float, waiting: _Waiting, now: float) -> bool:
-        left_s = waiting.since + MAX_WAIT_S - now
+        begin = max(now, self._settled_at)
+        left_s = max(waiting.since, self._settled_at) + MAX_WAIT_S - begin
         if left_s <= 0:
             return False
-        share = self._bucket.share
+        share = self._bucket.share if self._is_settled else self._own
         refill = share.rate * left_s if share.burst >= 1 else 0.0
         if self._is_kept:
             refill = max(refill, self.rate * left_s)
@@ -493,7 +494,8 @@
             times += [self._share_due_at(peer) for peer in peers]
             times += [sent.until for sent in self._sent.values() if sent.share]
         if self._waiting:
-            times.append(self._waiting[0].since + MAX_WAIT_S)
+            since = max(self._waiting[0].since, self._settled_at)
+            times.append(since + MAX_WAIT_S)
             times += [sent.at + ASK_TIMEOUT_S for sent in self._sent.values()]
             times += [peer.at + peer.pause_s for peer in self._peers.values()]
             times += [now + self._refill_s(now), self._settled_at]
--- a/mangoramp/rates.py
+++ b/mangoramp/rates.py
@@ -11,7 +11,7 @@
 
 from .errors import Code, Fault, FaultError, Step
 from .events import RATE_REFUSED, TOKENS_BORROWED, TOKENS_LENT, emit
-from .policy.loans import Ask, Grant
+from .policy.loans import SHARE_HOLD_S, Ask, Grant
 from .policy.tokens import Decision, FleetBucket, Refusal
 
 LEASE_RETRY_S = 0.5
@@ -86,6 +86,7 @@
         self._clock = clock
         self._began = clock()
         self._closed = False
+        self._runs = 0
         self._buckets: dict[str, FleetBucket] = {}
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -103,7 +104,7 @@
             await fut
         finally:
             if not fut.done() or fut.cancelled():
-                self._buckets[customer].cancel(ticket)
+                self._cancel(customer, ticket)
             self._waiting.pop(ticket, None)
 
     def lend(self, customer: str, limits: Limits, ask: Ask) -> Grant:
@@ -126,13 +127,25 @@
         self._bucket(customer, limits)
         self._decide(customer)
 
+    def restart(self) -> None:
+        """Forget all tokens, and refuse what waits; nothing is used until loans end."""
+        self._stop()
+        self._buckets.clear()
+        self._runs += 1
+        self._began = self._clock()
+        self._settled_at = self._began + SHARE_HOLD_S
+
     def close(self) -> None:
         """Stop; what waits is refused."""
         self._closed = True
+        self._stop()
+
+    def _stop(self) -> None:
         for timer in self._timers.values():
             timer.cancel()
         for task in self._tasks:
             task.cancel()
+        self._timers.clear()
         for ticket in list(self._waiting):
             self._refuse("", Refusal(ticket, LEASE_RETRY_S))
 
@@ -151,7 +164,7 @@
             bucket = FleetBucket(
                 f"{self._group}\0{customer}",
                 self._site.domain,
-                self._site.home,
+                f"{self._site.home}.{self._runs}",
                 domains=self._site.domains,
                 rate=limits.rate,
                 burst=limits.burst,
@@ -190,7 +203,10 @@
         grant = await self._site.ask(customer, ask)
         if grant is None:
             return
-        self._buckets[customer].receive(grant, self._clock())
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return
+        bucket.receive(grant, self._clock())
         if ask.want > 0:
             emit(
                 TOKENS_BORROWED,
@@ -203,6 +219,11 @@
             )
         self._decide(customer)
 
+    def _cancel(self, customer: str, ticket: int) -> None:
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.cancel(ticket)
+
     def _settle(self, ticket: int) -> None:
         fut = self._waiting.get(ticket)
         if fut is not None and not fut.done():
--- a/tests/token_fleet.py
+++ b/tests/token_fleet.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mangoramp.policy.loans import SHARE_HOLD_S
 from mangoramp.policy.rate import Bucket
 from mangoramp.policy.tokens import FleetBucket
 
@@ -97,6 +98,10 @@
         )
         self._decide(domain, bucket)
 
+    def take_over(self, domain: str) -> None:
+        """Start a home whose predecessor may have left early."""
+        self.begin(domain, settle_s=SHARE_HOLD_S)
+
     def kill(self, domain: str) -> None:
         self.buckets.pop(domain, None)
 
