Lose no message between proxies: a context a request, and no resending

Requests now go over pynng's Req/Rep with a context each: nng waits where the other end is slow, and with resending off ends a request when its connection is lost. Ruled out: resending by nng, which would run a request twice (its peer killed with one request outstanding: ended by a reset, and the next process received nothing); push and pull sockets, which keep what is unsent and would send it late. The check that answers matched by order fail is replaced: answers are matched by nng's context now, so the proof shares one context among calls, and fails.

--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -1,4 +1,9 @@
-"""Links between proxies: requests and answers over pynng, matched by id."""
+"""Links between proxies: requests and answers over pynng.
+
+Each request has a context of its own, so that many are under way on one connection,
+and nng waits where the other end is slow. A request is never sent again: with resending
+off, nng ends it when its connection is lost.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +11,7 @@
 import contextlib
 import itertools
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgspec
 import pynng
@@ -15,11 +20,13 @@
 from ..errors import Code, Fault, Outcome, Step
 from .messages import Message, decode, encode
 
-BUFFER_MESSAGES = 1024
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
 REACH_S = 0.3
+RETRY_AFTER_S = 0.5
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+NO_RESEND = -1
+CONTEXTS_KEPT = 128
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -36,22 +43,18 @@
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: Counter[type[Message]] = Counter()
-        self._sock = pynng.Pair1(
-            polyamorous=True,
-            listen=address,
-            send_buffer_size=BUFFER_MESSAGES,
-            recv_buffer_size=BUFFER_MESSAGES,
-            recv_max_size=MAX_MESSAGE_BYTES,
-        )
+        self._sock = pynng.Rep0(listen=address, recv_max_size=MAX_MESSAGE_BYTES)
+        self._contexts = _Contexts(self._sock)
 
     async def run(self) -> None:
         """Take requests until closed."""
         while True:
             try:
-                msg = await self._sock.arecv_msg()
+                ctx = self._contexts.take()
+                data = await ctx.arecv()
             except pynng.Closed:
                 return
-            task = asyncio.ensure_future(self._answer(msg))
+            task = asyncio.ensure_future(self._answer(ctx, data))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -61,20 +64,24 @@
 
     def close(self) -> None:
         """Stop listening and drop what is being answered."""
+        self._contexts.close()
         self._sock.close()
         for task in self._tasks:
             task.cancel()
 
-    async def _answer(self, msg: pynng.Message) -> None:
+    async def _answer(self, ctx: pynng.Context, data: bytes) -> None:
+        with self._contexts.lent(ctx), contextlib.suppress(pynng.NNGException):
+            await self._answer_on(ctx, data)
+
+    async def _answer_on(self, ctx: pynng.Context, data: bytes) -> None:
         try:
-            req = decode(msg.bytes)
-        except msgspec.DecodeError:
-            return
+            req = decode(data)
+        except msgspec.DecodeError as exc:
+            raise pynng.NNGException(str(exc), 0) from exc
         self._busy[type(req)] += 1
         try:
             answer = msgspec.structs.replace(await self._handler(req), id=req.id)
-            with contextlib.suppress(pynng.NNGException):
-                await msg.pipe.asend(encode(answer))
+            await ctx.asend(encode(answer))
         finally:
             self._busy[type(req)] -= 1
 
@@ -91,21 +98,17 @@
         self.peer = peer
         self.address = address
         self._ids = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[Message]] = {}
-        self._sock = pynng.Pair1(
-            polyamorous=True,
-            send_buffer_size=BUFFER_MESSAGES,
-            recv_buffer_size=BUFFER_MESSAGES,
+        self._loop = asyncio.get_running_loop()
+        self._joined = asyncio.Event()
+        self._sock = pynng.Req0(
+            resend_time=NO_RESEND,
             recv_max_size=MAX_MESSAGE_BYTES,
             reconnect_time_min=RECONNECT_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        self._loop = asyncio.get_running_loop()
-        self._joined = asyncio.Event()
+        self._contexts = _Contexts(self._sock)
         self._sock.add_post_pipe_connect_cb(self._on_joined)
-        self._sock.add_post_pipe_remove_cb(self._on_lost)
         self._sock.dial(address, block=False)
-        self._reader = asyncio.ensure_future(self._read())
 
     @property
     def connected(self) -> bool:
@@ -123,28 +126,31 @@
             The answer. A fault says ``not_run`` only if nothing was sent.
         """
         if not await self._reached(min(timeout_s, REACH_S)):
-            return Failure(self._fault(Code.NO_HOME, "is not reached"))
-        pipes = self._sock.pipes
+            return Failure(self._unreached())
         msg_id = next(self._ids)
-        fut: asyncio.Future[Message] = self._loop.create_future()
-        self._waiting[msg_id] = fut
+        data = encode(msgspec.structs.replace(req, id=msg_id))
         try:
-            data = encode(msgspec.structs.replace(req, id=msg_id))
             async with asyncio.timeout(timeout_s):
-                await self._exchange(pipes[0], data, fut)
-            return Success(fut.result())
+                answer = await self._exchange(data)
         except TimeoutError:
             return Failure(self._lost(Code.TIMEOUT, "did not answer in time"))
-        except (pynng.NNGException, ConnectionError):
+        except pynng.NNGException:
             return Failure(self._lost(Code.CONNECTION_LOST, "was lost"))
-        finally:
-            del self._waiting[msg_id]
+        if answer.id != msg_id:
+            return Failure(self._lost(Code.INTERNAL, "answered another request"))
+        return Success(answer)
 
     def close(self) -> None:
-        """Close the link."""
-        self._reader.cancel()
+        """Close the link; the requests under way end."""
+        self._contexts.close()
         self._sock.close()
 
+    async def _exchange(self, data: bytes) -> Message:
+        ctx = self._contexts.take()
+        with self._contexts.lent(ctx):
+            await ctx.asend(data)
+            return decode(await ctx.arecv())
+
     async def _reached(self, timeout_s: float) -> bool:
         if self.connected:
             return True
@@ -154,40 +160,62 @@
                 await self._joined.wait()
         return self.connected
 
-    async def _exchange(
-        self, pipe: pynng.Pipe, data: bytes, fut: asyncio.Future[Message]
-    ) -> None:
-        await pipe.asend(data)
-        await fut
-
-    async def _read(self) -> None:
-        while True:
-            try:
-                msg = await self._sock.arecv_msg()
-            except pynng.Closed:
-                return
-            answer = decode(msg.bytes)
-            fut = self._waiting.get(answer.id)
-            if fut is not None and not fut.done():
-                fut.set_result(answer)
-
     def _on_joined(self, pipe: pynng.Pipe) -> None:
         with contextlib.suppress(RuntimeError):
             self._loop.call_soon_threadsafe(self._joined.set)
 
-    def _on_lost(self, pipe: pynng.Pipe) -> None:
-        with contextlib.suppress(RuntimeError):
-            self._loop.call_soon_threadsafe(self._fail_waiting)
-
-    def _fail_waiting(self) -> None:
-        for fut in self._waiting.values():
-            if not fut.done():
-                fut.set_exception(ConnectionError(self.peer))
-
-    def _fault(self, code: Code, what: str) -> Fault:
-        message = f"the proxy {self.peer} {what}"
-        return Fault(code, message, Step.FORWARD, peer=self.peer, retry_after_s=0.5)
+    def _unreached(self) -> Fault:
+        message = f"the proxy {self.peer} is not reached"
+        return Fault(
+            Code.NO_HOME,
+            message,
+            Step.FORWARD,
+            peer=self.peer,
+            retry_after_s=RETRY_AFTER_S,
+        )
 
     def _lost(self, code: Code, what: str) -> Fault:
         message = f"the proxy {self.peer} {what}"
-        return Fault(code, message, Step.FORWARD, self.peer, Outcome.UNKNOWN, 0.5)
+        unknown = Outcome.UNKNOWN
+        return Fault(code, message, Step.FORWARD, self.peer, unknown, RETRY_AFTER_S)
+
+
+class _Contexts:
+    """The contexts of one socket; one whose exchange did not end is closed."""
+
+    def __init__(self, sock: pynng.Socket) -> None:
+        self._sock = sock
+        self._all: set[pynng.Context] = set()
+        self._free: list[pynng.Context] = []
+
+    def take(self) -> pynng.Context:
+        """A context that nobody uses."""
+        if self._free:
+            return self._free.pop()
+        ctx = self._sock.new_context()
+        self._all.add(ctx)
+        return ctx
+
+    @contextlib.contextmanager
+    def lent(self, ctx: pynng.Context) -> Iterator[None]:
+        """Keep the context for the next exchange if this one ends well."""
+        try:
+            yield
+        except BaseException:
+            self._close(ctx)
+            raise
+        if ctx in self._all and len(self._free) < CONTEXTS_KEPT:
+            self._free.append(ctx)
+        else:
+            self._close(ctx)
+
+    def close(self) -> None:
+        """Close all, before their socket is closed; what waits on one ends."""
+        for ctx in list(self._all):
+            self._close(ctx)
+        self._free.clear()
+
+    def _close(self, ctx: pynng.Context) -> None:
+        if ctx in self._all:
+            self._all.remove(ctx)
+            ctx.close()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -4,10 +4,12 @@
 import pytest
 from returns.result import Success
 
+from mangoramp.errors import Code, Outcome
 from mangoramp.policy.position import START
+from mangoramp.proxies import link
 from mangoramp.proxies.link import Link, LinkServer
-from mangoramp.proxies.messages import Rows, decode
-from mangoramp.standins.fleet import free_ports
+from mangoramp.proxies.messages import Rows
+from mangoramp.standins._ports import free_ports
 
 from .servers import write
 
@@ -15,6 +17,10 @@
 SLOWEST_S = 0.03
 
 
+async def echo(req):
+    return Rows(columns=(req.sql,), rows=b"", count=0, position=START, server="")
+
+
 async def talk(at_once):
     """Calls that are answered late and out of order; whose answer each got.
 
@@ -26,24 +32,24 @@
 
     async def handler(req):
         await asyncio.sleep(delays[req.sql])
-        return Rows(columns=(req.sql,), rows=b"", count=0, position=START, server="")
+        return await echo(req)
 
     address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
     server = LinkServer(address, handler)
     serving = asyncio.ensure_future(server.run())
-    link = Link("p1", address)
+    to_peer = Link("p1", address)
 
     async def call(number):
         timeout_s = 5.0 if number % 2 else SLOWEST_S / 2
         async with room:
-            found = await link.call(write(str(number)), timeout_s=timeout_s)
+            found = await to_peer.call(write(str(number)), timeout_s=timeout_s)
         return found.unwrap().columns[0] if isinstance(found, Success) else None
 
     try:
         return await asyncio.gather(*(call(number) for number in range(CALLS)))
     finally:
         await asyncio.sleep(2 * SLOWEST_S)
-        link.close()
+        to_peer.close()
         server.close()
         await asyncio.wait({serving}, timeout=1)
 
@@ -59,18 +65,44 @@
         assert crossed(found) == []
         assert None not in found[1::2]
 
-    async def test_fails_where_answers_are_matched_by_order(self, monkeypatch):
-        async def read(link):
-            while True:
-                answer = decode((await link._sock.arecv_msg()).bytes)
-                waiting = (f for f in link._waiting.values() if not f.done())
-                first = next(waiting, None)
-                if first is not None:
-                    first.set_result(answer)
-
-        monkeypatch.setattr(Link, "_read", read)
-        with pytest.raises(AssertionError):
-            assert crossed(await talk(at_once=2)) == []
+    async def test_fails_where_calls_share_a_context(self, monkeypatch):
+        def take(contexts):
+            if not contexts._free:
+                contexts._free.append(contexts._sock.new_context())
+            return contexts._free[0]
+
+        monkeypatch.setattr(link._Contexts, "take", take)
+        with pytest.raises((AssertionError, asyncio.CancelledError)):
+            assert None not in (await talk(at_once=2))[1::2]
+
+
+class TestLostPeer:
+    async def test_no_request_is_sent_again(self):
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+        received = []
+
+        async def never(req):
+            received.append(req)
+            await asyncio.sleep(60)
+
+        first = LinkServer(address, never)
+        serving = asyncio.ensure_future(first.run())
+        to_peer = Link("p1", address)
+        call = asyncio.ensure_future(to_peer.call(write("1"), timeout_s=20))
+        while not received:
+            await asyncio.sleep(0.005)
+        first.close()
+        fault = (await call).failure()
+        assert fault.outcome is Outcome.UNKNOWN
+        assert fault.code is Code.CONNECTION_LOST
+        second = LinkServer(address, echo)
+        serving_again = asyncio.ensure_future(second.run())
+        while not isinstance(await to_peer.call(write("2"), timeout_s=1), Success):
+            await asyncio.sleep(0.005)
+        assert [req.sql for req in received] == ["1"]
+        to_peer.close()
+        second.close()
+        await asyncio.wait({serving, serving_again}, timeout=1)
 
 
 class TestBursts:
