Say not run only of confirmed rollbacks; wait at the proxy for a moving home

Cause: (1) a statement in a transaction whose answer was lost was said to be not run, though it had reached the server and no rollback was confirmed. It is unknown now, and not run only after the rollback's answer. Change to (2): a request waits for its home at the proxy, 4.5 s at the most and within its time; where there has been no home for 6 s the refusal is final at once. Ruled out for (2): beats each 0.5 s, or grants of four beats (tried and reverted: homes then did not go on through a platform outage, tests/test_domain.py).

--- a/benchmarks/test_wrongful_refusals.py
+++ b/benchmarks/test_wrongful_refusals.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from mangoramp.homes import MOVE_WAITS_S
+from mangoramp.policy.membership import grant_period
 from mangoramp.policy.rate import Bucket
 from tests.token_fleet import TokenFleet, excess, ideal
 
@@ -18,7 +20,7 @@
 SECONDS = 60.0
 PREFERENCE = (0.4, 0.25, 0.15, 0.1, 0.06, 0.04)
 STAY_S = 5.0
-GAP_S = 2.0
+GAP_S = grant_period(PROXIES // DOMAINS)
 """Seconds for which a domain has no home after a kill."""
 CALM_GOAL = 0.001
 KILLED_GOAL = 0.01
@@ -82,17 +84,20 @@
     """What homes that lend each other tokens admit, and what found no home."""
     fleet = TokenFleet(domains=DOMAINS, rate=customer.rate, burst=customer.burst)
     begin, sent, messages = fleet.now, fleet.bytes, fleet.messages
-    tickets = []
+    tickets = {}
     missed = set()
 
-    def arrive(domain):
-        ticket = fleet.arrive(domain)
-        tickets.append(ticket)
+    def arrive(number, domain, waits=MOVE_WAITS_S):
+        """Send a request to its domain's home, again while that one moves."""
+        if domain not in fleet.buckets and waits:
+            fleet.at(fleet.now + waits[0], arrive, number, domain, waits[1:])
+            return
+        ticket = tickets[number] = fleet.arrive(domain)
         if domain not in fleet.buckets:
             missed.add(ticket)
 
-    for now, proxy in found:
-        fleet.at(begin + now, arrive, f"d{proxy % DOMAINS}")
+    for number, (now, proxy) in enumerate(found):
+        fleet.at(begin + now, arrive, number, f"d{proxy % DOMAINS}")
     if killed:
         fleet.at(begin + SECONDS / 2, fleet.kill, "d0")
         fleet.at(begin + SECONDS / 2 + GAP_S, fleet.take_over, "d0")
@@ -102,7 +107,8 @@
     tally.excess = max(
         tally.excess, excess(fleet.admitted, customer.rate, customer.burst)
     )
-    return [fleet.outcome[t] for t in tickets], [t in missed for t in tickets]
+    ordered = [tickets[number] for number in range(len(found))]
+    return [fleet.outcome[t] for t in ordered], [t in missed for t in ordered]
 
 
 def measure(workload, *, killed):
--- a/mangoramp/endpoints/run.py
+++ b/mangoramp/endpoints/run.py
@@ -60,12 +60,12 @@
         params: Its parameters as JSON has them.
         server: The server's name, for faults.
         timeout_s: Seconds that it may take; None sets no limit.
-        in_transaction: Whether nothing lasts before a commit that is yet to be sent.
+        in_transaction: Whether it is part of a transaction, which an error ends.
 
     Raises:
         FaultError: The server refused the statement, or its answer was lost.
     """
-    sending = _Sending(server, in_transaction)
+    sending = _Sending(server)
     cached = sql in conn.statements
     try:
         with told(conn, server, lambda: sending.outcome):
@@ -201,15 +201,12 @@
     """How far a statement has come."""
 
     server: str
-    in_transaction: bool
     sent: bool = False
 
     @property
     def outcome(self) -> Outcome:
         """What is true if nothing more is heard."""
-        if self.sent and not self.in_transaction:
-            return Outcome.UNKNOWN
-        return Outcome.NOT_RUN
+        return Outcome.UNKNOWN if self.sent else Outcome.NOT_RUN
 
 
 async def _run(
--- a/mangoramp/homes.py
+++ b/mangoramp/homes.py
@@ -37,7 +37,8 @@
 RUN_BYTES = 4
 FORWARD_MARGIN_S = 0.2
 ASK_TIMEOUT_S = 0.5
-MOVE_WAITS_S = (0.1, 0.2, 0.4)
+MOVE_WAITS_S = (0.1, 0.2, 0.4, 0.8, 1.0, 1.0, 1.0)
+MOVE_LONGEST_S = 6.0
 
 
 class Homes:
@@ -74,6 +75,7 @@
         self._clock = clock
         self._placed: dict[str, tuple[tuple[str, ...], str | None]] = {}
         self._running: dict[str, int] = {}
+        self._homeless_since: dict[str, float] = {}
         self.on_drop: Callable[[str], None] = lambda group: None
 
     @property
@@ -89,18 +91,27 @@
     async def send(self, req: Request) -> Message:
         """Have a request run at the home of its group.
 
-        One that was refused because the home is moving is sent again soon.
+        One that was refused because the home is moving is sent again soon; where
+        there has been no home for long, the refusal is final at once.
         """
         deadline = self._clock() + req.timeout_s
         answer = await self._send_once(req)
         for wait_s in MOVE_WAITS_S:
             left = deadline - self._clock() - wait_s
-            if not _is_moving(answer) or left <= 0:
+            if not self._may_move(req.group, answer) or left <= 0:
                 return answer
             await asyncio.sleep(wait_s)
             answer = await self._send_once(replace(req, timeout_s=left))
         return answer
 
+    def _may_move(self, group: str, answer: Message) -> bool:
+        if not _is_moving(answer):
+            self._homeless_since.pop(group, None)
+            return False
+        now = self._clock()
+        since = self._homeless_since.setdefault(group, now)
+        return now - since < MOVE_LONGEST_S
+
     async def serve(self, req: Request) -> Message:
         """Run a request at a home that is here."""
         if not self.holds(req.group, self._clock()):
--- a/mangoramp/writer.py
+++ b/mangoramp/writer.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
@@ -143,12 +144,14 @@
                 timeout_s=deadline - self._clock(),
                 in_transaction=True,
             )
-        except FaultError:
-            if not conn.is_closed():
-                with told(conn, server, lambda: Outcome.NOT_RUN):
-                    left_s = deadline - self._clock()
-                    await outcomes.rollback(conn, timeout_s=left_s)
-            raise
+        except FaultError as exc:
+            fault = exc.fault
+        if conn.is_closed():
+            raise FaultError(fault)
+        with told(conn, server, lambda: fault.outcome):
+            left_s = deadline - self._clock()
+            await outcomes.rollback(conn, timeout_s=left_s)
+        raise FaultError(replace(fault, outcome=Outcome.NOT_RUN))
 
 
 def _recorded(
