--- /dev/null
+++ b/mangoramp/standins/session.py
@@ -0,0 +1,283 @@
+"""The connections of a stand-in server: admission, statements, transactions."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import sqlite3
+from typing import TYPE_CHECKING, Any
+
+from pg_mimic import PgError, ResultColumn, Statement
+from pg_mimic.auth import AuthPlugin
+from pg_mimic.messages import make_error_response
+from pg_mimic.session import BaseSession, Portal
+from pg_mimic.stream import ConnectionClosed
+from pg_mimic.types import TEXT
+
+from ._sql import (
+    CONTROL_WORDS,
+    READ_WORDS,
+    coerce,
+    column_of,
+    is_read,
+    param_count,
+    sql_word,
+    sqlstate_of,
+)
+from .functions import FUNCTION, FUNCTION_COLUMNS, FUNCTIONS
+from .store import Change, Params
+
+if TYPE_CHECKING:
+    from .endpoint import Endpoint
+
+GATE_POLL_S = 0.01
+IDLE_LIMIT = "idle_in_transaction_session_timeout"
+
+
+class Admission(AuthPlugin):
+    """Lets a connection in, after its cost, while there is room."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+
+    async def authenticate(
+        self, stream: Any, username: str, identity_provider: Any
+    ) -> bool:
+        """Admit the connection, or close it with SQLSTATE 53300."""
+        options = self._endpoint.options
+        while self._endpoint.faults.frozen:
+            await asyncio.sleep(GATE_POLL_S)
+        if self._endpoint.faults.cut:
+            raise ConnectionClosed
+        await asyncio.sleep(options.connect_s)
+        if len(self._endpoint.sessions) >= options.connections:
+            fields = {"S": "FATAL", "V": "FATAL", "C": "53300", "M": "too many clients"}
+            stream.write(make_error_response(fields))
+            await stream.drain()
+            raise ConnectionClosed
+        return True
+
+
+class EndpointSession(BaseSession):
+    """One connection of a stand-in server."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.silent = False
+        self.idle_limit_s = 0.0
+        self._conn: sqlite3.Connection | None = None
+        self._protocol: Any = None
+        self._changes: list[Change] = []
+        self._term = 0
+
+    async def init(self, connection: Any) -> None:
+        """Open the session's own database connection."""
+        params = connection.startup_params
+        read_only = params.get("default_transaction_read_only")
+        self.idle_limit_s = int(params.get(IDLE_LIMIT, 0)) / 1000
+        self._protocol = connection
+        self.endpoint.heard.append(repr(connection.startup_params))
+        self._conn = self.endpoint.store.connect(read_only=read_only == "on")
+        self.endpoint.sessions.add(self)
+
+    async def close(self) -> None:
+        """Roll back what is open and leave."""
+        self.endpoint.sessions.discard(self)
+        self.rollback()
+        if self._conn is not None:
+            self._conn.close()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._protocol.stream.writer.transport.abort()
+
+    async def prepare(self, sql: str, param_oids: list[int | None]) -> Statement:
+        """Parse one statement."""
+        await self.gate()
+        return EndpointStatement(self, sql)
+
+    async def gate(self) -> None:
+        """Hold back while the server is frozen or the connection silent.
+
+        What a silent connection leaves open is rolled back after its
+        ``idle_in_transaction_session_timeout``, as a PostgreSQL server does.
+        """
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        while self.endpoint.faults.frozen or self.silent:
+            await asyncio.sleep(GATE_POLL_S)
+            if self.silent and 0 < self.idle_limit_s < loop.time() - since:
+                self.abort()
+                raise ConnectionClosed
+
+    async def after(self) -> None:
+        """Lose or delay the answer to finished work."""
+        faults = self.endpoint.faults
+        if faults.late_s:
+            await asyncio.sleep(faults.late_s)
+        if faults.drop_answers and faults.drop_after:
+            faults.drop_after -= 1
+        elif faults.drop_answers:
+            faults.drop_answers -= 1
+            self.abort()
+            raise ConnectionClosed
+        await self.gate()
+
+    @property
+    def conn(self) -> sqlite3.Connection:
+        """The session's database connection."""
+        assert self._conn is not None
+        return self._conn
+
+    async def control(self, word: str) -> None:
+        """Run BEGIN, COMMIT, ROLLBACK, or a setting that has no effect here."""
+        if word in ("BEGIN", "START"):
+            self._protocol.tx_status = b"T"
+        elif word in ("COMMIT", "END"):
+            await self._commit()
+        elif word == "ROLLBACK":
+            self.rollback()
+
+    def rollback(self) -> None:
+        """End the open transaction without its changes."""
+        if self._protocol is not None:
+            self._protocol.tx_status = b"I"
+        self._changes = []
+        if self._conn is None or not self._conn.in_transaction:
+            return
+        self._conn.execute("ROLLBACK")
+        self.endpoint.write_lock.release()
+
+    async def run(self, sql: str, params: Params) -> list[tuple[Any, ...]]:
+        """Run one statement and return its rows."""
+        if is_read(sql):
+            return self._execute(sql, params)
+        await self.begin_write()
+        try:
+            rows = self._execute(sql, params)
+        except PgError:
+            if self._protocol.tx_status == b"I":
+                self.rollback()
+            raise
+        self._changes.append(Change(sql, params))
+        if self._protocol.tx_status == b"I":
+            await self._commit()
+        return rows
+
+    async def begin_write(self) -> None:
+        """Open the session's write; the wait for others' holds no slot."""
+        if self.conn.in_transaction:
+            return
+        await self.endpoint.write_lock.acquire()
+        if not self.endpoint.primary:
+            self.endpoint.write_lock.release()
+            raise PgError("25006", "cannot write: this server is a replica")
+        try:
+            self.conn.execute("BEGIN IMMEDIATE")
+        except sqlite3.Error as exc:
+            self.endpoint.write_lock.release()
+            raise PgError("25006", str(exc)) from None
+        self._term = self.endpoint.store.term
+
+    async def _commit(self) -> None:
+        failed = self._protocol.tx_status == b"E"
+        if not self.conn.in_transaction or failed:
+            self.rollback()
+            return
+        endpoint = self.endpoint
+        if not endpoint.primary or endpoint.store.term != self._term:
+            self.rollback()
+            raise PgError("25006", "the term ended before the commit")
+        endpoint.store.commit(self.conn, tuple(self._changes))
+        self._changes = []
+        self._protocol.tx_status = b"I"
+        endpoint.write_lock.release()
+        endpoint.touch()
+
+    def _execute(self, sql: str, params: Params) -> list[tuple[Any, ...]]:
+        try:
+            return self.conn.execute(sql, params).fetchall()
+        except sqlite3.IntegrityError as exc:
+            raise PgError("23505", str(exc)) from None
+        except sqlite3.Error as exc:
+            raise PgError(sqlstate_of(exc), str(exc)) from None
+
+
+class EndpointStatement(Statement):
+    """One parsed statement, of SQL or of the group's functions."""
+
+    def __init__(self, session: EndpointSession, sql: str) -> None:
+        self.session = session
+        self.sql = sql
+        self.param_oids = [TEXT] * param_count(sql)
+        self._first: list[ResultColumn] | None = None
+
+    async def describe(self) -> list[ResultColumn] | None:
+        """The columns of the answer, None if it has none."""
+        found = FUNCTION.match(self.sql)
+        if found:
+            return FUNCTION_COLUMNS[found[1]]
+        word = sql_word(self.sql)
+        if word in CONTROL_WORDS:
+            return None
+        columns = self._describe_sql(word)
+        self._first = self._first or columns
+        if columns != self._first:
+            raise PgError("0A000", "cached plan must not change result type")
+        return columns
+
+    def bind(self, params: list[str | None]) -> Portal:
+        """Bind the parameters."""
+        return EndpointPortal(self, tuple(params))
+
+    def _describe_sql(self, word: str) -> list[ResultColumn] | None:
+        if word not in READ_WORDS and " RETURNING " not in self.sql.upper():
+            return None
+        conn = self.session.conn
+        blank = (None,) * param_count(self.sql)
+        try:
+            if word in READ_WORDS:
+                cursor = conn.execute(f"SELECT * FROM ({self.sql}) LIMIT 0", blank)
+                names = [column[0] for column in cursor.description]
+            else:
+                names = re.split(r"(?i) RETURNING ", self.sql)[1].split(",")
+        except sqlite3.Error as exc:
+            raise PgError(sqlstate_of(exc), str(exc)) from None
+        types = self.session.endpoint.store.column_types()
+        return [column_of(name.strip(), types) for name in names]
+
+
+class EndpointPortal(Portal):
+    """A bound statement; the first execution runs it."""
+
+    def __init__(self, statement: EndpointStatement, params: Params) -> None:
+        self._statement = statement
+        self._params = params
+
+    async def execute(self, max_rows: int) -> tuple[list[tuple[Any, ...]], bool]:
+        """Run the statement and return all its rows."""
+        session = self._statement.session
+        sql = self._statement.sql
+        await session.gate()
+        endpoint = session.endpoint
+        endpoint.received.append(sql)
+        endpoint.heard.append(repr(self._params))
+        found = FUNCTION.match(sql)
+        if found:
+            rows = await FUNCTIONS[found[1]](endpoint, self._params)
+            await session.gate()
+            return rows, False
+        word = sql_word(sql)
+        if word in CONTROL_WORDS:
+            await session.control(word)
+        else:
+            if not is_read(sql):
+                await session.begin_write()
+            async with endpoint.slots:
+                await asyncio.sleep(endpoint.options.statement_s)
+                rows = await session.run(sql, self._params)
+                await session.after()
+                columns = await self._statement.describe()
+                return [coerce(row, columns or []) for row in rows], False
+        await session.after()
+        return [], False
