--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -76,8 +76,7 @@
         for port in PORT.findall(text):
             if port not in self.ports:
                 self.ports[port] = str(free_ports(1)[0])
-        text = PORT.sub(lambda found: self.ports[found[0]], text)
-        return text.replace("/tmp/", f"{self.folder}/")
+        return PORT.sub(lambda found: self.ports[found[0]], text)
 
 
 @pytest.fixture
@@ -99,8 +98,8 @@
         answers = [json.loads(line) for line in re.findall(r"\{.*?\}", session)]
         assert [answer["outcome"] for answer in answers] == ["done"] * 3
         assert answers[-1]["rows"] == [["A-101", 3]]
-        key = json.loads((shell.folder / "key.json").read_text())["key"]
-        logs = [path.read_text() for path in shell.folder.glob("proxy-*.log")]
+        key = json.loads((shell.folder / "run" / "key.json").read_text())["key"]
+        logs = [path.read_text() for path in (shell.folder / "run").glob("proxy-*.log")]
         lines = [json.loads(line) for log in logs for line in log.splitlines()]
         assert {100, 200, 302} <= {line["event"] for line in lines}
         assert key not in "".join(logs)
