One rule of acknowledgement, for the proxies and for both models

Cause: the rule by which a write is acknowledged had moved into the confirmation, while an older one stood in the group's view, unused by the product; the model of reads proved the older one, the model of failovers a copy of the newer. All three now call GroupView.is_acknowledged, which holds the confirmation's rule. What nothing called is gone: quorum.is_acknowledged, Group.acknowledged, two lookups of the membership, one of the loans. Ruled out: keeping the older rule for the model (it proved what no proxy does). In the model, turning off the check of reads leaves the acknowledgement as it is, so that it still fails for reads.

--- a/mangoramp/confirmation.py
+++ b/mangoramp/confirmation.py
@@ -107,7 +107,7 @@
         if not status.is_primary or status.term != primary.term:
             raise unconfirmed("the term ended during the write", primary.name)
         view = self._group.view
-        while not self._is_certain(status):
+        while not view.is_acknowledged(status.tail):
             if not view.cfg.lineage.contains(status.tail):
                 raise unconfirmed("the primary was replaced", primary.name)
             if not await self._group.changed(deadline):
@@ -132,12 +132,6 @@
             if not await self._group.changed(deadline):
                 raise unproven("the reads were not proven fresh in time", status.name)
 
-    def _is_certain(self, status: ServerStatus) -> bool:
-        """Whether a majority holds it, in its term or in one that came out of it."""
-        view = self._group.view
-        inside = view.cfg.lineage.contains(status.tail)
-        return inside and view.is_committed(status.tail)
-
     async def _primary(self, deadline: float, since: float) -> ServerStatus:
         while True:
             primary = self._group.primary
--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -100,10 +100,6 @@
         """The moment up to which a position is known to be complete, in seconds."""
         return self.view.as_of(position)
 
-    def acknowledged(self, position: Position) -> bool:
-        """Whether a majority holds a write in the term in which it was run."""
-        return self.view.is_acknowledged(position)
-
     async def changed(self, deadline: float) -> bool:
         """Wait for the next news of a server.
 
--- a/mangoramp/membership.py
+++ b/mangoramp/membership.py
@@ -118,21 +118,10 @@
         rec = self.part.lease.record
         return rec.address if rec is not None else ""
 
-    @property
-    def lost_domains(self) -> tuple[str, ...]:
-        """The failure domains whose relay gives no sign of life."""
-        return self._lost
-
     def holds(self, group: str, now: float) -> bool:
         """Whether this process is home of a group now."""
         return self.part.holds(group, now)
 
-    def live_instances(self) -> frozenset[str]:
-        """The live instances of all failure domains."""
-        domains = {i.failure_domain for i in self._catalog.instances.values()}
-        domains.add(self._cfg.failure_domain)
-        return frozenset(name for domain in domains for name in self.live_in(domain))
-
     def live_in(self, domain: str) -> tuple[str, ...]:
         """The live instances of one failure domain."""
         if domain == self._cfg.failure_domain and self.view.members:
--- a/mangoramp/policy/loans.py
+++ b/mangoramp/policy/loans.py
@@ -151,11 +151,6 @@
         """The borrowed tokens that are not used yet."""
         return tuple(self._loans)
 
-    @property
-    def has_lent_share(self) -> bool:
-        """Whether this domain does without its own share now."""
-        return self._lent_share is not None
-
     def settle(self, now: float) -> None:
         """End what is over by now."""
         self._void_shares(now)
--- a/mangoramp/policy/quorum.py
+++ b/mangoramp/policy/quorum.py
@@ -52,27 +52,6 @@
     return size // 2 + 1
 
 
-def is_acknowledged(
-    position: Position, term: int, statuses: Iterable[ServerStatus], size: int
-) -> bool:
-    """Whether a majority holds a position in the term in which it was run.
-
-    Args:
-        position: The write's position.
-        term: The term in which it was run.
-        statuses: What the group's servers said after the write.
-        size: How many servers the group has.
-    """
-    holders = [
-        status
-        for status in statuses
-        if status.term == term
-        and status.log_term == term
-        and status.held >= position.offset
-    ]
-    return len(holders) >= majority(size)
-
-
 def committed(
     term: int, statuses: Iterable[ServerStatus], size: int
 ) -> Position | None:
--- a/mangoramp/policy/view.py
+++ b/mangoramp/policy/view.py
@@ -7,7 +7,7 @@
 
 from .freshness import Freshness, Mark
 from .position import START, Lineage, Position
-from .quorum import ServerStatus, committed, confirmed_at, is_acknowledged
+from .quorum import ServerStatus, committed, confirmed_at
 from .routing import Candidate, ReadNeed
 
 STALE_S = 1.5
@@ -120,9 +120,8 @@
         return self._freshness.as_of(position, self.cfg.lineage)
 
     def is_acknowledged(self, position: Position) -> bool:
-        """Whether a majority holds a write in the term in which it was run."""
-        size = len(self.cfg.members)
-        return is_acknowledged(position, position.term, self.statuses.values(), size)
+        """Whether a majority holds a write, in its term or in one that came of it."""
+        return self.cfg.lineage.contains(position) and self.is_committed(position)
 
     def is_committed(self, position: Position) -> bool:
         """Whether everything up to a position is certain to outlast a failover."""
--- a/tests/failover_world.py
+++ b/tests/failover_world.py
@@ -426,7 +426,7 @@
 
 def outlasts(view, position):
     """Acknowledge what a majority holds, as the proxies do."""
-    return view.cfg.lineage.contains(position) and view.is_committed(position)
+    return view.is_acknowledged(position)
 
 
 def at_primary_alone(view, position):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -218,6 +218,10 @@
     def is_committed(self, position):
         return True
 
+    def is_acknowledged(self, position):
+        within = self.cfg.lineage.contains(position)
+        return within and super().is_committed(position)
+
 
 class UncheckedAge(Reading):
     make_view = AnyAge
