--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -91,10 +91,8 @@
 
 
 def put(processes: Processes, kind: str, name: str, value: object) -> None:
-    url = f"{processes.platform}/v1/objects/{kind}/{name}"
-    headers = {"If-Match": "0"}
-    body = json.dumps(value).encode()
-    urlopen(Request(url, data=body, method="PUT", headers=headers))
+    body = json.dumps({"meta": {"name": name}, "spec": value}).encode()
+    urlopen(Request(f"{processes.platform}/objects/{kind}", data=body, method="POST"))
 
 
 def report(processes: Processes, name: str) -> dict[str, object]:
--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -11,8 +11,7 @@
 import msgspec
 
 from .events import GROUP_CHANGED, KEY_WITHDRAWN, TABLE_CHANGED, emit
-from .platform.client import Versioned
-from .platform.objects import (
+from .objects import (
     DomainObject,
     GroupObject,
     InstanceObject,
@@ -21,6 +20,7 @@
     SigningKey,
     TableShard,
 )
+from .platform.client import Versioned
 from .policy.cache import Cache, Delta, Item
 from .policy.keys import KeyRecord
 from .policy.session import SigningKeys
--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -48,6 +48,8 @@
     proxy = commands.add_parser("proxy", help="run a proxy")
     proxy.add_argument("--settings", type=Path, required=True)
     proxy.set_defaults(run=_proxy)
+    serve = commands.add_parser("serve", help="run an instance on the platform")
+    serve.set_defaults(run=_serve)
     check = commands.add_parser("check", help="check a settings file")
     check.add_argument("--settings", type=Path, required=True)
     check.set_defaults(run=_check)
@@ -71,6 +73,13 @@
     return Exit.OK
 
 
+def _serve(args: argparse.Namespace) -> Exit:
+    # An instance has its own entry point, which does without this module's imports.
+    from .serve import serve
+
+    return Exit(serve())
+
+
 def _check(args: argparse.Namespace) -> Exit:
     loaded = load_settings(args.settings)
     if not isinstance(loaded, Success):
--- /dev/null
+++ b/mangoramp/control/beliefs.py
@@ -0,0 +1,83 @@
+"""What this process believes of its deployment: configuration and servers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..events import DEPLOYMENT_CHANGED, ENDPOINT_CHANGED, ENDPOINT_GONE, emit
+from ..serving.servers import Servers
+from .deployment import Deployment
+from .endpoint import Endpoint
+
+
+class Beliefs:
+    """Takes over what the store says; nothing of it goes back to an older version.
+
+    Args:
+        servers: The servers.
+
+    Attributes:
+        deployment: The configuration in force, None before the first.
+        revision: The store's revision of it.
+        deployed: Set once there is a configuration.
+        registered: Set once the servers were listed.
+        on_deployment: Called when the configuration has changed.
+    """
+
+    def __init__(self, servers: Servers) -> None:
+        self.deployment: Deployment | None = None
+        self.revision = 0
+        self.deployed = asyncio.Event()
+        self.registered = asyncio.Event()
+        self.on_deployment: Callable[[], None] = lambda: None
+        self._servers = servers
+        self._groups: dict[str, str] = {}
+
+    def take_deployment(self, deployment: Deployment, revision: int) -> None:
+        """Take over a configuration, unless it is older than the one in force."""
+        if revision <= self.revision:
+            return
+        self.deployment = deployment
+        self.revision = revision
+        emit(
+            DEPLOYMENT_CHANGED,
+            version=deployment.version,
+            revision=revision,
+            routes=len(deployment.routes),
+            customers=len(deployment.customers),
+            keys=len(deployment.customer_by_key),
+        )
+        self.deployed.set()
+        self.on_deployment()
+
+    def take_endpoint(self, endpoint: Endpoint, revision: int) -> None:
+        """Take over a server's entry."""
+        former = self._groups.get(endpoint.id)
+        if former is not None and former != endpoint.group:
+            self._servers.group(former).unlist(endpoint.id, self._servers.clock())
+        self._groups[endpoint.id] = endpoint.group
+        self._servers.group(endpoint.group).list_endpoint(endpoint, revision)
+        emit(
+            ENDPOINT_CHANGED,
+            server=endpoint.id,
+            group=endpoint.group,
+            primary=endpoint.is_primary,
+            draining=endpoint.is_draining,
+            revision=revision,
+        )
+
+    def drop_endpoint(self, server_id: str) -> None:
+        """Take over that a server has no entry."""
+        group = self._groups.pop(server_id, None)
+        if group is None:
+            return
+        self._servers.group(group).unlist(server_id, self._servers.clock())
+        emit(ENDPOINT_GONE, server=server_id, group=group)
+
+    def keep_endpoints(self, server_ids: frozenset[str]) -> None:
+        """Take over that no other servers have entries."""
+        for server_id in list(self._groups):
+            if server_id not in server_ids:
+                self.drop_endpoint(server_id)
+        self.registered.set()
--- /dev/null
+++ b/mangoramp/control/limits.py
@@ -0,0 +1,75 @@
+"""The customers' limits over all instances."""
+
+from __future__ import annotations
+
+import math
+
+from ..policy.quota import COLD_FILL, SharedBucket
+from .deployment import Customer, Deployment
+from .peers import Peers
+
+LONGEST_WAIT_S = 60.0  # told to a caller whose customer may do nothing at all
+
+
+class Limits:
+    """This instance's copies of the customers' buckets.
+
+    Args:
+        name: This instance.
+        peers: The other instances.
+        is_first_start: Whether nothing was admitted before this process.
+    """
+
+    def __init__(self, name: str, peers: Peers, *, is_first_start: bool) -> None:
+        self.spent: dict[str, int] = {}
+        self._name = name
+        self._peers = peers
+        self._fill = 1.0 if is_first_start else COLD_FILL
+        self._buckets: dict[str, SharedBucket] = {}
+        self._limits: dict[str, Customer] = {}
+
+    def resize(self, deployment: Deployment, now: float) -> None:
+        """Take over a configuration's limits."""
+        for name in list(self._buckets):
+            if name not in deployment.customers:
+                del self._buckets[name]
+        self._limits = dict(deployment.customers)
+        for customer in deployment.customers.values():
+            if customer.rate is None:
+                self._buckets.pop(customer.name, None)
+                continue
+            bucket = self._buckets.get(customer.name)
+            if bucket is None:
+                self._buckets[customer.name] = SharedBucket(
+                    customer.rate, customer.burst, now=now, fill=self._fill
+                )
+                continue
+            part = self._part(bucket)
+            bucket.limit(customer.rate, customer.burst, now, part)
+
+    def admit(self, customer: str, now: float) -> float:
+        """Take one operation from a customer's limits.
+
+        Args:
+            customer: The customer.
+            now: The time, in seconds.
+
+        Returns:
+            0 if it was taken, else the seconds until it might be.
+        """
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            wait_s = bucket.take(self._name, now, self._part(bucket))
+            if wait_s > 0:
+                return wait_s if math.isfinite(wait_s) else LONGEST_WAIT_S
+        self.spent[customer] = self.spent.get(customer, 0) + 1
+        return 0.0
+
+    def spent_by(self, peer: str, customer: str, count: int, now: float) -> None:
+        """Take out what a peer admitted."""
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.spent(peer, count, now, self._part(bucket))
+
+    def _part(self, bucket: SharedBucket) -> float:
+        return bucket.part_of(self._peers.heard, self._peers.everyone)
--- a/mangoramp/controller.py
+++ b/mangoramp/controller.py
@@ -15,8 +15,8 @@
 from .endpoints.control import command
 from .endpoints.group import Group, configuration
 from .events import FAILOVER_COMMAND, FAILOVER_STEP, PRIMARY_SUSPECTED, emit
+from .objects import GroupObject, TermStart
 from .platform.client import PlatformClient
-from .platform.objects import GroupObject, TermStart
 from .policy.failover import (
     Action,
     AskViews,
--- a/mangoramp/endpoints/connection.py
+++ b/mangoramp/endpoints/connection.py
@@ -17,7 +17,7 @@
 
 from ..errors import Code, Fault, FaultError, Outcome, Step
 from ..events import CONNECTION_CLOSED, CONNECTION_SILENT, SERVER_FULL, emit
-from ..platform.objects import ServerState
+from ..objects import ServerState
 from .exchange import exchange
 
 USER = "mangoramp"
--- a/mangoramp/endpoints/control.py
+++ b/mangoramp/endpoints/control.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, FaultError, Outcome, Step
-from ..platform.objects import ServerState
+from ..objects import ServerState
 from ..policy.failover import Command, Fence, Follow, Promote
 from ..policy.quorum import ServerStatus
 from .connection import connect
--- a/mangoramp/endpoints/group.py
+++ b/mangoramp/endpoints/group.py
@@ -11,7 +11,7 @@
 
 from ..errors import FaultError
 from ..events import SERVER_BACK, SERVER_LOST, emit
-from ..platform.objects import GroupObject, ServerState
+from ..objects import GroupObject, ServerState
 from ..policy.position import Lineage, Origin, Position
 from ..policy.quorum import ServerStatus
 from ..policy.routing import Candidate
--- a/mangoramp/errors.py
+++ b/mangoramp/errors.py
@@ -48,6 +48,9 @@
     TRANSACTION_BUSY = "transaction_busy"
     KEY_REUSED = "idempotency_key_reused"
     STATEMENT_FAILED = "statement_failed"
+    STATEMENT_UNKNOWN = "statement_unknown"
+    TRANSACTION_ABORTED = "transaction_aborted"
+    READ_ONLY = "read_only"
     OVER_RATE = "over_rate"
     OVERLOADED = "overloaded"
     NO_SERVER = "no_server"
@@ -73,6 +76,9 @@
     Code.TRANSACTION_BUSY: 409,
     Code.KEY_REUSED: 409,
     Code.STATEMENT_FAILED: 422,
+    Code.STATEMENT_UNKNOWN: 404,
+    Code.TRANSACTION_ABORTED: 409,
+    Code.READ_ONLY: 409,
     Code.OVER_RATE: 429,
     Code.OVERLOADED: 503,
     Code.NO_SERVER: 503,
--- a/mangoramp/ingress.py
+++ b/mangoramp/ingress.py
@@ -17,7 +17,7 @@
 from .faults import session_ahead
 from .homes import Homes
 from .metrics import Metrics, make_metrics
-from .platform.objects import Row
+from .objects import Row
 from .policy.keys import check_key, key_id
 from .policy.position import Position
 from .policy.retry import RetryRule
--- /dev/null
+++ b/mangoramp/instance.py
@@ -0,0 +1,182 @@
+"""The daemon on the platform: wires the packages together and holds no rule itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from prometheus_client import CollectorRegistry
+
+from .clock import boot_time
+from .control.beliefs import Beliefs
+from .control.limits import Limits
+from .control.members import Members
+from .control.peers import Peers, Report
+from .control.promoter import Promoter
+from .control.settings import InstanceSettings
+from .events import INSTANCE_STARTED, INSTANCE_STOPPED, INSTANCE_STOPPING, emit
+from .platform.client import PlatformClient
+from .platform.connection import WireConnector
+from .platform.feed import Feed
+from .platform.listener import Listener
+from .platform.promotion import PromotionClient
+from .platform.readiness import ReadinessServer
+from .serving.executor import Executor
+from .serving.gateway import Gateway
+from .serving.reading import Reader
+from .serving.servers import Servers
+from .serving.traffic import Traffic
+from .serving.transactions import TransactionRunner
+from .serving.writing import Writer
+
+HOUSEKEEPING_S = 0.25  # a tenth of the shortest time after which something is dropped
+UNLISTED_S = 2.3  # the balancer takes an instance out after two probes, a second apart
+LAST_S = 0.8  # of the grace, for the end of the process itself
+POLL_S = 0.05
+
+
+class Instance:
+    """One instance of the proxy on the platform.
+
+    Args:
+        cfg: Its settings.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self, cfg: InstanceSettings, *, rng: random.Random | None = None
+    ) -> None:
+        rng = rng or random.Random()
+        self.cfg = cfg
+        self.registry = CollectorRegistry()
+        self.servers = Servers(WireConnector(), boot_time, rng)
+        self.beliefs = Beliefs(self.servers)
+        self.peers = Peers(cfg.name, self._report, boot_time, rng)
+        self.limits = Limits(cfg.name, self.peers, is_first_start=cfg.is_first_start)
+        self._client = PlatformClient(cfg.store_url)
+        self._orders = PromotionClient(cfg.promotion_url)
+        self._members = Members(cfg, self._client, self.peers, rng)
+        self._feed = Feed(
+            self._client, self.beliefs, cfg.bounds, rng=rng, clock=boot_time
+        )
+        self._promoter = Promoter(
+            cfg.name,
+            self.servers,
+            self.peers,
+            self._client,
+            self._orders,
+            lambda: self.beliefs.deployment,
+            rng,
+        )
+        executor = Executor(self.servers)
+        reader = Reader(executor, cfg.failure_domain)
+        self.gateway = Gateway(
+            deployment=lambda: self.beliefs.deployment,
+            deployed=self.beliefs.deployed,
+            reader=reader,
+            writer=Writer(executor),
+            transactions=TransactionRunner(executor, reader),
+            admit=self.limits.admit,
+            clock=boot_time,
+            traffic=Traffic(self.registry),
+        )
+        self._listener = Listener(self.gateway.open)
+        self._readiness = ReadinessServer(lambda: self.is_ready, self.registry)
+        self._is_stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.beliefs.on_deployment = self._resize
+        self.peers.on_spent = self._spent
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new callers."""
+        known = self.beliefs.deployed.is_set() and self.beliefs.registered.is_set()
+        return known and not self._is_stopping
+
+    async def start(self) -> None:
+        """Listen, and learn what the store holds."""
+        self._readiness.listen(self.cfg.health)
+        self._listener.listen(self.cfg.callers)
+        await self.peers.listen(self.cfg.peers, self.cfg.seeds)
+        for work in (
+            self._feed.run(),
+            self.peers.run(),
+            self._members.run(),
+            self._promoter.run(),
+            self._keep_house(),
+        ):
+            self._start(work)
+        emit(
+            INSTANCE_STARTED,
+            name=self.cfg.name,
+            failure_domain=self.cfg.failure_domain,
+            first=self.cfg.is_first_start,
+        )
+
+    async def stop(self) -> None:
+        """Stop without cutting a request, within the grace."""
+        emit(INSTANCE_STOPPING, name=self.cfg.name)
+        self._is_stopping = True
+        started = boot_time()
+        grace = self.cfg.bounds.grace_s
+        while boot_time() - started < grace - LAST_S:
+            waited = boot_time() - started
+            if waited > UNLISTED_S:
+                self._listener.close_idle()
+                if self._listener.is_idle:
+                    break
+            if waited > grace / 2:
+                self.gateway.end_transactions()
+            await asyncio.sleep(POLL_S)
+        self._listener.stop()
+        self.peers.tell(at_once=True)
+        await self._members.leave()
+        self.close()
+
+    def close(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+        self._readiness.close()
+        self.servers.close()
+        self.peers.close()
+        self._client.close()
+        self._orders.close()
+        emit(INSTANCE_STOPPED, name=self.cfg.name)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _keep_house(self) -> None:
+        instances = 0
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.gateway.end_idle()
+            self.servers.tidy()
+            if len(self.peers.everyone) != instances:
+                instances = len(self.peers.everyone)
+                self.servers.resize(None, instances)
+
+    def _resize(self) -> None:
+        deployment = self.beliefs.deployment
+        assert deployment is not None
+        self.servers.resize(deployment, len(self.peers.everyone))
+        self.limits.resize(deployment, boot_time())
+        self.gateway.end_idle()
+
+    def _spent(self, peer: str, customer: str, count: int) -> None:
+        self.limits.spent_by(peer, customer, count, boot_time())
+
+    def _report(self, incarnation: int, number: int) -> Report:
+        return Report(
+            name=self.cfg.name,
+            incarnation=incarnation,
+            number=number,
+            is_leaving=self._is_stopping and self._listener.is_idle,
+            revision=self.beliefs.revision,
+            spent=dict(self.limits.spent),
+            heard=self._promoter.heard(),
+        )
--- a/mangoramp/membership.py
+++ b/mangoramp/membership.py
@@ -23,8 +23,8 @@
     VIEW_CHANGED,
     emit,
 )
+from .objects import DomainObject, InstanceObject
 from .platform.client import PlatformClient
-from .platform.objects import DomainObject, InstanceObject
 from .policy._rendezvous import rendezvous
 from .policy.domain import FORGET_S, DomainPart
 from .policy.lease import LeaseRecord, candidates
--- a/mangoramp/platform/objects.py
+++ b/mangoramp/objects.py
@@ -1,10 +1,10 @@
-"""The objects that the system keeps on the platform."""
+"""The objects that the HTTP interface keeps in the store."""
 
 from __future__ import annotations
 
 import msgspec
 
-from ..policy.table import Row as Row
+from .policy.table import Row as Row
 
 
 class ServerState(msgspec.Struct, frozen=True):
--- a/mangoramp/operators/keys.py
+++ b/mangoramp/operators/keys.py
@@ -10,8 +10,8 @@
 
 from ..catalog import KIND_KEY, KIND_SIGNING_KEY
 from ..errors import Fault
+from ..objects import KeyObject, SigningKey
 from ..platform.client import PlatformClient
-from ..platform.objects import KeyObject, SigningKey
 from ..policy.keys import key_digest, make_key
 from .change import change, conflict
 
--- a/mangoramp/operators/report.py
+++ b/mangoramp/operators/report.py
@@ -9,7 +9,7 @@
 from ..catalog import Catalog
 from ..endpoints.group import Group
 from ..homes import Homes
-from ..platform.objects import GroupObject, ServerState
+from ..objects import GroupObject, ServerState
 from ..policy.view import STALE_S
 from ..settings import ProxySettings
 
--- a/mangoramp/operators/status.py
+++ b/mangoramp/operators/status.py
@@ -10,8 +10,8 @@
 
 from ..catalog import KIND_GROUP, KIND_INSTANCE
 from ..errors import Fault
+from ..objects import GroupObject, InstanceObject
 from ..platform.client import PlatformClient
-from ..platform.objects import GroupObject, InstanceObject
 from .report import ProxyReport
 from .table import export_table
 
--- a/mangoramp/operators/table.py
+++ b/mangoramp/operators/table.py
@@ -10,8 +10,8 @@
 
 from ..catalog import KIND_GROUP, KIND_TABLE
 from ..errors import Code, Fault, Outcome, Step
+from ..objects import GroupObject, Row, TableShard
 from ..platform.client import PlatformClient, Versioned
-from ..platform.objects import GroupObject, Row, TableShard
 from ..policy.sheet import Sheet
 from ..policy.table import Difference, differences, split
 from .change import change, conflict
--- a/mangoramp/platform/client.py
+++ b/mangoramp/platform/client.py
@@ -1,22 +1,29 @@
-"""The client of the platform's object API."""
+"""The client of the platform's store."""
 
 from __future__ import annotations
 
 import logging
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 from returns.result import Failure, Result, Success
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..errors import Code, Fault, Outcome, Step
 
 T = TypeVar("T")
-CONNECT_TIMEOUT_S = 2.0
-CALL_TIMEOUT_S = 3.0
-RETRY_AFTER_S = 1.0
+CONNECT_TIMEOUT_S = 2.0  # a SYN that was lost is sent again after 1 s
+CALL_TIMEOUT_S = 3.0  # one lost SYN and a store that is fifty times slower
+WATCH_SLACK_S = 1.0  # for the answer of a watch that ran its whole time
+MAX_WAIT_S = 30.0  # the store's longest watch
+MAX_PAGES = 1_000  # ends a listing whose pages never do
+MAX_BODY_BYTES = 64 * 1024 * 1024  # a listing's page is far smaller
+RETRY_AFTER_S = 1.0  # the store's usual shortest outage
+REFUSED = (429, 503)  # the store says that nothing was done
+GONE = 410
 NULL = b"null"
 
 
@@ -26,7 +33,7 @@
 
     Attributes:
         name: The object's name.
-        version: The platform's version of it, 0 if there is none.
+        version: The store's revision of it, 0 if there is none.
         value: The object, None if it was deleted.
     """
 
@@ -37,21 +44,43 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes(Generic[T]):
-    """The objects of a kind that changed, and the version to go on from."""
+    """The objects of a kind that changed.
+
+    Attributes:
+        version: The revision to go on from.
+        objects: The objects, in the order in which they changed.
+        is_listing: Whether these are all objects of the kind, and no others exist.
+    """
 
     version: int
     objects: tuple[Versioned[T], ...]
+    is_listing: bool = False
 
 
-class _Stored(msgspec.Struct):
+class _Meta(msgspec.Struct):
     name: str
-    version: int
-    value: msgspec.Raw
+    revision: int = 0
 
 
-class _Listing(msgspec.Struct):
-    version: int
-    objects: tuple[_Stored, ...]
+class _Object(msgspec.Struct):
+    meta: _Meta
+    spec: msgspec.Raw = msgspec.Raw(NULL)
+
+
+class _Page(msgspec.Struct):
+    items: tuple[_Object, ...]
+    current_rev: int
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: tuple[_Event, ...]
+    current_rev: int
 
 
 def _is_news(record: logging.LogRecord) -> bool:
@@ -63,37 +92,80 @@
 
 
 class PlatformClient:
-    """Calls the platform; each failure comes back as a fault, none is raised.
+    """Calls the store; each failure comes back as a fault, none is raised.
 
     Args:
-        url: The platform's address, as ``http://host:port``.
+        url: The store's address, as ``http://host:port``.
     """
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._http = AsyncHTTPClient(force_instance=True, max_clients=50)
+        self._http = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=50, max_body_size=MAX_BODY_BYTES
+        )
 
     async def changes(
         self, kind: str, type_: type[T], *, since: int = 0, wait_s: float = 0.0
     ) -> Result[Changes[T], Fault]:
-        """List the objects of a kind that changed after a version.
+        """List the objects of a kind that changed after a revision.
 
         Args:
             kind: The kind of object.
             type_: What to decode them to.
-            since: The version of the last listing, 0 for all objects.
+            since: The revision to go on from, 0 for a listing of all objects.
             wait_s: Seconds to wait for the first change.
+
+        Returns:
+            The changes; a listing too where the store no longer has the history.
+        """
+        if since <= 0:
+            return await self.listing(kind, type_)
+        wait_s = min(wait_s, MAX_WAIT_S)
+        query = {"watch": since, "wait_ms": round(wait_s * 1000)}
+        answer = await self._call(
+            "GET", f"{kind}?{urlencode(query)}", timeout_s=wait_s + WATCH_SLACK_S
+        )
+        if isinstance(answer, Success) and answer.unwrap().code == GONE:
+            return await self.listing(kind, type_)
+        return answer.bind(lambda resp: _decode_events(resp, type_, self._url))
+
+    async def listing(
+        self, kind: str, type_: type[T], *, allow_stale: bool = False
+    ) -> Result[Changes[T], Fault]:
+        """List all objects of a kind.
+
+        Args:
+            kind: The kind of object.
+            type_: What to decode them to.
+            allow_stale: Whether what is seconds old will do, at a tenth of the price.
         """
-        path = f"{kind}?since={since}&wait={wait_s}"
-        answer = await self._call("GET", path, timeout_s=CALL_TIMEOUT_S + wait_s)
-        return answer.map(lambda resp: _decode_listing(resp.body, type_))
+        found: list[Versioned[T]] = []
+        after = ""
+        version = 0
+        for _ in range(MAX_PAGES):
+            query: dict[str, Any] = {"after": after} if after else {}
+            if allow_stale:
+                query["allow_stale"] = 1
+            path = f"{kind}?{urlencode(query)}" if query else kind
+            answer = await self._call("GET", path)
+            page = answer.bind(lambda resp: _decode(resp, _Page, self._url))
+            if not isinstance(page, Success):
+                return Failure(page.failure())
+            items = page.unwrap().items
+            # Changes between two pages are found by watching from the first one on.
+            version = version or page.unwrap().current_rev
+            found.extend(_versioned(item, type_) for item in items)
+            if not page.unwrap().has_more or not items:
+                break
+            after = items[-1].meta.name
+        return Success(Changes(version, tuple(found), is_listing=True))
 
     async def get(
         self, kind: str, name: str, type_: type[T]
     ) -> Result[Versioned[T], Fault]:
         """Read one object; one that does not exist has version 0."""
         answer = await self._call("GET", f"{kind}/{quote(name, safe='')}")
-        return answer.map(lambda resp: _decode_object(resp, name, type_))
+        return answer.bind(lambda resp: _decode_object(resp, name, type_, self._url))
 
     async def put(
         self, kind: str, name: str, value: Any, *, version: int
@@ -108,15 +180,20 @@
 
         Returns:
             True if it was changed, False if its version is another. A fault with
-            the outcome ``unknown`` means that the change may have been made.
+            the outcome ``unknown`` means that the change may have been made, or may
+            still be made later.
         """
-        answer = await self._call(
-            "DELETE" if value is None else "PUT",
-            f"{kind}/{quote(name, safe='')}",
-            body=None if value is None else msgspec.json.encode(value),
-            version=version,
-        )
-        return answer.map(lambda resp: resp.code == 200)
+        path = f"{kind}/{quote(name, safe='')}"
+        if value is None:
+            answer = await self._call("DELETE", f"{path}?revision={version}")
+        else:
+            meta: dict[str, Any] = {"name": name, "finalizers": []}
+            if version:
+                meta["revision"] = version
+            body = msgspec.json.encode({"meta": meta, "spec": value})
+            method, path = ("PUT", path) if version else ("POST", kind)
+            answer = await self._call(method, path, body=body)
+        return answer.map(lambda resp: resp.code in (200, 201, 204))
 
     def close(self) -> None:
         """Close all connections."""
@@ -128,51 +205,74 @@
         path: str,
         *,
         body: bytes | None = None,
-        version: int = 0,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Result[HTTPResponse, Fault]:
+        req = HTTPRequest(
+            f"{self._url}/objects/{path}",
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"} if body else None,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+        )
         try:
-            resp = await self._http.fetch(
-                f"{self._url}/v1/objects/{path}",
-                method=method,
-                body=body,
-                headers={"If-Match": str(version)} if method != "GET" else None,
-                connect_timeout=CONNECT_TIMEOUT_S,
-                request_timeout=timeout_s,
-                raise_error=False,
-            )
+            resp = await self._http.fetch(req, raise_error=False)
         except (OSError, HTTPClientError) as exc:
             return Failure(_fault(str(exc), self._url))
-        if resp.code not in (200, 404, 412):
+        if resp.code in REFUSED:
+            return Failure(_fault(f"status {resp.code}", self._url, Outcome.NOT_RUN))
+        if resp.code not in (200, 201, 204, 404, 409, GONE):
             return Failure(_fault(f"status {resp.code}", self._url))
         return Success(resp)
 
 
-def _fault(reason: str, peer: str) -> Fault:
+def _fault(reason: str, peer: str, outcome: Outcome = Outcome.UNKNOWN) -> Fault:
     return Fault(
         Code.NO_SERVER,
         f"the platform does not answer: {reason}",
         Step.PLATFORM,
         peer=peer,
-        outcome=Outcome.UNKNOWN,
+        outcome=outcome,
         retry_after_s=RETRY_AFTER_S,
     )
 
 
-def _decode_listing(body: bytes, type_: type[T]) -> Changes[T]:
-    listing = msgspec.json.decode(body, type=_Listing)
-    found = tuple(_versioned(stored, type_) for stored in listing.objects)
-    return Changes(listing.version, found)
+def _decode(resp: HTTPResponse, type_: type[T], peer: str) -> Result[T, Fault]:
+    try:
+        return Success(msgspec.json.decode(resp.body, type=type_))
+    except msgspec.DecodeError as exc:
+        return Failure(_fault(f"its answer cannot be read: {exc}", peer))
 
 
-def _decode_object(resp: HTTPResponse, name: str, type_: type[T]) -> Versioned[T]:
-    if resp.code == 404:
-        return Versioned(name, 0, None)
-    return _versioned(msgspec.json.decode(resp.body, type=_Stored), type_)
+def _decode_events(
+    resp: HTTPResponse, type_: type[T], peer: str
+) -> Result[Changes[T], Fault]:
+    def changes(events: _Events) -> Changes[T]:
+        found = (
+            Versioned(e.object.meta.name, e.object.meta.revision, None)
+            if e.deleted
+            else _versioned(e.object, type_)
+            for e in events.events
+        )
+        return Changes(events.current_rev, tuple(found))
+
+    return _decode(resp, _Events, peer).map(changes)
 
 
-def _versioned(stored: _Stored, type_: type[T]) -> Versioned[T]:
-    if bytes(stored.value) == NULL:
-        return Versioned(stored.name, stored.version, None)
-    value = msgspec.json.decode(stored.value, type=type_)
-    return Versioned(stored.name, stored.version, value)
+def _decode_object(
+    resp: HTTPResponse, name: str, type_: type[T], peer: str
+) -> Result[Versioned[T], Fault]:
+    if resp.code == 404:
+        return Success(Versioned(name, 0, None))
+    return _decode(resp, _Object, peer).map(lambda found: _versioned(found, type_))
+
+
+def _versioned(stored: _Object, type_: type[T]) -> Versioned[T]:
+    if bytes(stored.spec) == NULL:
+        return Versioned(stored.meta.name, stored.meta.revision, None)
+    if type_ is msgspec.Raw:
+        # A raw value is a view of the whole answer, which it would keep in memory.
+        copy = msgspec.Raw(bytes(stored.spec))
+        return Versioned(stored.meta.name, stored.meta.revision, copy)  # type: ignore
+    value = msgspec.json.decode(stored.spec, type=type_)
+    return Versioned(stored.meta.name, stored.meta.revision, value)
--- /dev/null
+++ b/mangoramp/platform/configuration.py
@@ -0,0 +1,91 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..control.deployment import Customer, Deployment, Group, ReadRule, Route
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+UNLIMITED_AGE_S = float("inf")
+
+_RULES = {
+    "primary": ReadRule.PRIMARY,
+    "bounded_staleness": ReadRule.BOUNDED_AGE,
+    "read_your_writes": ReadRule.OWN_WRITES,
+}
+
+
+class _Route(msgspec.Struct):
+    database_name: str
+    service: str  # a database group
+    type: str = "primary"
+    timeout_ms: float = 1000  # of one statement
+    target_latency_ms: float = 200  # of the whole operation
+    priority: int = 1
+    max_staleness_ms: float | None = None
+    public: bool = False
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 16  # of each of its servers, from all callers
+
+
+class _Limits(msgspec.Struct):
+    tx_idle_ms: float = 3000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    rate_per_s: float | None = None
+    burst: float = 0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_deployment(raw: bytes) -> Deployment:
+    """Translate a configuration.
+
+    Args:
+        raw: The object's ``spec`` as JSON.
+
+    Raises:
+        msgspec.ValidationError: A field is missing or of another type; it is named.
+    """
+    found = msgspec.json.decode(raw, type=_Configuration)
+    routes: dict[str, Route] = {}
+    for route in found.routes:
+        routes.setdefault(route.database_name, _route(route))
+    return Deployment(
+        version=found.version,
+        routes=routes,
+        groups={s.name: Group(s.name, s.max_connections) for s in found.services},
+        customers={
+            t.name: Customer(t.name, t.rate_per_s, t.burst) for t in found.tenants
+        },
+        customer_by_key={key: t.name for t in found.tenants for key in t.api_keys},
+        transaction_idle_s=found.limits.tx_idle_ms / 1000,
+    )
+
+
+def _route(raw: _Route) -> Route:
+    age_ms = raw.max_staleness_ms
+    return Route(
+        database=raw.database_name,
+        group=raw.service,
+        rule=_RULES.get(raw.type, ReadRule.PRIMARY),
+        max_age_s=UNLIMITED_AGE_S if age_ms is None else age_ms / 1000,
+        timeout_s=raw.timeout_ms / 1000,
+        objective_s=raw.target_latency_ms / 1000,
+        priority=raw.priority,
+        open_to_all=raw.public,
+    )
--- /dev/null
+++ b/mangoramp/platform/feed.py
@@ -0,0 +1,137 @@
+"""Follows the operators' configuration and the servers' entries in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from ..control.deployment import Deployment
+from ..control.endpoint import Endpoint
+from ..control.settings import Bounds
+from ..events import ENTRY_UNREADABLE, emit
+from .client import Changes, PlatformClient, Versioned
+from .configuration import CONFIGURATION_KIND, CONFIGURATION_NAME, decode_deployment
+from .registry import REGISTRY_KIND, decode_endpoint
+from .watch import Watch
+
+RETRY_MAX_S = 0.5  # entries have to be known again two seconds after an outage
+LEAST_WAIT_S = 1.0
+MOST_WAIT_S = 20.0
+
+
+class FeedReceiver(Protocol):
+    """What is told of changes."""
+
+    def take_deployment(self, deployment: Deployment, revision: int) -> None:
+        """Take over a configuration."""
+
+    def take_endpoint(self, endpoint: Endpoint, revision: int) -> None:
+        """Take over a server's entry."""
+
+    def drop_endpoint(self, server_id: str) -> None:
+        """Take over that a server has no entry."""
+
+    def keep_endpoints(self, server_ids: frozenset[str]) -> None:
+        """Take over that no other servers have entries."""
+
+
+class Feed:
+    """Keeps the two kinds up to date by watches of their own.
+
+    Args:
+        client: The store.
+        receiver: What is told of changes.
+        bounds: The promises; a watch that went silent is noticed in time for them.
+        rng: Source of the jitter.
+        clock: Tells the time in seconds.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        receiver: FeedReceiver,
+        bounds: Bounds,
+        *,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._receiver = receiver
+        self._known = {CONFIGURATION_KIND: -1, REGISTRY_KIND: -1}
+        # Half of the time in which a change must be in force after a disturbance: the
+        # other half is left for the next call.
+        wait_s = (bounds.settled_s + bounds.configuration_s) / 2
+        takers = {
+            CONFIGURATION_KIND: self._take_configuration,
+            REGISTRY_KIND: self._take_registry,
+        }
+        self._watches = [
+            Watch(
+                client,
+                kind,
+                msgspec.Raw,
+                since=lambda kind=kind: self._known[kind],  # type: ignore[misc]
+                on_changes=taker,
+                rng=rng,
+                clock=clock,
+                wait_s=min(MOST_WAIT_S, max(LEAST_WAIT_S, wait_s)),
+                retry_max_s=RETRY_MAX_S,
+            )
+            for kind, taker in takers.items()
+        ]
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        await asyncio.gather(*(watch.run() for watch in self._watches))
+
+    def _take_configuration(
+        self, changes: Changes[msgspec.Raw], since: int, asked_at: float
+    ) -> None:
+        self._known[CONFIGURATION_KIND] = changes.version
+        for found in changes.objects:
+            if found.name != CONFIGURATION_NAME or found.value is None:
+                continue
+            try:
+                deployment = decode_deployment(bytes(found.value))
+            except ValueError as exc:
+                _unreadable(CONFIGURATION_KIND, found, exc)
+                continue
+            self._receiver.take_deployment(deployment, found.version)
+
+    def _take_registry(
+        self, changes: Changes[msgspec.Raw], since: int, asked_at: float
+    ) -> None:
+        self._known[REGISTRY_KIND] = changes.version
+        listed = set()
+        for found in changes.objects:
+            endpoint = _endpoint(found)
+            if endpoint is None:
+                self._receiver.drop_endpoint(found.name)
+                continue
+            listed.add(endpoint.id)
+            self._receiver.take_endpoint(endpoint, found.version)
+        if changes.is_listing:
+            self._receiver.keep_endpoints(frozenset(listed))
+
+
+def _endpoint(found: Versioned[msgspec.Raw]) -> Endpoint | None:
+    if found.value is None:
+        return None
+    try:
+        return decode_endpoint(found.name, bytes(found.value))
+    except ValueError as exc:
+        _unreadable(REGISTRY_KIND, found, exc)
+        return None
+
+
+def _unreadable(kind: str, found: Versioned[msgspec.Raw], exc: ValueError) -> None:
+    emit(
+        ENTRY_UNREADABLE,
+        kind=kind,
+        name=found.name,
+        version=found.version,
+        reason=str(exc),
+    )
--- /dev/null
+++ b/mangoramp/platform/settings.py
@@ -0,0 +1,108 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..control.settings import Address, Bounds, InstanceSettings
+
+SETTINGS_VARIABLE = "MANGORAMP_BOOT"
+DEFAULT_PATH = "/etc/mangoramp/local.toml"
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct):
+    stable_window_ms: float = 4000  # how long a calm must last to count
+    config_apply_ms: float = 3000
+    drain_ms: float = 7000
+    grace_s: float = 6
+    quota_window_s: float = 5
+
+
+class _Server(msgspec.Struct):
+    address: str = ""
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]  # the first and the last that are free
+    listen_addresses: _Listen
+    platform: _Server
+    cloud: _Server = msgspec.field(default_factory=_Server)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    seeds: tuple[str, ...] = ()  # control addresses, of which only the hosts serve here
+    heartbeat_ms: float = 1200
+    bootstrap: bool = False
+
+
+def settings_path() -> Path:
+    """Where the platform has put the settings file."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+
+
+def load_instance(path: Path) -> Result[InstanceSettings, str]:
+    """Read the settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or what is wrong with which field of the file.
+    """
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        return Success(_instance(msgspec.convert(raw, _File, strict=False)))
+    except (OSError, ValueError) as exc:
+        return Failure(f"{path}: {exc}")
+
+
+def _instance(raw: _File) -> InstanceSettings:
+    port = raw.internal_ports[0]
+    seeds = (parse_address(seed)[0] for seed in raw.seeds)
+    return InstanceSettings(
+        name=raw.node_name,
+        failure_domain=raw.zone,
+        callers=parse_address(raw.listen_addresses.front),
+        health=parse_address(raw.listen_addresses.ready),
+        peers=(raw.ip, port),
+        seeds=tuple((host, port) for host in seeds if host != raw.ip),
+        store_url=f"http://{raw.platform.address}",
+        promotion_url=f"http://{raw.cloud.address}" if raw.cloud.address else "",
+        heartbeat_s=raw.heartbeat_ms / 1000,
+        is_first_start=raw.bootstrap,
+        bounds=_bounds(raw.bounds),
+    )
+
+
+def _bounds(raw: _Bounds) -> Bounds:
+    return Bounds(
+        settled_s=raw.stable_window_ms / 1000,
+        configuration_s=raw.config_apply_ms / 1000,
+        draining_s=raw.drain_ms / 1000,
+        grace_s=raw.grace_s,
+        rate_window_s=raw.quota_window_s,
+    )
+
+
+def parse_address(text: Any) -> Address:
+    """Split ``host:port``.
+
+    Raises:
+        ValueError: It is no address.
+    """
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r} is no address, host:port is needed")
+    return host, int(port)
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -27,10 +27,12 @@
         kind: The kind to follow.
         type_: What to decode its objects to.
         since: Tells the version up to which the kind is known, -1 for nothing.
-        on_changes: Called with each answer, the version that was asked from, and when
-            it was asked, in seconds.
+        on_changes: Called with each answer, the version that it goes on from (0 for
+            a listing), and when it was asked, in seconds.
         rng: Source of the jitter after failures.
         clock: Tells the time in seconds.
+        wait_s: The longest that a poll waits, in seconds.
+        retry_max_s: The longest pause after a failure, in seconds.
     """
 
     def __init__(
@@ -43,6 +45,8 @@
         on_changes: Callable[[Changes[T], int, float], None],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
+        wait_s: float = WAIT_S,
+        retry_max_s: float = RETRY_MAX_S,
     ) -> None:
         self._client = client
         self._kind = kind
@@ -51,6 +55,8 @@
         self._on_changes = on_changes
         self._rng = rng or random.Random()
         self._clock = clock
+        self._wait_s = wait_s
+        self._retry_max_s = retry_max_s
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -62,7 +68,7 @@
                 self._kind,
                 self._type,
                 since=max(0, known),
-                wait_s=WAIT_S if known > 0 and not failures else 0.0,
+                wait_s=self._wait_s if known > 0 and not failures else 0.0,
             )
             if not isinstance(answer, Success):
                 failures += 1
@@ -74,10 +80,12 @@
             if failures:
                 emit(PLATFORM_BACK, kind=self._kind, failures=failures)
             failures = 0
-            self._on_changes(answer.unwrap(), max(0, known), asked_at)
-            if known == 0 == answer.unwrap().version:
+            changes = answer.unwrap()
+            since = 0 if changes.is_listing else known
+            self._on_changes(changes, since, asked_at)
+            if known == 0 == changes.version:
                 await asyncio.sleep(self._backoff(1))
 
     def _backoff(self, failures: int) -> float:
-        longest = min(RETRY_MAX_S, RETRY_BASE_S * 2 ** min(failures, 10))
+        longest = min(self._retry_max_s, RETRY_BASE_S * 2 ** min(failures, 10))
         return self._rng.uniform(RETRY_BASE_S, longest)
--- /dev/null
+++ b/mangoramp/policy/succession.py
@@ -0,0 +1,80 @@
+"""When a primary is to be replaced, and by which server."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .position import Position
+
+SILENT_S = 0.8  # four lost packets in a row, far more than a slow statement's wait
+PEER_HEARD_S = 0.6  # a peer with callers hears a live primary more often than this
+VACANT_S = 1.0  # a change of primary that is under way shows in the registry sooner
+LEAST_FAILURES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What one instance knows of a group's primary.
+
+    Attributes:
+        is_known: Whether there is a primary at all.
+        is_draining: Whether it is about to leave.
+        is_listed: Whether the registry lists it.
+        silent_s: Seconds since it stopped to answer here; 0 while it answers.
+        failures: Failed attempts in a row.
+        vacant_s: Seconds for which there has been no primary.
+        peer_heard_s: Seconds since a peer heard it, as far as peers in touch say.
+        in_touch: Instances in touch, this one included.
+        instances: Instances in all.
+    """
+
+    is_known: bool
+    is_draining: bool = False
+    is_listed: bool = True
+    silent_s: float = 0.0
+    failures: int = 0
+    vacant_s: float = 0.0
+    peer_heard_s: float = float("inf")
+    in_touch: int = 1
+    instances: int = 1
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether fewer than half of the instances are in touch."""
+        return 2 * self.in_touch < self.instances
+
+
+def reason_to_promote(evidence: Evidence) -> str:
+    """Why a primary is to be replaced; empty if it is not."""
+    if evidence.is_known and evidence.is_draining:
+        return "it is about to leave"
+    if evidence.is_isolated:
+        return ""
+    if not evidence.is_known:
+        return "there is none" if evidence.vacant_s >= VACANT_S else ""
+    if evidence.failures < LEAST_FAILURES or evidence.silent_s < SILENT_S:
+        return ""
+    if evidence.peer_heard_s < PEER_HEARD_S:
+        return ""
+    return "it is silent" if evidence.is_listed else "it is silent and not listed"
+
+
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """A server that might lead.
+
+    Attributes:
+        id: The server.
+        received: The last entry that its log holds.
+        is_near: Whether it runs where the former primary ran.
+    """
+
+    id: str
+    received: Position
+    is_near: bool = False
+
+
+def choose_successor(successors: Iterable[Successor]) -> Successor | None:
+    """Choose the server whose log holds most, so that the least is lost."""
+    return max(successors, key=lambda s: (s.received, s.is_near, s.id), default=None)
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..errors import Fault
-from ..platform.objects import GroupObject
+from ..objects import GroupObject
 from ..policy import loans
 from ..policy.cache import Delta
 from ..policy.loans import Ask
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -24,11 +24,11 @@
 from .ingress import Ingress
 from .membership import Membership, withdraw_instance
 from .metrics import ReportCollector, make_metrics
+from .objects import InstanceObject
 from .operators.keys import make_first_signing_key
 from .operators.report import ProxyReport, report
 from .pinned import Pinned
 from .platform.client import PlatformClient
-from .platform.objects import InstanceObject
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
--- /dev/null
+++ b/mangoramp/serve.py
@@ -0,0 +1,47 @@
+"""Runs an instance on the platform: ``python3 -m mangoramp.serve``.
+
+The command line imports what its other commands need; an instance does without it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from returns.result import Success
+
+from . import events
+from .control.settings import InstanceSettings
+from .instance import Instance
+from .platform.settings import load_instance, settings_path
+from .signals import stop_signals
+
+DONE = 0
+WRONG_SETTINGS = 2
+
+
+def serve() -> int:
+    """Run an instance until it is told to stop.
+
+    Returns:
+        The exit code.
+    """
+    loaded = load_instance(settings_path())
+    if not isinstance(loaded, Success):
+        print(loaded.failure(), file=sys.stderr)
+        return WRONG_SETTINGS
+    events.configure()
+    asyncio.run(_run(loaded.unwrap()))
+    return DONE
+
+
+async def _run(cfg: InstanceSettings) -> None:
+    instance = Instance(cfg)
+    stopped, _ = stop_signals()
+    await instance.start()
+    await stopped.wait()
+    await instance.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(serve())
--- /dev/null
+++ b/mangoramp/serving/__init__.py
@@ -0,0 +1,1 @@
+"""How statements reach servers: pools of connections, placement, retries."""
--- /dev/null
+++ b/mangoramp/serving/executor.py
@@ -0,0 +1,214 @@
+"""Runs commands on a server's connection, in a session's values and names."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..control.group import GroupState, Server
+from ..errors import Code, Step
+from ..sessions.session import Session
+from ..sessions.statement import Execute, Read, Write
+from .command import (
+    Answer,
+    AssignValue,
+    Command,
+    ConnectionLostError,
+    PrepareAs,
+    Refusal,
+    ResetSession,
+    RunFor,
+    ServerConnection,
+)
+from .operation import BACK_SOON_S, Operation, refused
+from .pool import NoConnectionError
+from .servers import Servers
+
+LEAST_S = 0.002  # a way to a server and back; less time left is none
+WAIT_S = 0.05  # for a change of the group before its state is looked at again
+BUSY_PAUSE_S = 0.01  # a short statement ends and frees a slot
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Lease:
+    """A connection that is taken from its pool."""
+
+    server: Server
+    conn: ServerConnection
+    customer: str
+
+
+class Executor:
+    """Takes connections and runs batches on them.
+
+    Args:
+        servers: The servers.
+    """
+
+    def __init__(self, servers: Servers) -> None:
+        self.servers = servers
+        self.clock = servers.clock
+
+    async def take(self, op: Operation, server: Server, *, most_s: float) -> Lease:
+        """Take a connection to a server.
+
+        Args:
+            op: The operation that needs it.
+            server: The server.
+            most_s: Seconds to wait at most.
+
+        Raises:
+            NoConnectionError: There is none in time; nothing was sent.
+        """
+        left = min(most_s, op.deadline - self.clock())
+        pool = self.servers.pool(server)
+        try:
+            conn = await pool.acquire(
+                op.customer, priority=op.route.priority, timeout_s=left
+            )
+        except NoConnectionError as exc:
+            if not exc.is_reachable:
+                server.failed(self.clock(), str(exc))
+            raise
+        return Lease(server, conn, op.customer)
+
+    def give_back(self, lease: Lease) -> None:
+        """Give a connection back to its pool."""
+        self.servers.pool(lease.server).release(lease.conn, lease.customer)
+
+    async def run(
+        self,
+        lease: Lease,
+        session: Session,
+        commands: tuple[Command, ...],
+        *,
+        timeout_s: float,
+    ) -> tuple[Answer, ...]:
+        """Run commands, after what brings the connection into the session's state.
+
+        Args:
+            lease: The connection.
+            session: Whose values and prepared statements are in force.
+            commands: The commands.
+            timeout_s: Seconds for all answers.
+
+        Returns:
+            The answers to the commands.
+
+        Raises:
+            ConnectionLostError: The connection is closed; what it ran is not known.
+        """
+        prelude = tuple(_prelude(lease.conn, session, commands))
+        named = tuple(_with_alias(lease.conn, session, c) for c in commands)
+        server = lease.server
+        started = self.clock()
+        server.busy += 1
+        try:
+            answers = await lease.conn.run(prelude + named, timeout_s=timeout_s)
+        except ConnectionLostError as exc:
+            server.failed(self.clock(), str(exc))
+            raise
+        finally:
+            server.busy -= 1
+        now = self.clock()
+        server.answered(now, now - started)
+        for answer in answers:
+            if answer.position is not None:
+                server.shows = answer.position
+        if any(answer.refusal is not None for answer in answers[: len(prelude)]):
+            lease.conn.close()
+            reason = "the session's values were not taken"
+            raise ConnectionLostError(reason, answers[len(prelude) :])
+        return answers[len(prelude) :]
+
+    async def primary(self, op: Operation) -> Server:
+        """Wait for a primary that answers.
+
+        Raises:
+            FaultError: There is none in time; nothing was sent.
+        """
+        group = self.servers.group(op.route.group)
+        while True:
+            now = self.clock()
+            self.check_time(op, group)
+            server = group.primary(now)
+            if server is not None and self._is_usable(server, op.customer, now):
+                return server
+            await group.changed(min(WAIT_S, op.deadline - now))
+
+    def check_time(self, op: Operation, group: GroupState) -> None:
+        """Give up on an operation whose time is over or whose caller has left.
+
+        Raises:
+            FaultError: It is given up; it has not run.
+        """
+        if op.session.is_left:
+            raise refused(
+                Code.TIMEOUT,
+                "the caller is gone",
+                Step.QUEUE,
+                retry_after_s=BACK_SOON_S,
+            )
+        if op.deadline - self.clock() < LEAST_S:
+            raise refused(
+                Code.OVERLOADED,
+                "no server could run it in time",
+                Step.ROUTE,
+                peer=group.name,
+                retry_after_s=BACK_SOON_S,
+            )
+
+    def _is_usable(self, server: Server, customer: str, now: float) -> bool:
+        if not server.is_suspect(now):
+            return True
+        return self.servers.pool(server).has_idle(customer) and server.failures < 2
+
+
+def _prelude(
+    conn: ServerConnection, session: Session, commands: tuple[Command, ...]
+) -> list[Command]:
+    memory = conn.memory
+    found: list[Command] = []
+    if not memory.values.keys() <= session.values.keys():
+        found.append(ResetSession())
+        memory.values.clear()
+        memory.aliases.clear()
+    for name, value in session.values.items():
+        if memory.values.get(name) != value:
+            found.append(AssignValue(name, value))
+            memory.values[name] = value
+    for command in commands:
+        if isinstance(command, RunFor) and isinstance(command.statement, Execute):
+            shape = session.shapes[command.statement.name]
+            if shape not in memory.aliases:
+                alias = f"p{len(memory.aliases) + 1}"
+                memory.aliases[shape] = alias
+                found.append(PrepareAs(alias, shape))
+    return found
+
+
+def _with_alias(conn: ServerConnection, session: Session, command: Command) -> Command:
+    if isinstance(command, RunFor) and isinstance(command.statement, Execute):
+        shape = session.shapes[command.statement.name]
+        alias = conn.memory.aliases[shape]
+        return RunFor(command.request_id, command.statement, alias, command.after)
+    return command
+
+
+def writes(session: Session, statement: Read | Write | Execute) -> bool:
+    """Whether a statement writes."""
+    if isinstance(statement, Execute):
+        return session.shapes[statement.name].writes
+    return isinstance(statement, Write)
+
+
+RETRIED_REFUSALS = frozenset(
+    {
+        Refusal.BUSY,
+        Refusal.BEHIND,
+        Refusal.NOT_PRIMARY,
+        Refusal.WRONG_SERVER,
+        Refusal.TOO_MANY_CONNECTIONS,
+        Refusal.STATEMENT_UNKNOWN,
+    }
+)
+"""Refusals after which the statement has certainly not run."""
--- /dev/null
+++ b/mangoramp/serving/gateway.py
@@ -0,0 +1,384 @@
+"""Answers the statements of callers' sessions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from ..control.deployment import Customer, Deployment, Route
+from ..errors import Code, Fault, Step
+from ..events import SESSION_REFUSED, STATEMENT_DONE, STATEMENT_REFUSED, emit
+from ..sessions.reply import Reply, SessionState
+from ..sessions.session import Session
+from ..sessions.statement import (
+    Assign,
+    Begin,
+    Commit,
+    Execute,
+    Forget,
+    Malformed,
+    Prepare,
+    Read,
+    Request,
+    Rollback,
+    Write,
+)
+from .executor import writes
+from .operation import BACK_SOON_S, FaultError, Operation, refused
+from .reading import Reader
+from .traffic import Traffic
+from .transactions import Transaction, TransactionRunner, end_quietly
+from .writing import Writer
+
+WELCOME_S = 1.8  # callers give up on a welcome after 2 s
+NO_CUSTOMER = "-"  # stands for the customer of a caller without a key
+
+
+Admit = Callable[[str, float], float]
+
+
+class Gateway:
+    """Opens sessions and answers their statements.
+
+    Args:
+        deployment: Tells the configuration in force, None before the first.
+        deployed: Waits for the first configuration.
+        reader: Runs reads.
+        writer: Runs writes.
+        transactions: Runs transactions.
+        admit: Takes an operation from a customer's limits; tells the seconds to wait
+            if it is beyond them.
+        clock: Tells the time in seconds.
+        traffic: Counts what is answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Callable[[], Deployment | None],
+        deployed: asyncio.Event,
+        reader: Reader,
+        writer: Writer,
+        transactions: TransactionRunner,
+        admit: Admit,
+        clock: Callable[[], float],
+        traffic: Traffic,
+    ) -> None:
+        self._deployment = deployment
+        self._deployed = deployed
+        self.reader = reader
+        self.writer = writer
+        self.transactions = transactions
+        self.admit = admit
+        self.clock = clock
+        self.traffic = traffic
+        self.sessions: set[CallerSession] = set()
+
+    async def open(self, database: str, key: str) -> Result[CallerSession, Fault]:
+        """Open a session.
+
+        Args:
+            database: The database that the caller names.
+            key: The caller's key, empty for none.
+        """
+        if not self._deployed.is_set():
+            try:
+                async with asyncio.timeout(WELCOME_S):
+                    await self._deployed.wait()
+            except TimeoutError:
+                return Failure(_not_ready())
+        session = Session(database, key)
+        checked = self.check(session)
+        if not isinstance(checked, Success):
+            fault = checked.failure()
+            emit(SESSION_REFUSED, database=database, code=fault.code)
+            return Failure(fault)
+        opened = CallerSession(self, session)
+        self.sessions.add(opened)
+        return Success(opened)
+
+    def check(self, session: Session) -> Result[tuple[Route, str], Fault]:
+        """Find a session's route and customer, by the configuration in force."""
+        known = self._deployment()
+        if known is None:
+            return Failure(_not_ready())
+        route = known.routes.get(session.database)
+        if route is None:
+            message = "no route has this database"
+            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ROUTE))
+        customer = known.customer_by_key.get(session.key)
+        if customer is None and not route.open_to_all:
+            message = "the key is not in force"
+            return Failure(Fault(Code.KEY_UNKNOWN, message, Step.KEY))
+        return Success((route, customer or NO_CUSTOMER))
+
+    def customer(self, name: str) -> Customer | None:
+        """A customer's limits."""
+        known = self._deployment()
+        return known.customers.get(name) if known is not None else None
+
+    def end_idle(self) -> None:
+        """End the transactions that idle for too long or whose key is withdrawn."""
+        known = self._deployment()
+        if known is None:
+            return
+        oldest = self.clock() - known.transaction_idle_s
+        for opened in list(self.sessions):
+            opened.end_idle(oldest)
+
+    def end_transactions(self) -> None:
+        """End all transactions that wait for their callers."""
+        for opened in list(self.sessions):
+            opened.end_idle(float("inf"))
+
+    @property
+    def has_transactions(self) -> bool:
+        """Whether a transaction is open."""
+        return any(s.session.transaction is not None for s in self.sessions)
+
+
+class CallerSession:
+    """One caller's session.
+
+    Args:
+        gateway: What all sessions share.
+        session: What the session holds.
+    """
+
+    def __init__(self, gateway: Gateway, session: Session) -> None:
+        self.session = session
+        self._gateway = gateway
+        self._clock = gateway.clock
+
+    async def handle(self, req: Request) -> Reply:
+        """Answer one statement."""
+        started = self._clock()
+        try:
+            reply = await self._answer(req)
+        except FaultError as exc:
+            reply = self._fault(exc.fault)
+        took_s = self._clock() - started
+        self._log(req, reply, took_s)
+        return reply
+
+    def leave(self) -> None:
+        """The caller is gone: drop its transaction."""
+        self.session.is_left = True
+        self._gateway.sessions.discard(self)
+        tx = self.session.transaction
+        if tx is not None and not tx.is_busy:
+            end_quietly(self.session, self._gateway.transactions, "the caller left")
+
+    def end_idle(self, oldest: float) -> None:
+        """End the transaction if it was not used since a moment, or lost its key."""
+        tx = self.session.transaction
+        if tx is None or tx.is_busy:
+            return
+        if tx.used_at < oldest:
+            end_quietly(self.session, self._gateway.transactions, "it was idle")
+        elif not isinstance(self._gateway.check(self.session), Success):
+            end_quietly(self.session, self._gateway.transactions, "its key is gone")
+
+    async def _answer(self, req: Request) -> Reply:
+        session, statement = self.session, req.statement
+        failed = session.state is SessionState.FAILED
+        match statement:
+            case Rollback():
+                return self._roll_back()
+            case Commit() if failed:
+                session.state = SessionState.IDLE
+                raise _aborted(session.failure or "a statement of it failed")
+            case Commit():
+                return await self._commit(req.id)
+            case _ if failed:
+                return self._after_failure()
+            case Begin(read_only):
+                return self._begin(read_only)
+            case Assign(name, value):
+                session.values[name] = value
+            case Prepare(name, shape):
+                session.shapes[name] = shape
+            case Forget(name):
+                if session.shapes.pop(name, None) is None:
+                    raise _unknown_statement(name)
+            case Malformed(reason):
+                raise FaultError(Fault(Code.BAD_REQUEST, reason, Step.PARSE))
+            case Read() | Write() | Execute():
+                return await self._run(req.id, statement)
+        return Reply(session.state)
+
+    def _after_failure(self) -> Reply:
+        failure, self.session.failure = self.session.failure, ""
+        if failure:
+            raise _aborted(failure)
+        message = "the transaction has failed; roll it back"
+        raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
+
+    def _admitted(self) -> tuple[Route, str]:
+        route, customer = self._checked()
+        wait_s = self._gateway.admit(customer, self._clock())
+        if wait_s > 0:
+            raise refused(
+                Code.OVER_RATE,
+                "the customer is over its rate",
+                Step.ADMIT,
+                retry_after_s=wait_s,
+            )
+        return route, customer
+
+    def _checked(self) -> tuple[Route, str]:
+        checked = self._gateway.check(self.session)
+        if not isinstance(checked, Success):
+            raise FaultError(checked.failure())
+        found: tuple[Route, str] = checked.unwrap()
+        return found
+
+    def _begin(self, read_only: bool) -> Reply:
+        session = self.session
+        if session.transaction is not None:
+            message = "a transaction is open"
+            raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
+        _, customer = self._admitted()
+        now = self._clock()
+        session.transaction = Transaction(customer, read_only, now, now)
+        session.state = SessionState.IN_TRANSACTION
+        return Reply(session.state)
+
+    def _roll_back(self) -> Reply:
+        session = self.session
+        if session.state is SessionState.IDLE:
+            message = "no transaction is open"
+            raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
+        if session.transaction is not None:
+            self._gateway.transactions.roll_back(session.transaction)
+        session.transaction = None
+        session.failure = ""
+        session.state = SessionState.IDLE
+        return Reply(session.state)
+
+    async def _run(self, request_id: str, statement: Read | Write | Execute) -> Reply:
+        session = self.session
+        if isinstance(statement, Execute) and statement.name not in session.shapes:
+            raise _unknown_statement(statement.name)
+        if session.transaction is not None:
+            return await self._run_in(session.transaction, request_id, statement)
+        now = self._clock()
+        route, customer = self._admitted()
+        op = Operation(request_id, customer, route, now, now, session)
+        if not writes(session, statement):
+            assert not isinstance(statement, Write)
+            answer = await self._gateway.reader.run(op, statement)
+        else:
+            assert not isinstance(statement, Read)
+            answer = await self._gateway.writer.run(op, statement)
+        return Reply(session.state, answer.rows, answer.signature)
+
+    async def _run_in(
+        self, tx: Transaction, request_id: str, statement: Read | Write | Execute
+    ) -> Reply:
+        session = self.session
+        op = self._operation(tx, request_id)
+        if tx.read_only and writes(session, statement):
+            self._gateway.transactions.roll_back(tx)
+            raise refused(
+                Code.READ_ONLY,
+                "the transaction only reads",
+                Step.TRANSACTION,
+                retry_after_s=BACK_SOON_S,
+            )
+        tx.is_busy = True
+        try:
+            answer = await self._gateway.transactions.run(op, tx, statement)
+        finally:
+            tx.is_busy = False
+            tx.used_at = self._clock()
+            self._drop_if_left(tx)
+        return Reply(session.state, answer.rows, answer.signature)
+
+    async def _commit(self, request_id: str) -> Reply:
+        session = self.session
+        tx = session.transaction
+        if tx is None:
+            message = "no transaction is open"
+            raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
+        tx.is_busy = True
+        try:
+            op = self._operation(tx, request_id)
+            answer = await self._gateway.transactions.commit(op, tx)
+        finally:
+            tx.is_busy = False
+            self._drop_if_left(tx)
+            session.transaction = None
+            session.state = SessionState.IDLE
+        return Reply(session.state, answer.rows, answer.signature)
+
+    def _operation(self, tx: Transaction, request_id: str) -> Operation:
+        checked = self._gateway.check(self.session)
+        if not isinstance(checked, Success):
+            self._gateway.transactions.roll_back(tx)
+            raise FaultError(checked.failure())
+        route, customer = checked.unwrap()
+        if customer != tx.customer:
+            self._gateway.transactions.roll_back(tx)
+            raise _aborted("its key is another customer's now")
+        now = self._clock()
+        tx.used_at = now
+        return Operation(request_id, customer, route, now, tx.begun_at, self.session)
+
+    def _drop_if_left(self, tx: Transaction) -> None:
+        if self.session.is_left:
+            self._gateway.transactions.roll_back(tx)
+
+    def _fault(self, fault: Fault) -> Reply:
+        session = self.session
+        if session.transaction is not None:
+            self._gateway.transactions.roll_back(session.transaction)
+            session.transaction = None
+            session.state = SessionState.FAILED
+        return Reply(session.state, fault=fault)
+
+    def _log(self, req: Request, reply: Reply, took_s: float) -> None:
+        kind = type(req.statement).__name__.lower()
+        self._gateway.traffic.answered(kind, reply.fault, took_s)
+        if reply.fault is None:
+            if reply.signature:
+                emit(STATEMENT_DONE, id=req.id, kind=kind, took_s=round(took_s, 4))
+            return
+        fault = reply.fault
+        emit(
+            STATEMENT_REFUSED,
+            id=req.id,
+            kind=kind,
+            code=fault.code,
+            outcome=fault.outcome,
+            step=fault.step,
+            peer=fault.peer,
+            reason=fault.message,
+            retry_after_s=fault.retry_after_s,
+            took_s=round(took_s, 4),
+        )
+
+
+def _not_ready() -> Fault:
+    return Fault(
+        Code.NO_SERVER,
+        "no configuration is known yet",
+        Step.ROUTE,
+        retry_after_s=BACK_SOON_S,
+    )
+
+
+def _aborted(reason: str) -> FaultError:
+    return refused(
+        Code.TRANSACTION_ABORTED,
+        f"the transaction was rolled back: {reason}",
+        Step.TRANSACTION,
+        retry_after_s=BACK_SOON_S,
+    )
+
+
+def _unknown_statement(name: str) -> FaultError:
+    message = f"no prepared statement is called {name}"
+    return FaultError(Fault(Code.STATEMENT_UNKNOWN, message, Step.PARSE))
--- /dev/null
+++ b/mangoramp/serving/operation.py
@@ -0,0 +1,61 @@
+"""One operation of a caller on its way to the servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..control.deployment import Route
+from ..errors import Code, Fault, Outcome, Step
+from ..sessions.session import Session
+
+BACK_SOON_S = 0.1  # a connection or a slot is free again within this time
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """A statement that has to be run.
+
+    Attributes:
+        request_id: The id that the caller gave it.
+        customer: Whose it is.
+        route: The route that it takes.
+        received_at: When it was read, in seconds.
+        fresh_since: When the read, or its transaction, began, in seconds.
+        session: The caller's session.
+    """
+
+    request_id: str
+    customer: str
+    route: Route
+    received_at: float
+    fresh_since: float
+    session: Session
+
+    @property
+    def deadline(self) -> float:
+        """When its answer is of no more use, in seconds."""
+        return self.received_at + self.route.timeout_s
+
+
+class FaultError(Exception):
+    """The final answer of a statement that was not done."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.message)
+        self.fault = fault
+
+
+def refused(
+    code: Code, message: str, step: Step, *, peer: str = "", retry_after_s: float
+) -> FaultError:
+    """A refusal of what has not run."""
+    return FaultError(
+        Fault(code, message, step, peer=peer, retry_after_s=retry_after_s)
+    )
+
+
+def unknown(code: Code, message: str, *, peer: str) -> FaultError:
+    """An end of which nobody knows whether the statement has run."""
+    return FaultError(
+        Fault(code, message, Step.RUN, peer=peer, outcome=Outcome.UNKNOWN)
+    )
--- /dev/null
+++ b/mangoramp/serving/pool.py
@@ -0,0 +1,215 @@
+"""The connections of this process to one server, keyed by customer."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..control.group import Server
+from ..events import CONNECTION_REFUSED, emit
+from .command import Connector, OpenRefusedError, Refusal, ServerConnection
+
+FULL_PAUSE_S = 0.05  # another process closes an idle connection within this time
+IDLE_KEEP_S = 20.0  # servers close a connection that is idle for longer themselves
+
+
+class NoConnectionError(Exception):
+    """No connection could be had; nothing was sent.
+
+    Attributes:
+        is_reachable: Whether the server itself answered.
+    """
+
+    def __init__(self, reason: str, *, is_reachable: bool) -> None:
+        super().__init__(reason)
+        self.is_reachable = is_reachable
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    priority: int
+    number: int
+    customer: str = field(compare=False)
+    fut: asyncio.Future[None] = field(compare=False)
+
+
+@dataclass(slots=True)
+class _Idle:
+    conn: ServerConnection
+    customer: str
+    since: float
+
+
+class ServerPool:
+    """Connections to one server, few and each for one customer.
+
+    The one that a waiting request needs most is opened in place of the one that has been
+    idle longest, whose customer needs it least.
+
+    Args:
+        server: The server.
+        connector: Opens connections.
+        clock: Tells the time in seconds.
+        limit: The most connections at a time.
+    """
+
+    def __init__(
+        self,
+        server: Server,
+        connector: Connector,
+        clock: Callable[[], float],
+        *,
+        limit: int,
+    ) -> None:
+        self.server = server
+        self.limit = limit
+        self.opened = 0
+        self._connector = connector
+        self._clock = clock
+        self._idle: deque[_Idle] = deque()
+        self._count = 0
+        self._waiters: list[_Waiter] = []
+        self._numbers = itertools.count()
+        self._full_until = float("-inf")
+        self._is_closed = False
+
+    @property
+    def count(self) -> int:
+        """Connections that are open or being opened."""
+        return self._count
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a connection."""
+        return sum(not waiter.fut.done() for waiter in self._waiters)
+
+    def has_idle(self, customer: str) -> bool:
+        """Whether a connection of a customer is free."""
+        return any(i.customer == customer and i.conn.is_open for i in self._idle)
+
+    async def acquire(
+        self, customer: str, *, priority: int, timeout_s: float
+    ) -> ServerConnection:
+        """Take a connection; give it back by :meth:`release`.
+
+        Args:
+            customer: Whose statements it will run.
+            priority: The request's class, 0 for the most urgent.
+            timeout_s: Seconds to wait.
+
+        Raises:
+            NoConnectionError: There is none in time.
+        """
+        deadline = self._clock() + timeout_s
+        while True:
+            if self._is_closed:
+                raise NoConnectionError("the server is gone", is_reachable=False)
+            conn = self._take_idle(customer)
+            if conn is not None:
+                return conn
+            if self._has_room() and self._clock() >= self._full_until:
+                try:
+                    return await self._open(customer)
+                except OpenRefusedError as exc:
+                    self._refused(exc)
+            left = deadline - self._clock()
+            if left <= 0:
+                raise NoConnectionError("all connections are busy", is_reachable=True)
+            await self._wait(customer, priority, left)
+
+    def release(self, conn: ServerConnection, customer: str) -> None:
+        """Give a connection back; a closed one makes room for another."""
+        if not conn.is_open:
+            self._count -= 1
+        elif self._is_closed or self._count > self.limit:
+            conn.close()
+            self._count -= 1
+        else:
+            self._idle.append(_Idle(conn, customer, self._clock()))
+        self._wake()
+
+    def trim(self) -> None:
+        """Close the connections that broke, or were idle for long."""
+        now = self._clock()
+        for idle in list(self._idle):
+            if idle.conn.is_open and now - idle.since < IDLE_KEEP_S:
+                continue
+            self._drop(idle)
+
+    def close(self) -> None:
+        """Close what is idle now, and the rest as it is given back."""
+        self._is_closed = True
+        for idle in list(self._idle):
+            self._drop(idle)
+        while self._waiters:
+            self._wake()
+
+    def _take_idle(self, customer: str) -> ServerConnection | None:
+        # The latest used first: the others grow old and make room.
+        for idle in reversed(self._idle):
+            if idle.customer == customer and idle.conn.is_open:
+                self._idle.remove(idle)
+                return idle.conn
+        return None
+
+    def _has_room(self) -> bool:
+        if self._count < self.limit:
+            return True
+        if not self._idle:
+            return False
+        self._drop(self._idle[0])
+        return True
+
+    def _drop(self, idle: _Idle) -> None:
+        self._idle.remove(idle)
+        idle.conn.close()
+        self._count -= 1
+
+    async def _open(self, customer: str) -> ServerConnection:
+        self._count += 1
+        self.opened += 1
+        endpoint = self.server.endpoint
+        try:
+            return await self._connector.open(
+                endpoint.id, endpoint.group, endpoint.address, customer
+            )
+        except BaseException:
+            self._count -= 1
+            self._wake()
+            raise
+
+    def _refused(self, exc: OpenRefusedError) -> None:
+        emit(
+            CONNECTION_REFUSED,
+            server=self.server.id,
+            reason=str(exc),
+            connections=self._count,
+            limit=self.limit,
+        )
+        if exc.refusal in (Refusal.TOO_MANY_CONNECTIONS, Refusal.BUSY):
+            self._full_until = self._clock() + FULL_PAUSE_S
+            return
+        raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
+
+    async def _wait(self, customer: str, priority: int, timeout_s: float) -> None:
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(
+            self._waiters, _Waiter(priority, next(self._numbers), customer, fut)
+        )
+        pause = self._full_until - self._clock()
+        if 0 < pause < timeout_s:
+            timeout_s = pause
+        await asyncio.wait((fut,), timeout=timeout_s)
+        if not fut.done():
+            fut.cancel()
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = heapq.heappop(self._waiters)
+            if not waiter.fut.done():
+                waiter.fut.set_result(None)
+                return
--- /dev/null
+++ b/mangoramp/serving/servers.py
@@ -0,0 +1,101 @@
+"""The groups, their servers and the pools of connections to them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..control.deployment import Deployment
+from ..control.group import GroupState, Server
+from .command import Connector
+from .pool import ServerPool
+
+DEFAULT_CONNECTIONS = 16  # of a server whose group's configuration is not known
+RESERVE = 0.1  # of a server's connections, for instances that are not counted yet
+
+
+@dataclass(slots=True)
+class _Entry:
+    server: Server
+    pool: ServerPool
+
+
+class Servers:
+    """All database servers that this process knows.
+
+    Args:
+        connector: Opens connections.
+        clock: Tells the time in seconds.
+        rng: Source of the jitter.
+    """
+
+    def __init__(
+        self, connector: Connector, clock: Callable[[], float], rng: random.Random
+    ) -> None:
+        self.connector = connector
+        self.clock = clock
+        self.rng = rng
+        self.groups: dict[str, GroupState] = {}
+        self.instances = 1
+        self._deployment: Deployment | None = None
+        self._pools: dict[str, _Entry] = {}
+
+    def group(self, name: str) -> GroupState:
+        """The state of a group, a new one if nothing is known of it."""
+        found = self.groups.get(name)
+        if found is None:
+            found = self.groups[name] = GroupState(name)
+        return found
+
+    def pool(self, server: Server) -> ServerPool:
+        """The connections to a server."""
+        entry = self._pools.get(server.id)
+        if entry is not None and entry.server is server:
+            return entry.pool
+        if entry is not None:
+            entry.pool.close()
+        limit = self._limit(server.endpoint.group)
+        pool = ServerPool(server, self.connector, self.clock, limit=limit)
+        self._pools[server.id] = _Entry(server, pool)
+        return pool
+
+    def pools(self) -> list[ServerPool]:
+        """All pools."""
+        return [entry.pool for entry in self._pools.values()]
+
+    def resize(self, deployment: Deployment | None, instances: int) -> None:
+        """Share each server's connections between the instances.
+
+        Args:
+            deployment: The configuration in force.
+            instances: How many instances there are.
+        """
+        self._deployment = deployment or self._deployment
+        self.instances = max(1, instances)
+        for entry in self._pools.values():
+            entry.pool.limit = self._limit(entry.server.endpoint.group)
+
+    def tidy(self) -> None:
+        """Forget servers that are gone, and close old connections."""
+        now = self.clock()
+        for group in self.groups.values():
+            group.expire(now)
+        for server_id, entry in list(self._pools.items()):
+            group = self.group(entry.server.endpoint.group)
+            if group.servers.get(server_id) is not entry.server:
+                entry.pool.close()
+                del self._pools[server_id]
+            else:
+                entry.pool.trim()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for entry in self._pools.values():
+            entry.pool.close()
+
+    def _limit(self, group: str) -> int:
+        known = self._deployment.groups.get(group) if self._deployment else None
+        most = known.max_connections if known is not None else DEFAULT_CONNECTIONS
+        # At least two, so that one open transaction does not stop all others.
+        return max(2, int(most * (1 - RESERVE) / self.instances))
--- /dev/null
+++ b/mangoramp/serving/transactions.py
@@ -0,0 +1,294 @@
+"""Transactions: pinned to one server's connection from their first statement on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..errors import Code, Step
+from ..events import (
+    COMMIT_UNKNOWN,
+    TRANSACTION_LOST,
+    TRANSACTION_OPENED,
+    TRANSACTION_RETRIED,
+    emit,
+)
+from ..policy.position import Position
+from ..sessions.reply import SessionState
+from ..sessions.session import Session
+from ..sessions.statement import Execute, Read, Write
+from .command import (
+    Answer,
+    CommitFor,
+    ConnectionLostError,
+    OpenTransaction,
+    Refusal,
+    RollBack,
+    RunFor,
+)
+from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, Lease, writes
+from .operation import BACK_SOON_S, FaultError, Operation, refused, unknown
+from .pool import NoConnectionError
+from .reading import CONNECTION_WAIT_S, Reader
+
+ROLLBACK_S = 0.5  # a server that takes longer gets the connection closed instead
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    """An open transaction.
+
+    Attributes:
+        customer: Whose it is.
+        read_only: Whether it may run at a replica.
+        begun_at: When the caller began it, in seconds.
+        used_at: When the caller last sent a statement of it, in seconds.
+        lease: Its connection, None before the first statement.
+        statements: Statements that were acknowledged.
+        has_written: Whether a write of it was sent.
+        is_busy: Whether a statement of it runs.
+    """
+
+    customer: str
+    read_only: bool
+    begun_at: float
+    used_at: float
+    lease: Lease | None = field(default=None, repr=False)
+    statements: int = 0
+    has_written: bool = False
+    is_busy: bool = False
+
+
+class TransactionRunner:
+    """Runs the statements of transactions.
+
+    Args:
+        executor: Takes connections and runs commands.
+        reader: Chooses replicas.
+    """
+
+    def __init__(self, executor: Executor, reader: Reader) -> None:
+        self._executor = executor
+        self._reader = reader
+        self._clock: Callable[[], float] = executor.clock
+        self._rollbacks: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, op: Operation, tx: Transaction, statement: Read | Write | Execute
+    ) -> Answer:
+        """Run a statement inside a transaction.
+
+        Raises:
+            FaultError: It was not done; the transaction has been rolled back.
+        """
+        tx.has_written |= writes(op.session, statement)
+        command = RunFor(op.request_id, statement)
+        while True:
+            lease = tx.lease or await self._open(op, tx)
+            answer = await self._in_lease(op, tx, lease, command)
+            if answer is None:
+                continue
+            if answer.refusal is None:
+                tx.statements += 1
+                return answer
+            self.roll_back(tx)
+            raise _aborted(answer.detail, lease)
+
+    async def commit(self, op: Operation, tx: Transaction) -> Answer:
+        """Commit a transaction.
+
+        Raises:
+            FaultError: It was not committed, or nobody knows.
+        """
+        lease = tx.lease or await self._open(op, tx)
+        asked_at = self._clock()
+        try:
+            (answer,) = await self._executor.run(
+                lease,
+                op.session,
+                (CommitFor(op.request_id),),
+                timeout_s=max(0.0, op.deadline - asked_at),
+            )
+        except ConnectionLostError as exc:
+            self._let_go(tx, lease)
+            if not tx.has_written:
+                raise _aborted("it only read, and its server was lost", lease) from exc
+            emit(COMMIT_UNKNOWN, id=op.request_id, server=lease.server.id)
+            raise unknown(Code.CONNECTION_LOST, str(exc), peer=lease.server.id) from exc
+        if answer.refusal is not None or answer.state is not SessionState.IDLE:
+            lease.conn.close()
+        self._let_go(tx, lease)
+        if answer.refusal is None and answer.signature:
+            self._committed(op, tx, answer.position, asked_at)
+            return answer
+        if answer.refusal in RETRIED_REFUSALS or not tx.has_written:
+            raise _aborted(answer.detail, lease)
+        raise unknown(Code.STATEMENT_FAILED, answer.detail, peer=lease.server.id)
+
+    def roll_back(self, tx: Transaction) -> None:
+        """Drop a transaction; its connection is used again once that is confirmed."""
+        lease, tx.lease = tx.lease, None
+        if lease is None:
+            return
+        task = asyncio.ensure_future(self._roll_back(lease))
+        self._rollbacks.add(task)
+        task.add_done_callback(self._rollbacks.discard)
+
+    def _committed(
+        self, op: Operation, tx: Transaction, position: Position | None, asked_at: float
+    ) -> None:
+        if not tx.has_written or position is None:
+            return
+        op.session.seen, op.session.seen_at = position, self._clock()
+        self._executor.servers.group(op.route.group).proved(asked_at, position)
+
+    async def _roll_back(self, lease: Lease) -> None:
+        try:
+            (answer,) = await lease.conn.run((RollBack(),), timeout_s=ROLLBACK_S)
+            if answer.state is not SessionState.IDLE:
+                lease.conn.close()
+        except ConnectionLostError as exc:
+            emit(TRANSACTION_LOST, server=lease.server.id, reason=str(exc))
+        finally:
+            self._executor.give_back(lease)
+
+    def _let_go(self, tx: Transaction, lease: Lease) -> None:
+        tx.lease = None
+        self._executor.give_back(lease)
+
+    async def _in_lease(
+        self, op: Operation, tx: Transaction, lease: Lease, command: RunFor
+    ) -> Answer | None:
+        try:
+            (answer,) = await self._executor.run(
+                lease,
+                op.session,
+                (command,),
+                timeout_s=max(0.0, op.deadline - self._clock()),
+            )
+        except ConnectionLostError as exc:
+            self._let_go(tx, lease)
+            emit(
+                TRANSACTION_LOST,
+                id=op.request_id,
+                server=lease.server.id,
+                reason=str(exc),
+            )
+            raise _aborted(str(exc), lease) from exc
+        still_open = answer.state is SessionState.IN_TRANSACTION
+        if answer.refusal is None:
+            if still_open and answer.signature:
+                return answer
+            lease.conn.close()
+            self._let_go(tx, lease)
+            raise _aborted("its server does not hold it any more", lease)
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            lease.server.disowned_at = self._clock()
+        if answer.refusal in RETRIED_REFUSALS and self._may_retry(op, tx, still_open):
+            emit(
+                TRANSACTION_RETRIED,
+                id=op.request_id,
+                server=lease.server.id,
+                reason=answer.refusal.value,
+            )
+            if not still_open:
+                self.roll_back(tx)
+            await asyncio.sleep(BUSY_PAUSE_S)
+            return None
+        return answer
+
+    def _may_retry(self, op: Operation, tx: Transaction, still_open: bool) -> bool:
+        if op.deadline - self._clock() < 2 * BUSY_PAUSE_S:
+            return False
+        return still_open or tx.statements == 0
+
+    async def _open(self, op: Operation, tx: Transaction) -> Lease:
+        group = self._executor.servers.group(op.route.group)
+        tried: set[str] = set()
+        while True:
+            self._executor.check_time(op, group)
+            chosen = self._reader.choose(op, tried) if tx.read_only else None
+            if chosen is not None:
+                server, need = chosen
+                tried.add(server.id)
+                command = OpenTransaction(read_only=True, after=need.position)
+                most_s = CONNECTION_WAIT_S
+            else:
+                server = await self._executor.primary(op)
+                command = OpenTransaction(read_only=False)
+                most_s = op.deadline - self._clock()
+            try:
+                lease = await self._executor.take(op, server, most_s=most_s)
+            except NoConnectionError as exc:
+                emit(
+                    TRANSACTION_RETRIED,
+                    id=op.request_id,
+                    server=server.id,
+                    reason=str(exc),
+                )
+                continue
+            if await self._begin(op, lease, command):
+                tx.lease = lease
+                return lease
+
+    async def _begin(
+        self, op: Operation, lease: Lease, command: OpenTransaction
+    ) -> bool:
+        server = lease.server
+        asked_at = self._clock()
+        left = max(0.0, op.deadline - asked_at)
+        try:
+            (answer,) = await self._executor.run(
+                lease, op.session, (command,), timeout_s=left
+            )
+        except ConnectionLostError as exc:
+            self._executor.give_back(lease)
+            emit(
+                TRANSACTION_RETRIED,
+                id=op.request_id,
+                server=server.id,
+                reason=str(exc),
+            )
+            return False
+        if answer.refusal is None and answer.state is SessionState.IN_TRANSACTION:
+            emit(
+                TRANSACTION_OPENED,
+                id=op.request_id,
+                server=server.id,
+                read_only=command.read_only,
+            )
+            if not command.read_only:
+                group = self._executor.servers.group(op.route.group)
+                group.proved(asked_at, answer.position)
+            return True
+        if answer.state is not SessionState.IDLE:
+            lease.conn.close()
+        self._executor.give_back(lease)
+        if answer.refusal is Refusal.NOT_PRIMARY:
+            server.disowned_at = self._clock()
+        elif answer.refusal is Refusal.BEHIND and command.after is not None:
+            server.lagged(server.lag_s)
+        await asyncio.sleep(BUSY_PAUSE_S)
+        return False
+
+
+def _aborted(reason: str, lease: Lease) -> FaultError:
+    return refused(
+        Code.TRANSACTION_ABORTED,
+        f"the transaction was rolled back: {reason}",
+        Step.TRANSACTION,
+        peer=lease.server.id,
+        retry_after_s=BACK_SOON_S,
+    )
+
+
+def end_quietly(session: Session, runner: TransactionRunner, why: str) -> None:
+    """Roll back a session's transaction; its next statement is told why."""
+    tx = session.transaction
+    if tx is None:
+        return
+    runner.roll_back(tx)
+    session.transaction = None
+    session.state = SessionState.FAILED
+    session.failure = why
--- /dev/null
+++ b/mangoramp/serving/writing.py
@@ -0,0 +1,85 @@
+"""Single writes: at the primary, sent at most once unless they certainly did not run."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..control.group import Server
+from ..errors import Code
+from ..events import WRITE_RETRIED, WRITE_ROUTED, WRITE_UNKNOWN, emit
+from ..sessions.statement import Execute, Write
+from .command import Answer, ConnectionLostError, Refusal, RunFor
+from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor
+from .operation import Operation, unknown
+from .pool import NoConnectionError
+
+
+class Writer:
+    """Runs writes that stand alone.
+
+    Args:
+        executor: Takes connections and runs commands.
+    """
+
+    def __init__(self, executor: Executor) -> None:
+        self._executor = executor
+        self._clock = executor.clock
+
+    async def run(self, op: Operation, statement: Write | Execute) -> Answer:
+        """Run a write.
+
+        Raises:
+            FaultError: It was not done, or nobody knows.
+        """
+        group = self._executor.servers.group(op.route.group)
+        while True:
+            server = await self._executor.primary(op)
+            asked_at = self._clock()
+            answer = await self._attempt(op, statement, server)
+            if answer is not None:
+                session = op.session
+                if answer.position is not None:
+                    session.seen, session.seen_at = answer.position, self._clock()
+                group.proved(asked_at, answer.position)
+                return answer
+
+    async def _attempt(
+        self, op: Operation, statement: Write | Execute, server: Server
+    ) -> Answer | None:
+        left = op.deadline - self._clock()
+        try:
+            lease = await self._executor.take(op, server, most_s=left)
+        except NoConnectionError as exc:
+            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
+            return None
+        left = op.deadline - self._clock()
+        emit(WRITE_ROUTED, id=op.request_id, server=server.id, left_s=left)
+        try:
+            (answer,) = await self._executor.run(
+                lease,
+                op.session,
+                (RunFor(op.request_id, statement),),
+                timeout_s=max(0.0, left),
+            )
+        except ConnectionLostError as exc:
+            emit(WRITE_UNKNOWN, id=op.request_id, server=server.id, reason=str(exc))
+            raise unknown(Code.CONNECTION_LOST, str(exc), peer=server.id) from exc
+        finally:
+            self._executor.give_back(lease)
+        return await self._final(op, server, answer)
+
+    async def _final(
+        self, op: Operation, server: Server, answer: Answer
+    ) -> Answer | None:
+        if answer.refusal is None and answer.signature:
+            return answer
+        if answer.refusal in RETRIED_REFUSALS:
+            reason = answer.refusal.value
+            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=reason)
+            if answer.refusal is Refusal.NOT_PRIMARY:
+                server.disowned_at = self._clock()
+            await asyncio.sleep(BUSY_PAUSE_S)
+            return None
+        timed_out = answer.refusal is Refusal.TIMEOUT
+        code = Code.TIMEOUT if timed_out else Code.STATEMENT_FAILED
+        raise unknown(code, answer.detail, peer=server.id)
--- /dev/null
+++ b/mangoramp/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""What callers hold: sessions, their values, prepared statements and transactions."""
--- a/mangoramp/standins/fleet.py
+++ b/mangoramp/standins/fleet.py
@@ -10,9 +10,9 @@
 from tornado.httpserver import HTTPServer
 
 from ..catalog import KIND_GROUP, KIND_TABLE
+from ..objects import GroupObject, Row, ServerState, TableShard, TermStart
 from ..operators.keys import give_key, make_signing_key
 from ..platform.client import PlatformClient
-from ..platform.objects import GroupObject, Row, ServerState, TableShard, TermStart
 from ..proxy import Proxy
 from ..settings import ProxySettings
 from ._ports import HOST, free_ports
--- a/mangoramp/standins/platform.py
+++ b/mangoramp/standins/platform.py
@@ -1,8 +1,8 @@
-"""A stand-in for the platform's object API, held in memory.
+"""A stand-in for the platform's store, held in memory.
 
-``GET /v1/objects/{kind}?since=N&wait=S`` lists and watches, ``GET``, ``PUT`` and
-``DELETE /v1/objects/{kind}/{name}`` read and change; a change needs ``If-Match`` with
-the version last seen, 0 for an object that must not exist yet.
+``GET /objects/{kind}`` lists, and watches with ``watch`` and ``wait_ms``; ``POST``
+creates, ``GET``, ``PUT`` and ``DELETE /objects/{kind}/{name}`` read and change one. A
+change that names a revision is made only if the object still has it.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 import tornado.web
 
 MAX_VALUE_BYTES = 1_000_000
+PAGE_ITEMS = 500
 MAX_WAIT_S = 30.0
 
 
@@ -35,6 +36,31 @@
     objects: tuple[Stored, ...]
 
 
+class Meta(msgspec.Struct, frozen=True):
+    """What the store says of an object."""
+
+    name: str
+    revision: int = 0
+    created: int = 0
+    finalizers: tuple[str, ...] = ()
+    deleting: bool = False
+
+
+class Document(msgspec.Struct, frozen=True):
+    """An object as it is sent."""
+
+    meta: Meta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class Happening(msgspec.Struct, frozen=True):
+    """One change as a watch is told of it."""
+
+    object: Document
+    deleted: bool
+
+
 class PlatformFaults(msgspec.Struct, forbid_unknown_fields=True):
     """Switches for the platform's failures.
 
@@ -42,11 +68,13 @@
         down: Answer 503 to everything.
         late_s: Seconds by which each answer is late.
         lose_answers: How many of the next changes to make without answering.
+        forget: Answer watches from before this revision with 410.
     """
 
     down: bool = False
     late_s: float = 0.0
     lose_answers: int = 0
+    forget: int = 0
 
 
 class Platform:
@@ -64,8 +92,8 @@
         args = {"platform": self}
         return tornado.web.Application(
             [
-                (r"/v1/objects/([^/]+)", KindHandler, args),
-                (r"/v1/objects/([^/]+)/([^/]+)", ObjectHandler, args),
+                (r"/objects/([^/]+)", KindHandler, args),
+                (r"/objects/([^/]+)/([^/]+)", ObjectHandler, args),
                 (r"/faults", FaultHandler, args),
                 (r"/calls", CallsHandler, args),
             ],
@@ -150,19 +178,63 @@
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(value))
 
+    def change(self, kind: str, name: str, version: int, value: bytes | None) -> None:
+        """Make a change and answer it."""
+        if not self.platform.put(kind, name, version, value):
+            self.send_error(409)
+            return
+        if self.platform.faults.lose_answers:
+            self.platform.faults.lose_answers -= 1
+            self.detach().close()
+            return
+        changed = self.platform.get(kind, name)
+        assert changed is not None
+        self.answer(document(changed))
+
+
+def document(stored: Stored) -> Document:
+    """An object in the form in which it is sent."""
+    return Document(
+        Meta(stored.name, stored.version), stored.value or msgspec.Raw(b"null")
+    )
+
 
 class KindHandler(PlatformHandler):
-    """Lists and watches the objects of a kind."""
+    """Lists, watches and creates the objects of a kind."""
 
     async def get(self, kind: str) -> None:
-        """List the objects of a kind, waiting for a change if asked to."""
-        since = int(self.get_query_argument("since", "0"))
-        wait_s = float(self.get_query_argument("wait", "0"))
-        listing = await self.platform.watch(kind, since, wait_s)
+        """List the objects of a kind, or wait for a change of them."""
+        since = self.get_query_argument("watch", "")
+        if not since:
+            self._list(kind, self.get_query_argument("after", ""))
+            return
+        if int(since) < self.platform.faults.forget:
+            self.send_error(410)
+            return
+        wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
+        listing = await self.platform.watch(kind, int(since), wait_s)
         if self.platform.faults.down:
             self.send_error(503)
             return
-        self.answer(listing)
+        events = [Happening(document(o), o.value is None) for o in listing.objects]
+        self.answer({"events": events, "current_rev": listing.version})
+
+    def post(self, kind: str) -> None:
+        """Create an object."""
+        doc = msgspec.json.decode(self.request.body, type=Document)
+        self.change(kind, doc.meta.name, 0, bytes(doc.spec))
+
+    def _list(self, kind: str, after: str) -> None:
+        listing = self.platform.since(kind, 0)
+        found = sorted(listing.objects, key=lambda o: o.name)
+        rest = [document(o) for o in found if o.name > after]
+        self.answer(
+            {
+                "items": rest[:PAGE_ITEMS],
+                "has_more": len(rest) > PAGE_ITEMS,
+                "current_rev": listing.version,
+            }
+        )
 
 
 class ObjectHandler(PlatformHandler):
@@ -174,29 +246,19 @@
         if found is None or found.value is None:
             self.send_error(404)
             return
-        self.answer(found)
+        self.answer(document(found))
 
     def put(self, kind: str, name: str) -> None:
-        """Create or replace the object."""
+        """Replace the object."""
         if len(self.request.body) > MAX_VALUE_BYTES:
             self.send_error(413)
             return
-        self._change(kind, name, self.request.body)
+        doc = msgspec.json.decode(self.request.body, type=Document)
+        self.change(kind, name, doc.meta.revision, bytes(doc.spec))
 
     def delete(self, kind: str, name: str) -> None:
         """Delete the object."""
-        self._change(kind, name, None)
-
-    def _change(self, kind: str, name: str, value: bytes | None) -> None:
-        version = int(self.request.headers.get("If-Match", "0"))
-        if not self.platform.put(kind, name, version, value):
-            self.send_error(412)
-            return
-        if self.platform.faults.lose_answers:
-            self.platform.faults.lose_answers -= 1
-            self.detach().close()
-            return
-        self.answer(self.platform.get(kind, name))
+        self.change(kind, name, int(self.get_query_argument("revision", "0")), None)
 
 
 class FaultHandler(tornado.web.RequestHandler):
--- a/mangoramp/standins/seed.py
+++ b/mangoramp/standins/seed.py
@@ -9,9 +9,9 @@
 
 from ..catalog import KIND_GROUP
 from ..errors import Fault
+from ..objects import GroupObject
 from ..operators.keys import make_signing_key
 from ..platform.client import PlatformClient
-from ..platform.objects import GroupObject
 
 
 class Seed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -13,7 +13,7 @@
 from mangoramp.admission import Admission, Limits
 from mangoramp.endpoints.group import Group
 from mangoramp.home import Home
-from mangoramp.platform.objects import GroupObject, ServerState, TermStart
+from mangoramp.objects import GroupObject, ServerState, TermStart
 from mangoramp.policy.position import START
 from mangoramp.policy.statement import Kind
 from mangoramp.proxies.messages import RunStatement
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,7 @@
 
 from mangoramp.callers.app import MAX_DISCARDED_BYTES, callers_application
 from mangoramp.ingress import Ingress
-from mangoramp.platform.objects import Row
+from mangoramp.objects import Row
 from mangoramp.policy.keys import KeyRecord, key_digest, make_key
 from mangoramp.policy.position import Position
 from mangoramp.policy.session import Session, SigningKeys, encode_session
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -1,8 +1,8 @@
 import asyncio
 
 from mangoramp.catalog import Catalog
+from mangoramp.objects import GroupObject, TermStart
 from mangoramp.platform.client import Versioned
-from mangoramp.platform.objects import GroupObject, TermStart
 from mangoramp.standins.endpoint import Faults
 
 from .test_fleet import CREATE, ISSUE, running
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,10 +13,10 @@
 
 from mangoramp.catalog import KIND_GROUP, KIND_KEY
 from mangoramp.membership import Membership
+from mangoramp.objects import GroupObject
 from mangoramp.operators.keys import withdraw_key
 from mangoramp.operators.table import set_row
 from mangoramp.platform.client import PlatformClient
-from mangoramp.platform.objects import GroupObject
 from mangoramp.policy.cache import Cache, Delta
 from mangoramp.proxies.links import Links
 from mangoramp.standins.fleet import Fleet, FleetOptions
--- a/tests/test_paused_proxy.py
+++ b/tests/test_paused_proxy.py
@@ -9,8 +9,8 @@
 from tornado.httpclient import HTTPError
 
 from mangoramp.catalog import KIND_GROUP
+from mangoramp.objects import GroupObject, TermStart
 from mangoramp.platform.client import PlatformClient
-from mangoramp.platform.objects import GroupObject, TermStart
 
 from .caller import Caller
 from .processes import processes_in
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -1,4 +1,4 @@
-from mangoramp.platform.objects import Row
+from mangoramp.objects import Row
 
 from .caller import Caller
 from .test_fleet import running
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -5,7 +5,7 @@
 
 from mangoramp.admission import Admission
 from mangoramp.errors import Code, FaultError, Outcome
-from mangoramp.platform.objects import Row
+from mangoramp.objects import Row
 from mangoramp.policy.loans import Ask
 from mangoramp.rates import Limits, Rates, Site
 from mangoramp.standins.fleet import Fleet, FleetOptions
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -6,9 +6,9 @@
 from returns.result import Success
 
 from mangoramp.errors import Code, Outcome
+from mangoramp.objects import Row
 from mangoramp.operators import change as change_module
 from mangoramp.operators.table import Conflict, export_table, import_table, set_row
-from mangoramp.platform.objects import Row
 from mangoramp.policy.sheet import Sheet
 from mangoramp.policy.table import split
 
