--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -1,7 +1,7 @@
 """What the instances tell one another, by datagrams.
 
-A report holds the sender's whole state, so that a lost one is made good by the next, and
-none waits behind another on a connection that has gone silent.
+A report holds the sender's whole state, so that a lost one is made good by the next,
+and none waits behind another on a connection that has gone silent.
 """
 
 from __future__ import annotations
--- a/mangoramp/platform/wire.py
+++ b/mangoramp/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -125,29 +126,63 @@
 def decode_statement(text: str) -> Statement:
     """Decode the text of a statement."""
     word, _, rest = text.partition(" ")
+    decode = _STATEMENTS.get(word)
     fields = rest.split(" ", 2) if rest else []
-    match word, fields:
-        case "READ", [_]:
-            return Read(text)
-        case "WRITE", [_, _, *_]:
-            return Write(text)
-        case "EXEC", [name, *_] if name:
-            return Execute(name, rest[len(name) + 1 :])
-        case "BEGIN", []:
-            return Begin()
-        case "BEGIN", ["READ"]:
-            return Begin(read_only=True)
-        case "COMMIT", []:
-            return Commit()
-        case "ROLLBACK", []:
-            return Rollback()
-        case "SET", [name, value, *more]:
-            return Assign(name, " ".join([value, *more]))
-        case "PREPARE", [name, ("READ" | "WRITE") as kind, shape]:
-            return Prepare(name, Shape(kind == "WRITE", shape))
-        case "FORGET", [name]:
-            return Forget(name)
-    return Malformed("it is no statement of the protocol")
+    found = decode(text, rest, fields) if decode is not None else None
+    return found or Malformed("it is no statement of the protocol")
+
+
+def _begin(text: str, rest: str, fields: list[str]) -> Statement | None:
+    if rest not in ("", "READ"):
+        return None
+    return Begin(read_only=rest == "READ")
+
+
+def _bare(statement: Statement) -> _Decoder:
+    return lambda text, rest, fields: None if rest else statement
+
+
+def _read(text: str, rest: str, fields: list[str]) -> Statement | None:
+    return Read(text) if len(fields) == 1 else None
+
+
+def _write(text: str, rest: str, fields: list[str]) -> Statement | None:
+    return Write(text) if len(fields) >= 2 else None
+
+
+def _execute(text: str, rest: str, fields: list[str]) -> Statement | None:
+    name, _, arguments = rest.partition(" ")
+    return Execute(name, arguments) if name else None
+
+
+def _assign(text: str, rest: str, fields: list[str]) -> Statement | None:
+    name, _, value = rest.partition(" ")
+    return Assign(name, value) if name and value else None
+
+
+def _prepare(text: str, rest: str, fields: list[str]) -> Statement | None:
+    if len(fields) != 3 or fields[1] not in ("READ", "WRITE"):
+        return None
+    return Prepare(fields[0], Shape(fields[1] == "WRITE", fields[2]))
+
+
+def _forget(text: str, rest: str, fields: list[str]) -> Statement | None:
+    return Forget(rest) if len(fields) == 1 else None
+
+
+_Decoder = Callable[[str, str, list[str]], Statement | None]
+
+_STATEMENTS: dict[str, _Decoder] = {
+    "BEGIN": _begin,
+    "COMMIT": _bare(Commit()),
+    "ROLLBACK": _bare(Rollback()),
+    "READ": _read,
+    "WRITE": _write,
+    "SET": _assign,
+    "PREPARE": _prepare,
+    "EXEC": _execute,
+    "FORGET": _forget,
+}
 
 
 def encode_reply(reply: Reply) -> bytes:
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -1,9 +1,9 @@
 """A customer's rate over all instances, from what they report to one another.
 
 It answers callers that move between instances and customers that send many times their
-rate: every instance keeps a copy of one bucket, takes its own operations out at once and
-the others' when they report them. While an instance is not heard, the others leave it the
-part that it used before, and it keeps to that part itself.
+rate: every instance keeps a copy of one bucket, takes its own operations out at once
+and the others' when they report them. While an instance is not heard, the others leave
+it the part that it used before, and it keeps to that part itself.
 """
 
 from __future__ import annotations
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import singledispatch
 
 from returns.result import Failure, Result, Success
 
@@ -196,17 +197,9 @@
                 return self._after_failure()
             case Begin(read_only):
                 return self._begin(read_only)
-            case Assign(name, value):
-                session.values[name] = value
-            case Prepare(name, shape):
-                session.shapes[name] = shape
-            case Forget(name):
-                if session.shapes.pop(name, None) is None:
-                    raise _unknown_statement(name)
-            case Malformed(reason):
-                raise FaultError(Fault(Code.BAD_REQUEST, reason, Step.PARSE))
             case Read() | Write() | Execute():
                 return await self._run(req.id, statement)
+        _change_session(statement, session)
         return Reply(session.state)
 
     def _after_failure(self) -> Reply:
@@ -361,6 +354,32 @@
         )
 
 
+@singledispatch
+def _change_session(statement: object, session: Session) -> None:
+    raise TypeError(statement)
+
+
+@_change_session.register
+def _(statement: Assign, session: Session) -> None:
+    session.values[statement.name] = statement.value
+
+
+@_change_session.register
+def _(statement: Prepare, session: Session) -> None:
+    session.shapes[statement.name] = statement.shape
+
+
+@_change_session.register
+def _(statement: Forget, session: Session) -> None:
+    if session.shapes.pop(statement.name, None) is None:
+        raise _unknown_statement(statement.name)
+
+
+@_change_session.register
+def _(statement: Malformed, session: Session) -> None:
+    raise FaultError(Fault(Code.BAD_REQUEST, statement.reason, Step.PARSE))
+
+
 def _not_ready() -> Fault:
     return Fault(
         Code.NO_SERVER,
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -47,7 +47,7 @@
 class ServerPool:
     """Connections to one server, few and each for one customer.
 
-    The one that a waiting request needs most is opened in place of the one that has been
+    The one that a waiting request needs is opened in place of the one that has been
     idle longest, whose customer needs it least.
 
     Args:
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -21,7 +21,7 @@
     RunFor,
 )
 from .executor import BUSY_PAUSE_S, Executor
-from .operation import FaultError, Operation, unknown
+from .operation import Operation, unknown
 from .pool import NoConnectionError
 
 LEAST_PATIENCE_S = 0.25  # the longest statement of usual work
@@ -230,6 +230,3 @@
         if answer.refusal is not Refusal.BEHIND:
             await asyncio.sleep(BUSY_PAUSE_S)
         return None
-
-
-__all__ = ["FaultError", "Need", "Reader"]
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -1,4 +1,4 @@
-"""Single writes: at the primary, sent at most once unless they certainly did not run."""
+"""Single writes: at the primary, sent again only if they certainly did not run."""
 
 from __future__ import annotations
 
