Test the whole path against stand-ins of the platform

Change: a stand-in for a group of servers that speak the wire, a world of store, servers, promotion and instances in one process, and tests of sessions, transactions, reads, writes, configuration, rates, promotion and stopping. A message that is too long is answered before the session ends: tornado closed the stream itself, so the answer was lost.

--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -19,6 +19,7 @@
 from ._socket import watch_peer
 
 BACKLOG = 1024  # connections that come at once after an outage
+READ_BYTES = 2 * wire.MAX_MESSAGE_BYTES  # a longer message ends without an answer
 OUTPUT_BYTES = 16 * 1024 * 1024  # answers that a caller has not read yet
 
 
@@ -84,7 +85,7 @@
         watch_peer(sock)
         stream = IOStream(
             sock,
-            max_buffer_size=2 * wire.MAX_MESSAGE_BYTES,
+            max_buffer_size=2 * READ_BYTES,
             max_write_buffer_size=OUTPUT_BYTES,
         )
         stream.set_nodelay(True)
@@ -109,11 +110,8 @@
         """Answer messages until the caller leaves or is sent away."""
         try:
             await self._run()
-        except (StreamClosedError, ConnectionError):
+        except (StreamClosedError, UnsatisfiableReadError):
             return
-        except UnsatisfiableReadError:
-            fault = Fault(Code.BODY_TOO_LARGE, "the message is too long", Step.PARSE)
-            self._end(fault)
         finally:
             self._stream.close()
 
@@ -153,7 +151,7 @@
 
     async def _read(self) -> wire.CallerMessage:
         self._is_busy = False
-        line = await self._stream.read_until(wire.END, max_bytes=wire.MAX_MESSAGE_BYTES)
+        line = await self._stream.read_until(wire.END, max_bytes=READ_BYTES)
         self._is_busy = True
         return wire.decode_caller(line)
 
@@ -167,9 +165,8 @@
 
 
 def _out_of_turn(message: wire.CallerMessage) -> Fault:
-    reason = (
-        message.reason
-        if isinstance(message, wire.Garbled)
-        else "the message is out of turn"
-    )
-    return Fault(Code.BAD_REQUEST, reason, Step.PARSE)
+    if isinstance(message, wire.TooLong):
+        return Fault(Code.BODY_TOO_LARGE, "the message is too long", Step.PARSE)
+    if isinstance(message, wire.Garbled):
+        return Fault(Code.BAD_REQUEST, message.reason, Step.PARSE)
+    return Fault(Code.BAD_REQUEST, "the message is out of turn", Step.PARSE)
--- /dev/null
+++ b/mangoramp/platform/mirror.py
@@ -0,0 +1,129 @@
+"""The far side of the wire: what servers read and send, for stand-ins and tests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from ..policy.position import Position
+from ..serving.command import (
+    Answer,
+    AskStatus,
+    AssignValue,
+    Command,
+    CommitFor,
+    OpenTransaction,
+    PrepareAs,
+    Refusal,
+    ResetSession,
+    RollBack,
+    RunFor,
+    ServerStatus,
+)
+from ..sessions.statement import (
+    Assign,
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    Rollback,
+    Write,
+)
+from . import wire
+
+_WORDS = {refusal: word for word, refusal in wire.REFUSALS.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A connection's first message: the group, the customer and the server meant."""
+
+    group: str
+    customer: str
+    server_id: str
+
+
+def decode_opening(line: bytes) -> Opening:
+    """Decode a connection's first message.
+
+    Raises:
+        ValueError: It is none.
+    """
+    word, group, customer, server_id = line[:-2].decode(wire.ENCODING).split(" ")
+    if word != "START":
+        raise ValueError(word)
+    return Opening(group, customer, server_id)
+
+
+def decode_command(line: bytes) -> Command:
+    """Decode a command.
+
+    Raises:
+        ValueError: It is none.
+    """
+    _, request_id, text = line[:-2].decode(wire.ENCODING).split(" ", 2)
+    if text in _BARE:
+        return _BARE[text]
+    after: Position | None = None
+    if text.startswith("AFTER "):
+        _, position, text = text.split(" ", 2)
+        after = wire.decode_position(position)
+    match wire.decode_statement(text):
+        case Assign(name, value):
+            return AssignValue(name, value)
+        case Prepare(name, shape):
+            return PrepareAs(name, shape)
+        case Begin(read_only):
+            return OpenTransaction(read_only, after)
+        case Rollback():
+            return RollBack()
+        case Commit():
+            return CommitFor(request_id)
+        case Execute(name) as statement:
+            return RunFor(request_id, statement, name, after)
+        case (Read() | Write()) as statement:
+            return RunFor(request_id, statement, after=after)
+    raise ValueError(text)
+
+
+_BARE: dict[str, Command] = {"RESET": ResetSession(), "STATUS": AskStatus()}
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Encode an answer."""
+    if answer.refusal is not None:
+        lines = [f"ERR {_WORDS.get(answer.refusal, 'BAD')} {answer.detail}"]
+    else:
+        lines = [f"ROW {row}" for row in answer.rows]
+        lines.append(f"DONE {answer.signature or wire.NOTHING}")
+    letter = wire.LETTERS[answer.state]
+    lines.append(f"READY {letter} {encode_position(answer.position)}")
+    return ("\r\n".join(lines) + "\r\n").encode(wire.ENCODING)
+
+
+def encode_welcome(position: Position) -> bytes:
+    """Encode the answer to an opening."""
+    return f"READY I {encode_position(position)}\r\n".encode()
+
+
+def encode_refused_opening(refusal: Refusal) -> bytes:
+    """Encode the refusal of an opening."""
+    return f"ERR {_WORDS[refusal]} -\r\n".encode()
+
+
+def encode_position(position: Position | None) -> str:
+    """Encode a position; nothing where there is none."""
+    if position is None:
+        return wire.NOTHING
+    return f"{position.term}.{position.offset}"
+
+
+def encode_status(status: ServerStatus) -> str:
+    """Encode a server's status as a row."""
+    role = "primary" if status.is_primary else "replica"
+    return f"{role} {status.term} {encode_position(status.received)} 0 0 0 1"
+
+
+def refuse(answer: Answer, refusal: Refusal) -> Answer:
+    """The same answer as a refusal."""
+    return replace(answer, refusal=refusal, rows=(), signature="", detail="-")
--- a/mangoramp/platform/wire.py
+++ b/mangoramp/platform/wire.py
@@ -49,9 +49,9 @@
     "T": SessionState.IN_TRANSACTION,
     "E": SessionState.FAILED,
 }
-_LETTERS = {state: letter for letter, state in _STATES.items()}
+LETTERS = {state: letter for letter, state in _STATES.items()}
 
-_REFUSALS = {
+REFUSALS = {
     "BUSY": Refusal.BUSY,
     "BEHIND": Refusal.BEHIND,
     "READONLY": Refusal.NOT_PRIMARY,
@@ -101,11 +101,18 @@
     reason: str
 
 
-CallerMessage = Hello | Goodbye | Request | Garbled
+@dataclass(frozen=True, slots=True)
+class TooLong:
+    """A line that is longer than a message may be."""
+
+
+CallerMessage = Hello | Goodbye | Request | Garbled | TooLong
 
 
 def decode_caller(line: bytes) -> CallerMessage:
     """Decode one line of a caller, its end included."""
+    if len(line) > MAX_MESSAGE_BYTES:
+        return TooLong()
     text = line[:-2].decode(ENCODING)
     if not CONTROL.isdisjoint(text):
         return Garbled("a control character stands inside a message")
@@ -192,7 +199,7 @@
         lines = [_error_line(reply.fault)]
     else:
         lines.append(f"DONE {reply.signature or NOTHING}")
-    lines.append(f"READY {_LETTERS[reply.state]} {NOTHING}")
+    lines.append(f"READY {LETTERS[reply.state]} {NOTHING}")
     return ("\r\n".join(lines) + "\r\n").encode(ENCODING)
 
 
@@ -332,7 +339,7 @@
         return DoneLine("" if rest == NOTHING else rest)
     if word == "ERR":
         code, _, detail = rest.partition(" ")
-        return ErrorLine(_REFUSALS.get(code, Refusal.OTHER), f"{code} {detail}")
+        return ErrorLine(REFUSALS.get(code, Refusal.OTHER), f"{code} {detail}")
     if word == "READY":
         letter, _, position = rest.partition(" ")
         if letter in _STATES:
--- /dev/null
+++ b/tests/test_instance.py
@@ -0,0 +1,428 @@
+import asyncio
+
+import pytest
+
+from mangoramp.serving.command import CommitFor, Refusal, RunFor
+
+from .wire_world import GROUP, SERVERS, World, configuration
+
+USUAL_LAG_S = 0.15  # a replica is asked once the primary has held an entry that long
+
+
+class TestSessions:
+    async def test_answers_with_the_servers_signature_and_rows(self):
+        async with World() as world:
+            caller = await world.caller()
+            done = await caller.ask("WRITE 1a4 hello world", "w1")
+            assert done == ["DONE sig.w1", "READY I -"]
+            read = await caller.ask("READ 1a4", "r1")
+            assert read == ["ROW hello world", "DONE sig.r1", "READY I -"]
+
+    async def test_refuses_unknown_databases_and_keys(self):
+        async with World() as world:
+            _, answer = await world.connect("nowhere")
+            assert answer.startswith("ERR NODB ")
+            caller, answer = await world.connect(key="k-none")
+            assert answer.startswith("ERR NOAUTH ")
+            with pytest.raises(Exception, match="closed"):
+                await caller.line()
+
+    async def test_tells_servers_the_customer_and_never_the_key(self):
+        async with World() as world:
+            caller = await world.caller(key="k-beta")
+            await caller.ask("WRITE a 1", "w1")
+            (run,) = world.ran("w1")
+            assert run.customer == "beta"
+
+    async def test_prepared_names_of_callers_do_not_collide(self):
+        async with World() as world:
+            one, two = await world.caller(), await world.caller()
+            assert await one.ask("PREPARE s1 WRITE shape1") == ["DONE -", "READY I -"]
+            assert await two.ask("PREPARE s1 READ shape2") == ["DONE -", "READY I -"]
+            await one.ask("EXEC s1 a 7", "w1")
+            answer = await two.ask("EXEC s1 a", "r1")
+            assert answer[0] == "ROW 7"
+            assert world.ran("w1")[0].shape.text == "shape1"
+            assert world.ran("r1")[0].shape.text == "shape2"
+
+    async def test_forgotten_names_are_unknown(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.ask("PREPARE s1 READ shape")
+            await caller.ask("FORGET s1")
+            answer = await caller.ask("EXEC s1 a")
+            assert answer[0].startswith("ERR NOSTMT ")
+
+    async def test_values_of_a_session_are_in_force_only_for_it(self):
+        async with World() as world:
+            one, two = await world.caller(), await world.caller()
+            await one.ask("SET zone north")
+            await one.ask("WRITE a 1", "w1")
+            await two.ask("WRITE a 2", "w2")
+            await one.ask("SET zone south")
+            await one.ask("WRITE a 3", "w3")
+            assert world.ran("w1")[0].values == (("zone", "north"),)
+            assert world.ran("w2")[0].values == ()
+            assert world.ran("w3")[0].values == (("zone", "south"),)
+
+    @pytest.mark.parametrize(
+        "text", ["DROP a", "AFTER 1.1 READ a", "RESET", "STATUS", "READ", "SET x", ""]
+    )
+    async def test_refuses_what_is_no_statement(self, text):
+        async with World() as world:
+            caller = await world.caller()
+            answer = await caller.ask(text, "x1")
+            assert answer[0].startswith("ERR BAD ")
+            assert answer[1] == "READY I -"
+            assert not world.group.runs
+            assert (await caller.ask("READ a"))[-1] == "READY I -"
+
+    @pytest.mark.parametrize(
+        "raw",
+        [b"HELLO\r\n", b"QUERY x READ a\nQUERY y READ b\r\n", b"QUERY - READ a\r\n"],
+    )
+    async def test_ends_a_session_after_a_line_that_is_no_message(self, raw):
+        async with World() as world:
+            caller, other = await world.caller(), await world.caller()
+            await caller.stream.write(raw)
+            assert (await caller.line()).startswith("ERR BAD ")
+            with pytest.raises(Exception, match="closed"):
+                await caller.line()
+            assert not world.group.runs
+            assert (await other.ask("WRITE a 1"))[-1] == "READY I -"
+
+    async def test_refuses_a_message_that_is_too_long(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.stream.write(
+                b"QUERY q1 WRITE a " + b"x" * (1024 * 1024) + b"\r\n"
+            )
+            assert (await caller.line()).startswith("ERR TOOBIG ")
+
+
+class TestTransactions:
+    async def test_is_pinned_to_one_connection(self):
+        async with World() as world:
+            caller = await world.caller()
+            assert await caller.ask("BEGIN") == ["DONE -", "READY T -"]
+            await caller.ask("WRITE a 1", "w1")
+            assert (await caller.ask("READ a", "r1"))[0] == "ROW 1"
+            other = await world.caller()
+            assert (await other.ask("READ a"))[0] == "ROW "
+            assert await caller.ask("COMMIT", "c1") == ["DONE sig.c1", "READY I -"]
+            assert (await other.ask("READ a"))[0] == "ROW 1"
+            assert world.ran("w1")[0].in_transaction
+            assert world.ran("r1")[0].in_transaction
+
+    async def test_rolls_back_when_the_caller_says_so_or_leaves(self):
+        async with World() as world:
+            caller, other = await world.caller(), await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            assert await caller.ask("ROLLBACK") == ["DONE -", "READY I -"]
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 2")
+            caller.close()
+            await asyncio.sleep(0.1)
+            assert (await other.ask("READ a"))[0] == "ROW "
+            assert not world.group.log
+
+    async def test_a_lost_server_is_a_promise_that_nothing_is_kept(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            world.group.servers["s1"].crash()
+            answer = await caller.ask("WRITE b 1")
+            assert answer[0].startswith("ERR ABORTED ")
+            assert answer[1] == "READY E -"
+            assert (await caller.ask("READ a"))[0].startswith("ERR BAD ")
+            assert await caller.ask("ROLLBACK") == ["DONE -", "READY I -"]
+            assert not world.group.log
+
+    async def test_a_lost_commit_promises_nothing(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            world.group.servers["s1"].faults.lose.append(CommitFor)
+            answer = await caller.ask("COMMIT", "c1")
+            assert answer[0].startswith("ERR UNSURE ")
+            assert answer[1] == "READY I -"
+
+    async def test_a_commit_that_only_read_is_refused_with_a_promise(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("READ a")
+            world.group.servers["s1"].faults.lose.append(CommitFor)
+            assert (await caller.ask("COMMIT"))[0].startswith("ERR ABORTED ")
+
+    async def test_ends_when_it_idles(self):
+        async with World() as world:
+            limits = {"tx_idle_ms": 200}
+            world.put("config", "main", configuration(2, limits=limits))
+            await asyncio.sleep(0.1)
+            caller = await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            await asyncio.sleep(0.8)
+            answer = await caller.ask("COMMIT")
+            assert answer[0].startswith("ERR ABORTED ")
+            assert not world.group.log
+
+    async def test_a_read_only_one_runs_at_a_replica(self):
+        async with World() as world:
+            caller = await world.caller("search")
+            await caller.ask("READ a")
+            await asyncio.sleep(USUAL_LAG_S)
+            await caller.ask("BEGIN READ")
+            await caller.ask("READ a", "r1")
+            await caller.ask("COMMIT", "c1")
+            assert world.ran("r1")[0].server != "s1"
+
+
+class TestWrites:
+    async def test_is_tried_again_while_it_certainly_did_not_run(self):
+        async with World() as world:
+            caller = await world.caller()
+            world.group.servers["s1"].faults.refuse = [Refusal.BUSY, Refusal.BUSY]
+            assert (await caller.ask("WRITE a 1", "w1"))[0] == "DONE sig.w1"
+            assert len(world.ran("w1")) == 1
+
+    @pytest.mark.parametrize("refusal", [Refusal.FAILED, Refusal.TIMEOUT])
+    async def test_is_not_tried_again_after_it_may_have_run(self, refusal):
+        async with World() as world:
+            caller = await world.caller()
+            world.group.servers["s1"].faults.refuse = [refusal]
+            answer = await caller.ask("WRITE a 1", "w1")
+            assert answer[0].split(" ")[1] in ("FAILED", "TIMEOUT", "UNSURE")
+            assert not world.ran("w1")
+
+    async def test_a_lost_answer_promises_nothing_and_is_not_sent_again(self):
+        async with World() as world:
+            caller = await world.caller()
+            world.group.servers["s1"].faults.lose.append(RunFor)
+            answer = await caller.ask("WRITE a 1", "w1")
+            assert answer[0].startswith("ERR UNSURE ")
+            assert len(world.ran("w1")) == 1
+
+    async def test_is_refused_with_a_promise_while_there_is_no_primary(self):
+        async with World() as world:
+            world.promotes = False
+            for server in world.group.servers.values():
+                server.crash()
+            caller = await world.caller()
+            answer = await caller.ask("WRITE a 1", "w1")
+            assert answer[0].startswith("ERR BUSY ")
+            assert "retry after" in answer[0]
+
+
+class TestReads:
+    async def test_at_a_replica_within_the_age(self):
+        async with World() as world:
+            caller = await world.caller("search")
+            await caller.ask("READ a", "r1")
+            await asyncio.sleep(USUAL_LAG_S)
+            await caller.ask("READ a", "r2")
+            assert world.ran("r1")[0].server == "s1"
+            assert world.ran("r2")[0].server != "s1"
+
+    async def test_at_the_primary_when_replicas_are_too_old(self):
+        async with World() as world:
+            caller = await world.caller("search")
+            for replica in ("s2", "s3"):
+                world.group.servers[replica].is_deaf = True
+            await caller.ask("READ a")
+            writer = await world.caller("orders")
+            await writer.ask("WRITE a 1")
+            await asyncio.sleep(1.6)
+            await writer.ask("WRITE b 1")
+            assert (await caller.ask("READ a"))[0] == "ROW 1"
+
+    async def test_sees_its_own_writes(self):
+        async with World() as world:
+            caller = await world.caller("notes")
+            await caller.ask("READ a")
+            for replica in ("s2", "s3"):
+                world.group.servers[replica].is_deaf = True
+            for number in range(5):
+                await caller.ask(f"WRITE a {number}")
+                assert (await caller.ask("READ a"))[0] == f"ROW {number}"
+
+    async def test_never_trusts_a_former_primary(self):
+        async with World() as world:
+            caller = await world.caller("orders")
+            await caller.ask("WRITE a old")
+            group = world.group
+            group.servers["s1"].is_deaf = True
+            # The registry still names s1: only the servers know of the promotion.
+            group.promote("s2")
+            group.commit((("a", "new"),))
+            await caller.send("READ a")
+            await asyncio.sleep(0.2)
+            world.list_server("s1")
+            world.list_server("s2")
+            assert (await caller.reply())[0] == "ROW new"
+
+    async def test_a_lost_answer_is_read_elsewhere(self):
+        async with World() as world:
+            caller = await world.caller("search")
+            await caller.ask("READ a")
+            for server_id in SERVERS[1:]:
+                world.group.servers[server_id].faults.lose.append(RunFor)
+            assert (await caller.ask("READ a", "r1"))[1] == "DONE sig.r1"
+
+    async def test_silent_servers_are_passed_over(self):
+        async with World() as world:
+            caller = await world.caller("search")
+            await caller.ask("READ a")
+            for server_id in SERVERS[1:]:
+                world.group.servers[server_id].faults.mute = True
+            assert (await caller.ask("READ a", "r1"))[1] == "DONE sig.r1"
+
+
+class TestConfiguration:
+    async def test_a_withdrawn_key_stops_connected_callers(self):
+        async with World() as world:
+            caller = await world.caller()
+            tenants = [{"name": "alpha", "api_keys": ["other"]}]
+            world.put("config", "main", configuration(2, tenants=tenants))
+            await asyncio.sleep(0.2)
+            assert (await caller.ask("READ a"))[0].startswith("ERR NOAUTH ")
+            assert not world.group.runs
+
+    async def test_a_withdrawn_key_ends_an_open_transaction(self):
+        async with World() as world:
+            caller = await world.caller()
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            tenants = [{"name": "alpha", "api_keys": ["other"]}]
+            world.put("config", "main", configuration(2, tenants=tenants))
+            await asyncio.sleep(0.3)
+            answer = await caller.ask("COMMIT")
+            assert answer[0].split(" ")[1] in ("NOAUTH", "ABORTED")
+            assert not world.group.log
+
+    async def test_never_goes_back_to_an_older_version(self):
+        async with World() as world:
+            beliefs = world.instances[0].beliefs
+            world.put("config", "main", configuration(2, routes=[]))
+            await world.until(lambda: beliefs.deployment.version == 2)
+            older = beliefs.revision - 1
+            beliefs.take_deployment(beliefs.deployment, older)
+            assert beliefs.revision > older
+
+    async def test_goes_on_after_a_forgotten_history(self):
+        async with World() as world:
+            world.platform.faults.forget = 10**9
+            world.platform.wake()
+            world.put("config", "main", configuration(2))
+            beliefs = world.instances[0].beliefs
+            await world.until(lambda: beliefs.deployment.version == 2)
+
+    async def test_passes_over_entries_that_cannot_be_read(self):
+        async with World() as world:
+            world.put("servers", "s2", {"service": 7})
+            world.put("servers", "s9", ["no", "entry"])
+            world.put("servers", "s3", {"service": GROUP, "state": "weird"})
+            caller = await world.caller("search")
+            for _ in range(4):
+                assert (await caller.ask("READ a"))[-1] == "READY I -"
+            await asyncio.sleep(0.2)
+            answer = await caller.ask("READ a", "r9")
+            assert answer[-1] == "READY I -"
+            assert {run.server for run in world.ran("r9")} == {"s1"}
+
+
+class TestRates:
+    async def test_refuses_beyond_the_burst_with_when_to_come_back(self):
+        async with World() as world:
+            tenants = [
+                {"name": "alpha", "api_keys": ["k-alpha"], "rate_per_s": 2, "burst": 3}
+            ]
+            world.put("config", "main", configuration(2, tenants=tenants))
+            await asyncio.sleep(0.2)
+            caller = await world.caller()
+            answers = [(await caller.ask("READ a"))[-2] for _ in range(6)]
+            refused = [a for a in answers if a.startswith("ERR BUSY ")]
+            assert 2 <= len(refused) <= 3
+            assert all("retry after" in a for a in refused)
+
+    async def test_counts_over_all_instances(self):
+        async with World(instances=3) as world:
+            await world.until(
+                lambda: all(len(i.peers.heard) == 3 for i in world.instances)
+            )
+            tenants = [
+                {"name": "alpha", "api_keys": ["k-alpha"], "rate_per_s": 1, "burst": 12}
+            ]
+            world.put("config", "main", configuration(2, tenants=tenants))
+            await asyncio.sleep(0.3)
+            done = 0
+            for number in range(3):
+                caller = await world.caller(instance=number)
+                for _ in range(10):
+                    answer = await caller.ask("READ a")
+                    done += answer[-2].startswith("DONE")
+                await asyncio.sleep(0.3)
+            assert 10 <= done <= 16
+
+
+class TestPromotion:
+    async def test_replaces_a_crashed_primary(self):
+        async with World(instances=3) as world:
+            callers = [await world.caller(instance=n) for n in range(3)]
+            for caller in callers:
+                await caller.ask("WRITE a 1")
+            world.put("servers", "s1", None)
+            world.group.servers["s1"].crash()
+
+            async def served(caller):
+                async with asyncio.timeout(6):
+                    while not (await caller.ask("WRITE a 2"))[0].startswith("DONE"):
+                        await asyncio.sleep(0.05)
+
+            await asyncio.gather(*map(served, callers))
+            assert world.group.primary != "s1"
+            assert len({token for _, token, _ in world.orders}) == 1
+
+    async def test_replaces_a_primary_that_is_about_to_leave(self):
+        async with World(instances=2) as world:
+            caller = await world.caller()
+            await caller.ask("WRITE a 1")
+            world.list_server("s1", state="draining")
+            await world.until(lambda: world.group.primary != "s1")
+            assert (await caller.ask("READ a"))[0] == "ROW 1"
+
+    async def test_a_pause_of_one_connection_replaces_nobody(self):
+        async with World(instances=2) as world:
+            caller = await world.caller()
+            await caller.ask("WRITE a 1")
+            world.group.servers["s1"].faults.mute = True
+            await asyncio.sleep(0.4)
+            world.group.servers["s1"].faults.mute = False
+            await caller.ask("WRITE a 2")
+            await asyncio.sleep(0.5)
+            assert not world.orders
+
+
+class TestStopping:
+    async def test_cuts_no_request(self):
+        async with World(instances=2) as world:
+            caller = await world.caller()
+            world.group.servers["s1"].faults.work_s = 0.5
+            await caller.send("WRITE a 1", "w1")
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(world.instances[0].stop())
+            await asyncio.sleep(0)
+            assert not world.instances[0].is_ready
+            assert (await caller.reply())[0] == "DONE sig.w1"
+            await stopping
+
+    async def test_leaves_the_list_and_the_peers(self):
+        async with World(instances=2) as world:
+            first, second = world.instances
+            await world.until(lambda: len(second.peers.everyone) == 2)
+            await first.stop()
+            await world.until(lambda: second.peers.everyone == ["i1"])
--- /dev/null
+++ b/tests/wire_world.py
@@ -0,0 +1,218 @@
+"""A whole deployment in one process: store, servers, promotion and instances."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.tcpclient import TCPClient
+
+from mangoramp.control.settings import Bounds, InstanceSettings
+from mangoramp.instance import Instance
+from mangoramp.standins._ports import HOST, free_ports
+from mangoramp.standins.platform import Platform
+from mangoramp.standins.wire_group import WireGroup
+
+GROUP = "register"
+SERVERS = ("s1", "s2", "s3")
+KEY = "k-alpha"
+WAIT_S = 5.0
+BOUNDS = Bounds(grace_s=3.0)
+
+
+def configuration(version=1, **changes):
+    routes = [
+        {"database_name": "orders", "type": "primary"},
+        {
+            "database_name": "search",
+            "type": "bounded_staleness",
+            "max_staleness_ms": 1500,
+        },
+        {
+            "database_name": "notes",
+            "type": "read_your_writes",
+            "max_staleness_ms": 2500,
+        },
+    ]
+    found = {
+        "version": version,
+        "routes": [
+            {"service": GROUP, "timeout_ms": 1500, "priority": 1, **r} for r in routes
+        ],
+        "services": [{"name": GROUP, "max_connections": 16}],
+        "limits": {"tx_idle_ms": 3000},
+        "tenants": [
+            {"name": "alpha", "api_keys": [KEY], "rate_per_s": 1e4, "burst": 1e4},
+            {"name": "beta", "api_keys": ["k-beta"], "rate_per_s": 1e4, "burst": 1e4},
+        ],
+    }
+    return found | changes
+
+
+def entry(group, server_id, **changes):
+    server = group.servers[server_id]
+    found = {
+        "service": group.name,
+        "address": f"{HOST}:{server.port}",
+        "zone": "a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "db_role": "primary" if server.leads else "replica",
+        "sequence": 1,
+        "born": 1,
+    }
+    return found | changes
+
+
+class Caller:
+    """Speaks the callers' side of the wire, byte for byte."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+        self._ids = 0
+
+    async def line(self):
+        raw = await asyncio.wait_for(self.stream.read_until(b"\r\n"), WAIT_S)
+        return raw[:-2].decode()
+
+    async def send(self, text, request_id=None):
+        self._ids += 1
+        request_id = request_id or f"q{id(self)}-{self._ids}"
+        await self.stream.write(f"QUERY {request_id} {text}\r\n".encode())
+
+    async def reply(self):
+        lines = [await self.line()]
+        while not lines[-1].startswith("READY"):
+            lines.append(await self.line())
+        return lines
+
+    async def ask(self, text, request_id=None):
+        await self.send(text, request_id)
+        return await self.reply()
+
+    def close(self):
+        self.stream.close()
+
+
+class World:
+    """One deployment; use as an asynchronous context."""
+
+    def __init__(self, *, instances=1, seed=1):
+        self.platform = Platform()
+        self.group = WireGroup(GROUP, SERVERS)
+        self.instances = []
+        self.orders = []
+        self.promotes = True
+        self._count = instances
+        self._seed = seed
+        self._store_port, self._duty_port = free_ports(2)
+        self._versions = {}
+
+    async def __aenter__(self):
+        self.group.listen()
+        self._store = HTTPServer(self.platform.application())
+        self._store.listen(self._store_port, HOST)
+        self._duties = HTTPServer(
+            tornado.web.Application(
+                [("/promotion", _Promotion, {"world": self})],
+                log_function=lambda handler: None,
+            )
+        )
+        self._duties.listen(self._duty_port, HOST)
+        self.put("config", "main", configuration())
+        for server_id in SERVERS:
+            self.list_server(server_id)
+        for number in range(self._count):
+            await self.start_instance(f"i{number}")
+        await self.until(lambda: all(i.is_ready for i in self.instances))
+        return self
+
+    async def __aexit__(self, *exc):
+        for instance in self.instances:
+            instance.close()
+        self._store.stop()
+        self._duties.stop()
+        self.group.stop()
+        await asyncio.sleep(0)
+
+    async def start_instance(self, name, **changes):
+        callers, health, peers = free_ports(3)
+        known = [i.cfg.peers for i in self.instances]
+        fields = {
+            "name": name,
+            "failure_domain": "a",
+            "callers": (HOST, callers),
+            "health": (HOST, health),
+            "peers": (HOST, peers),
+            "seeds": tuple(known),
+            "store_url": f"http://{HOST}:{self._store_port}",
+            "promotion_url": f"http://{HOST}:{self._duty_port}",
+            "is_first_start": True,
+            "bounds": BOUNDS,
+        }
+        cfg = InstanceSettings(**(fields | changes))
+        instance = Instance(cfg, rng=random.Random(f"{self._seed}-{name}"))
+        self.instances.append(instance)
+        await instance.start()
+        return instance
+
+    def put(self, kind, name, value):
+        known = self.platform.get(kind, name)
+        alive = known is not None and known.value is not None
+        raw = None if value is None else msgspec.json.encode(value)
+        assert self.platform.put(kind, name, known.version if alive else 0, raw)
+
+    def list_server(self, server_id, **changes):
+        self.put("servers", server_id, entry(self.group, server_id, **changes))
+
+    def promote(self, server_id):
+        former = self.group.primary
+        self.group.promote(server_id)
+        for changed in {former, server_id}:
+            if self.platform.get("servers", changed).value is not None:
+                self.list_server(changed)
+
+    async def connect(self, database="orders", key=KEY, instance=0):
+        host, port = self.instances[instance].cfg.callers
+        stream = await TCPClient().connect(host, port)
+        caller = Caller(stream)
+        await stream.write(f"START {database} {key}\r\n".encode())
+        return caller, await caller.line()
+
+    async def caller(self, database="orders", key=KEY, instance=0):
+        caller, welcome = await self.connect(database, key, instance)
+        assert welcome == "READY I -"
+        return caller
+
+    async def until(self, done, timeout_s=WAIT_S):
+        async with asyncio.timeout(timeout_s):
+            while not done():
+                await asyncio.sleep(0.01)
+
+    def ran(self, request_id):
+        return [run for run in self.group.runs if run.request_id == request_id]
+
+
+class _Promotion(tornado.web.RequestHandler):
+    def initialize(self, world):
+        self.world = world
+
+    def post(self):
+        order = msgspec.json.decode(self.request.body)
+        token = int(self.request.headers["Fencing-Token"])
+        holder = self.request.headers["Lease-Holder"]
+        world = self.world
+        highest = max((t for _, t, _ in world.orders), default=0)
+        world.orders.append((holder, token, order["id"]))
+        if token < highest:
+            self.send_error(409)
+            return
+        if world.promotes and order["id"] != world.group.primary:
+            world.promote(order["id"])
+        with contextlib.suppress(RuntimeError):
+            self.set_status(200)
