Send callers of a cut-off instance elsewhere

Change: an instance that has lost half of the primaries, which peers still hear or which the larger part of the instances must have, is not ready, refuses at once and closes idle sessions. Of two equal halves only one may replace a silent primary.

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ..events import PEER_HEARD, PEER_SILENT, emit
+from ..policy.isolation import has_majority
 from .settings import Address
 
 NEWS_S = 0.1  # between reports that say something new
@@ -122,6 +123,11 @@
         """All instances that are known, in touch or not."""
         return [self._name, *({*self._addresses, *self.peers} - {self._name})]
 
+    @property
+    def has_majority(self) -> bool:
+        """Whether the instances in touch outnumber the rest."""
+        return has_majority(self.heard, self.everyone)
+
     def know(self, addresses: dict[str, Address]) -> None:
         """Take over where the instances are that the store lists."""
         self._addresses = {n: a for n, a in addresses.items() if n != self._name}
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -14,6 +14,7 @@
 from ..platform.client import PlatformClient
 from ..platform.promotion import PromotionClient, PromotionOutcome
 from ..policy._rendezvous import ranked
+from ..policy.isolation import Reach, is_cut_off, is_lost
 from ..policy.succession import (
     Evidence,
     Successor,
@@ -119,6 +120,24 @@
             found[group.name] = (primary.id, round((now - primary.heard_at) * 1000))
         return found
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether callers are better off at other instances."""
+        return is_cut_off([self.is_lost(g) for g in self._watched])
+
+    def is_lost(self, group: str) -> bool:
+        """Whether a group's primary is out of reach here, though not for others."""
+        now = self._servers.clock()
+        primary = self._servers.group(group).primary(now)
+        if primary is None or primary.failing_since is None:
+            return False
+        reach = Reach(
+            silent_s=now - primary.failing_since,
+            failures=primary.failures,
+            peer_heard_s=self._peer_heard_s(group, primary.id, now),
+        )
+        return is_lost(reach, majority=self._peers.has_majority)
+
     def _tick(self) -> None:
         known = self._deployment()
         if known is None:
@@ -154,16 +173,14 @@
     ) -> Evidence:
         """What is known of a group's primary."""
         primary = group.primary(now)
-        in_touch = len(self._peers.heard)
-        instances = len(self._peers.everyone)
+        majority = self._peers.has_majority
         if primary is None:
             if watched.vacant_since is None:
                 watched.vacant_since = now
             return Evidence(
                 is_known=False,
                 vacant_s=now - watched.vacant_since,
-                in_touch=in_touch,
-                instances=instances,
+                has_majority=majority,
             )
         watched.vacant_since = None
         since = primary.failing_since
@@ -174,8 +191,7 @@
             silent_s=now - since if since is not None else 0.0,
             failures=primary.failures,
             peer_heard_s=self._peer_heard_s(group.name, primary.id, now),
-            in_touch=in_touch,
-            instances=instances,
+            has_majority=majority,
         )
 
     def _peer_heard_s(self, group: str, server_id: str, now: float) -> float:
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -70,7 +70,7 @@
             lambda: self.beliefs.deployment,
             rng,
         )
-        executor = Executor(self.servers)
+        executor = Executor(self.servers, self._promoter.is_lost)
         reader = Reader(executor, cfg.failure_domain)
         self.gateway = Gateway(
             deployment=lambda: self.beliefs.deployment,
@@ -93,7 +93,7 @@
     def is_ready(self) -> bool:
         """Whether it takes new callers."""
         known = self.beliefs.deployed.is_set() and self.beliefs.registered.is_set()
-        return known and not self._is_stopping
+        return known and not self._is_stopping and not self._promoter.is_cut_off
 
     async def start(self) -> None:
         """Listen, and learn what the store holds."""
@@ -156,6 +156,9 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.gateway.end_idle()
             self.servers.tidy()
+            if self._promoter.is_cut_off:
+                # Their callers connect again, to an instance that can serve them.
+                self._listener.close_idle()
             if len(self.peers.everyone) != instances:
                 instances = len(self.peers.everyone)
                 self.servers.resize(None, instances)
--- a/mangoramp/policy/succession.py
+++ b/mangoramp/policy/succession.py
@@ -25,8 +25,7 @@
         failures: Failed attempts in a row.
         vacant_s: Seconds for which there has been no primary.
         peer_heard_s: Seconds since a peer heard it, as far as peers in touch say.
-        in_touch: Instances in touch, this one included.
-        instances: Instances in all.
+        has_majority: Whether the instances in touch outnumber the rest.
     """
 
     is_known: bool
@@ -36,20 +35,14 @@
     failures: int = 0
     vacant_s: float = 0.0
     peer_heard_s: float = float("inf")
-    in_touch: int = 1
-    instances: int = 1
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether fewer than half of the instances are in touch."""
-        return 2 * self.in_touch < self.instances
+    has_majority: bool = True
 
 
 def reason_to_promote(evidence: Evidence) -> str:
     """Why a primary is to be replaced; empty if it is not."""
     if evidence.is_known and evidence.is_draining:
         return "it is about to leave"
-    if evidence.is_isolated:
+    if not evidence.has_majority:
         return ""
     if not evidence.is_known:
         return "there is none" if evidence.vacant_s >= VACANT_S else ""
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..control.group import GroupState, Server
@@ -42,11 +43,15 @@
 
     Args:
         servers: The servers.
+        is_lost: Tells whether a group's primary is out of reach here only.
     """
 
-    def __init__(self, servers: Servers) -> None:
+    def __init__(
+        self, servers: Servers, is_lost: Callable[[str], bool] = lambda group: False
+    ) -> None:
         self.servers = servers
         self.clock = servers.clock
+        self._is_lost = is_lost
 
     async def take(self, op: Operation, server: Server, *, most_s: float) -> Lease:
         """Take a connection to a server.
@@ -133,6 +138,14 @@
             server = group.primary(now)
             if server is not None and self._is_usable(server, op.customer, now):
                 return server
+            if self._is_lost(group.name):
+                raise refused(
+                    Code.NO_SERVER,
+                    "the primary is out of reach of this instance",
+                    Step.ROUTE,
+                    peer=server.id if server is not None else group.name,
+                    retry_after_s=BACK_SOON_S,
+                )
             await group.changed(min(WAIT_S, op.deadline - now))
 
     def check_time(self, op: Operation, group: GroupState) -> None:
