Count the instances before using their connections; hear silence sooner

Ruled out: the rates (14 refusals), the time to start (0.4 s). Change: two connections a server until the list is read, which comes before registering; while a server is full one attempt at a time with a growing pause; reports every 0.25 s, silence after 0.8 s. Refusals over the rate are logged with what decided them.

--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..events import RATE_REFUSED, emit
 from ..policy.quota import COLD_FILL, SharedBucket
 from .deployment import Customer, Deployment
 from .peers import Peers
@@ -59,8 +60,19 @@
         """
         bucket = self._buckets.get(customer)
         if bucket is not None:
-            wait_s = bucket.take(self._name, now, self._part(bucket))
+            part = self._part(bucket)
+            wait_s = bucket.take(self._name, now, part)
             if wait_s > 0:
+                limits = self._limits[customer]
+                emit(
+                    RATE_REFUSED,
+                    customer=customer,
+                    rate=limits.rate,
+                    burst=limits.burst,
+                    level=round(bucket.level, 2),
+                    part=round(part, 3),
+                    in_touch=len(self._peers.heard),
+                )
                 return wait_s if math.isfinite(wait_s) else LONGEST_WAIT_S
         self.spent[customer] = self.spent.get(customer, 0) + 1
         return 0.0
--- a/mangoramp/control/members.py
+++ b/mangoramp/control/members.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Success
@@ -35,6 +36,9 @@
         client: The store.
         peers: The other instances.
         rng: Source of the jitter.
+
+    Attributes:
+        on_listed: Called when the list was read.
     """
 
     def __init__(
@@ -49,15 +53,18 @@
         self._peers = peers
         self._rng = rng
         self._unheard_since: dict[str, float] = {}
+        self.on_listed: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Keep the list until cancelled."""
+        # Listed first: how many others there are limits what this one may use.
+        await self._relist()
         await self._register()
         while True:
+            await asyncio.sleep(RELIST_S * self._rng.uniform(0.8, 1.2))
             is_listed = await self._relist()
             if is_listed is False:
                 await self._register()
-            await asyncio.sleep(RELIST_S * self._rng.uniform(0.8, 1.2))
 
     async def leave(self) -> None:
         """Take this instance off the list."""
@@ -98,6 +105,7 @@
                 continue
             addresses[record.name] = (record.value.host, record.value.port)
         self._peers.know(addresses)
+        self.on_listed()
         return self._cfg.name in addresses
 
     async def _is_forgotten(self, name: str, version: int) -> bool:
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -18,8 +18,8 @@
 from .settings import Address
 
 NEWS_S = 0.1  # between reports that say something new
-QUIET_S = 0.5  # between reports that say nothing new
-HEARD_S = 1.2  # two quiet reports may be lost
+QUIET_S = 0.25  # between reports that say nothing new
+HEARD_S = 0.8  # two quiet reports may be lost
 MAX_REPORT_BYTES = 60_000  # a datagram's
 
 
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -88,6 +88,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.beliefs.on_deployment = self._resize
         self.peers.on_spent = self._spent
+        self._knows_instances = False
+        self._members.on_listed = self._listed
 
     @property
     def is_ready(self) -> bool:
@@ -151,22 +153,28 @@
         self._tasks.append(asyncio.ensure_future(work))
 
     async def _keep_house(self) -> None:
-        instances = 0
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.gateway.end_idle()
             self.servers.tidy()
+            self._share()
             if self._promoter.is_cut_off:
                 # Their callers connect again, to an instance that can serve them.
                 self._listener.close_idle()
-            if len(self.peers.everyone) != instances:
-                instances = len(self.peers.everyone)
-                self.servers.resize(None, instances)
+
+    def _listed(self) -> None:
+        self._knows_instances = True
+        self._share()
+
+    def _share(self) -> None:
+        instances = len(self.peers.everyone) if self._knows_instances else 0
+        if instances != self.servers.instances:
+            self.servers.resize(None, instances)
 
     def _resize(self) -> None:
         deployment = self.beliefs.deployment
         assert deployment is not None
-        self.servers.resize(deployment, len(self.peers.everyone))
+        self.servers.resize(deployment, self.servers.instances)
         self.limits.resize(deployment, boot_time())
         self.gateway.end_idle()
 
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -34,6 +34,11 @@
         self._usage: dict[str, float] = {}
         self._usage_at = now
 
+    @property
+    def level(self) -> float:
+        """Operations that were left when it was last used."""
+        return self._level
+
     def limit(self, rate: float, burst: float, now: float, part: float) -> None:
         """Set new limits; what was saved above the new burst is lost."""
         self._fill(now, part)
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -13,7 +13,8 @@
 from ..events import CONNECTION_REFUSED, emit
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
 
-FULL_PAUSE_S = 0.05  # another process closes an idle connection within this time
+FULL_PAUSE_S = 0.05  # another process gives a connection back within this time
+MAX_FULL_PAUSE_S = 0.4  # connections of processes that lost power end within seconds
 IDLE_KEEP_S = 20.0  # servers close a connection that is idle for longer themselves
 
 
@@ -75,6 +76,8 @@
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
         self._full_until = float("-inf")
+        self._full_pause = FULL_PAUSE_S
+        self._opening = 0
         self._is_closed = False
 
     @property
@@ -111,7 +114,7 @@
             conn = self._take_idle(customer)
             if conn is not None:
                 return conn
-            if self._has_room() and self._clock() >= self._full_until:
+            if self._may_open() and self._has_room():
                 try:
                     return await self._open(customer)
                 except OpenRefusedError as exc:
@@ -148,6 +151,12 @@
         while self._waiters:
             self._wake()
 
+    def _may_open(self) -> bool:
+        if self._clock() < self._full_until:
+            return False
+        # While the server is full, one attempt at a time finds out whether it still is.
+        return self._full_pause == FULL_PAUSE_S or not self._opening
+
     def _take_idle(self, customer: str) -> ServerConnection | None:
         # The latest used first: the others grow old and make room.
         for idle in reversed(self._idle):
@@ -171,16 +180,21 @@
 
     async def _open(self, customer: str) -> ServerConnection:
         self._count += 1
+        self._opening += 1
         self.opened += 1
         endpoint = self.server.endpoint
         try:
-            return await self._connector.open(
+            conn = await self._connector.open(
                 endpoint.id, endpoint.group, endpoint.address, customer
             )
         except BaseException:
             self._count -= 1
             self._wake()
             raise
+        finally:
+            self._opening -= 1
+        self._full_pause = FULL_PAUSE_S
+        return conn
 
     def _refused(self, exc: OpenRefusedError) -> None:
         emit(
@@ -191,7 +205,8 @@
             limit=self.limit,
         )
         if exc.refusal in (Refusal.TOO_MANY_CONNECTIONS, Refusal.BUSY):
-            self._full_until = self._clock() + FULL_PAUSE_S
+            self._full_until = self._clock() + self._full_pause
+            self._full_pause = min(MAX_FULL_PAUSE_S, 2 * self._full_pause)
             return
         raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
 
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -12,6 +12,7 @@
 from .pool import ServerPool
 
 DEFAULT_CONNECTIONS = 16  # of a server whose group's configuration is not known
+LEAST = 2  # so that one open transaction does not stop all others
 RESERVE = 0.1  # of a server's connections, for instances that are not counted yet
 
 
@@ -37,7 +38,7 @@
         self.clock = clock
         self.rng = rng
         self.groups: dict[str, GroupState] = {}
-        self.instances = 1
+        self.instances = 0
         self._deployment: Deployment | None = None
         self._pools: dict[str, _Entry] = {}
 
@@ -69,10 +70,10 @@
 
         Args:
             deployment: The configuration in force.
-            instances: How many instances there are.
+            instances: How many instances there are, 0 while that is not known.
         """
         self._deployment = deployment or self._deployment
-        self.instances = max(1, instances)
+        self.instances = instances
         for entry in self._pools.values():
             entry.pool.limit = self._limit(entry.server.endpoint.group)
 
@@ -95,7 +96,8 @@
             entry.pool.close()
 
     def _limit(self, group: str) -> int:
+        if not self.instances:
+            return LEAST
         known = self._deployment.groups.get(group) if self._deployment else None
         most = known.max_connections if known is not None else DEFAULT_CONNECTIONS
-        # At least two, so that one open transaction does not stop all others.
-        return max(2, int(most * (1 - RESERVE) / self.instances))
+        return max(LEAST, int(most * (1 - RESERVE) / self.instances))
