Hold a customer's connections at homes where an equal part is too small

Ruled out: queueing at the servers (a quarter of their slots is used). Change: homes of connections by rendezvous hashing over the instances in touch, as many as the connections sustain with five each; the others send batches there by pynng; a home that does not answer is passed over. Where each instance's part is five or more, nothing is forwarded.

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -31,6 +31,7 @@
         incarnation: Its process.
         number: Rises with each report of a process.
         is_leaving: Whether the process is about to end.
+        is_draining: Whether it takes no new work.
         revision: The revision of the configuration that it has in force.
         spent: Operations admitted since its start, by customer.
         heard: By group, the primary it hears and the milliseconds since it did.
@@ -40,6 +41,7 @@
     incarnation: int
     number: int
     is_leaving: bool = False
+    is_draining: bool = False
     revision: int = 0
     spent: dict[str, int] = {}
     heard: dict[str, tuple[str, int]] = {}
@@ -123,6 +125,20 @@
         """All instances that are known, in touch or not."""
         return [self._name, *({*self._addresses, *self.peers} - {self._name})]
 
+    @property
+    def serving(self) -> list[str]:
+        """The instances in touch that take new work, this one included."""
+        return [
+            name
+            for name in self.heard
+            if name == self._name or not self.peers[name].report.is_draining
+        ]
+
+    def address_of(self, name: str) -> Address | None:
+        """Where an instance is reached, None if it is not known."""
+        peer = self.peers.get(name)
+        return peer.address if peer is not None else self._addresses.get(name)
+
     @property
     def has_majority(self) -> bool:
         """Whether the instances in touch outnumber the rest."""
@@ -146,7 +162,7 @@
         """Send a report if there is news, or the last one is old."""
         now = self._clock()
         report = self._report(self._incarnation, self._number + 1)
-        said = (report.spent, report.revision, report.is_leaving)
+        said = (report.spent, report.revision, report.is_leaving, report.is_draining)
         if not at_once and said == self._said and now - self._said_at < QUIET_S:
             return
         self._number += 1
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -15,7 +15,7 @@
 from .control.members import Members
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
-from .control.settings import InstanceSettings
+from .control.settings import Address, InstanceSettings
 from .events import INSTANCE_STARTED, INSTANCE_STOPPED, INSTANCE_STOPPING, emit
 from .platform.client import PlatformClient
 from .platform.connection import WireConnector
@@ -25,6 +25,7 @@
 from .platform.readiness import ReadinessServer
 from .serving.executor import Executor
 from .serving.gateway import Gateway
+from .serving.homes import Homes
 from .serving.reading import Reader
 from .serving.servers import Servers
 from .serving.traffic import Traffic
@@ -70,7 +71,14 @@
             lambda: self.beliefs.deployment,
             rng,
         )
-        executor = Executor(self.servers, self._promoter.is_lost)
+        self.homes = Homes(
+            cfg.name,
+            self.servers,
+            instances=lambda: self.peers.serving,
+            address_of=self._link_address,
+        )
+        self.servers.limit = self.homes.limit
+        executor = Executor(self.servers, self._promoter.is_lost, self.homes)
         reader = Reader(executor, cfg.failure_domain)
         self.gateway = Gateway(
             deployment=lambda: self.beliefs.deployment,
@@ -101,6 +109,7 @@
         """Listen, and learn what the store holds."""
         self._readiness.listen(self.cfg.health)
         self._listener.listen(self.cfg.callers)
+        self.homes.listen(_link_url(self.cfg.peers))
         await self.peers.listen(self.cfg.peers, self.cfg.seeds)
         for work in (
             self._feed.run(),
@@ -121,16 +130,18 @@
         """Stop without cutting a request, within the grace."""
         emit(INSTANCE_STOPPING, name=self.cfg.name)
         self._is_stopping = True
+        self.peers.tell(at_once=True)
         started = boot_time()
         grace = self.cfg.bounds.grace_s
         while boot_time() - started < grace - LAST_S:
             waited = boot_time() - started
             if waited > UNLISTED_S:
                 self._listener.close_idle()
-                if self._listener.is_idle:
+                if self._listener.is_idle and self.homes.is_idle:
                     break
             if waited > grace / 2:
                 self.gateway.end_transactions()
+                self.homes.drop_pinned()
             await asyncio.sleep(POLL_S)
         self._listener.stop()
         self.peers.tell(at_once=True)
@@ -143,6 +154,7 @@
             task.cancel()
         self._listener.close()
         self._readiness.close()
+        self.homes.close()
         self.servers.close()
         self.peers.close()
         self._client.close()
@@ -157,6 +169,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.gateway.end_idle()
             self.servers.tidy()
+            self.homes.tidy()
             self._share()
             if self._promoter.is_cut_off:
                 # Their callers connect again, to an instance that can serve them.
@@ -168,8 +181,11 @@
 
     def _share(self) -> None:
         instances = len(self.peers.everyone) if self._knows_instances else 0
-        if instances != self.servers.instances:
-            self.servers.resize(None, instances)
+        self.servers.resize(None, instances)
+
+    def _link_address(self, name: str) -> str | None:
+        address = self.peers.address_of(name)
+        return _link_url(address) if address is not None else None
 
     def _resize(self) -> None:
         deployment = self.beliefs.deployment
@@ -187,7 +203,13 @@
             incarnation=incarnation,
             number=number,
             is_leaving=self._is_stopping and self._listener.is_idle,
+            is_draining=self._is_stopping,
             revision=self.beliefs.revision,
             spent=dict(self.limits.spent),
             heard=self._promoter.heard(),
         )
+
+
+def _link_url(address: Address) -> str:
+    host, port = address
+    return f"tcp://{host}:{port}"
--- a/mangoramp/platform/mirror.py
+++ b/mangoramp/platform/mirror.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+import msgspec
 
 from ..policy.position import Position
 from ..serving.command import (
@@ -126,4 +128,6 @@
 
 def refuse(answer: Answer, refusal: Refusal) -> Answer:
     """The same answer as a refusal."""
-    return replace(answer, refusal=refusal, rows=(), signature="", detail="-")
+    return msgspec.structs.replace(
+        answer, refusal=refusal, rows=(), signature="", detail="-"
+    )
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -12,13 +12,15 @@
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 import pynng
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Outcome, Step
-from .messages import Message, decode, encode
+from .messages import Envelope, decode, encode
 
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
@@ -28,7 +30,23 @@
 NO_RESEND = -1
 CONTEXTS_KEPT = 128
 
-Handler = Callable[[Message], Awaitable[Message]]
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Codec:
+    """How the messages of a link are written.
+
+    Attributes:
+        encode: Encodes a message.
+        decode: Decodes one; raises ``msgspec.DecodeError``.
+    """
+
+    encode: Callable[[Any], bytes]
+    decode: Callable[[bytes], Any]
+
+
+PROXY_CODEC = Codec(encode, decode)
 
 
 class LinkServer:
@@ -37,12 +55,16 @@
     Args:
         address: Where to listen, as a pynng URL.
         handler: Answers one request; it raises nothing.
+        codec: How the messages are written.
     """
 
-    def __init__(self, address: str, handler: Handler) -> None:
+    def __init__(
+        self, address: str, handler: Handler, codec: Codec = PROXY_CODEC
+    ) -> None:
         self._handler = handler
+        self._codec = codec
         self._tasks: set[asyncio.Task[None]] = set()
-        self._busy: Counter[type[Message]] = Counter()
+        self._busy: Counter[type[Envelope]] = Counter()
         self._sock = pynng.Rep0(listen=address, recv_max_size=MAX_MESSAGE_BYTES)
         self._contexts = _Contexts(self._sock)
 
@@ -58,7 +80,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def busy(self, *, apart_from: type[Message]) -> int:
+    def busy(self, *, apart_from: type[Envelope]) -> int:
         """How many requests are being answered, apart from those of one kind."""
         return sum(n for kind, n in self._busy.items() if kind is not apart_from)
 
@@ -75,13 +97,13 @@
 
     async def _answer_on(self, ctx: pynng.Context, data: bytes) -> None:
         try:
-            req = decode(data)
+            req = self._codec.decode(data)
         except msgspec.DecodeError as exc:
             raise pynng.NNGException(str(exc), 0) from exc
         self._busy[type(req)] += 1
         try:
             answer = msgspec.structs.replace(await self._handler(req), id=req.id)
-            await ctx.asend(encode(answer))
+            await ctx.asend(self._codec.encode(answer))
         finally:
             self._busy[type(req)] -= 1
 
@@ -92,9 +114,11 @@
     Args:
         peer: The other proxy's name.
         address: Where it listens, as a pynng URL.
+        codec: How the messages are written.
     """
 
-    def __init__(self, peer: str, address: str) -> None:
+    def __init__(self, peer: str, address: str, codec: Codec = PROXY_CODEC) -> None:
+        self._codec = codec
         self.peer = peer
         self.address = address
         self._ids = itertools.count(1)
@@ -115,7 +139,7 @@
         """Whether the other proxy can be sent to now."""
         return bool(self._sock.pipes)
 
-    async def call(self, req: Message, *, timeout_s: float) -> Result[Message, Fault]:
+    async def call(self, req: Envelope, *, timeout_s: float) -> Result[Any, Fault]:
         """Send a request and wait for its answer.
 
         Args:
@@ -128,7 +152,7 @@
         if not await self._reached(min(timeout_s, REACH_S)):
             return Failure(self._unreached())
         msg_id = next(self._ids)
-        data = encode(msgspec.structs.replace(req, id=msg_id))
+        data = self._codec.encode(msgspec.structs.replace(req, id=msg_id))
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self._exchange(data)
@@ -145,11 +169,11 @@
         self._contexts.close()
         self._sock.close()
 
-    async def _exchange(self, data: bytes) -> Message:
+    async def _exchange(self, data: bytes) -> Any:
         ctx = self._contexts.take()
         with self._contexts.lent(ctx):
             await ctx.asend(data)
-            return decode(await ctx.arecv())
+            return self._codec.decode(await ctx.arecv())
 
     async def _reached(self, timeout_s: float) -> bool:
         if self.connected:
--- a/mangoramp/proxies/links.py
+++ b/mangoramp/proxies/links.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from returns.result import Failure, Result
 
 from ..errors import Code, Fault, Step
-from .link import Link
-from .messages import Message
+from .link import PROXY_CODEC, Codec, Link
+from .messages import Envelope
 
 
 class Links:
@@ -16,15 +17,19 @@
 
     Args:
         address_of: Tells where a proxy listens, None if it is not known.
+        codec: How the messages are written.
     """
 
-    def __init__(self, address_of: Callable[[str], str | None]) -> None:
+    def __init__(
+        self, address_of: Callable[[str], str | None], codec: Codec = PROXY_CODEC
+    ) -> None:
         self._address_of = address_of
+        self._codec = codec
         self._links: dict[str, Link] = {}
 
     async def call(
-        self, peer: str, req: Message, *, timeout_s: float
-    ) -> Result[Message, Fault]:
+        self, peer: str, req: Envelope, *, timeout_s: float
+    ) -> Result[Any, Fault]:
         """Send a request to a proxy and wait for its answer.
 
         Args:
@@ -61,5 +66,5 @@
         if known is not None:
             self._links.pop(peer).close()
         if address is not None:
-            self._links[peer] = Link(peer, address)
+            self._links[peer] = Link(peer, address, self._codec)
         return self._links.get(peer)
--- /dev/null
+++ b/mangoramp/serving/batches.py
@@ -0,0 +1,91 @@
+"""Messages between the instance that a caller is at and the home of its connections."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..proxies.messages import Envelope
+from ..sessions.statement import Shape
+from .command import Answer, Command
+
+
+class RunBatch(Envelope, frozen=True):
+    """Run commands on a connection of a customer.
+
+    Attributes:
+        server: The server.
+        group: Its database group.
+        customer: Whose connection it is.
+        values: The values of the caller's session, None to leave the connection's.
+        shapes: The shapes of the prepared statements that the commands run.
+        commands: The commands.
+        timeout_s: Seconds for a connection and all answers.
+        wait_s: Seconds of these to wait for a connection.
+        priority: The request's class, 0 for the most urgent.
+        handle: The pinned connection to use, 0 for any.
+    """
+
+    server: str
+    group: str
+    customer: str
+    values: dict[str, str] | None
+    shapes: dict[str, Shape]
+    commands: tuple[Command, ...]
+    timeout_s: float
+    wait_s: float
+    priority: int = 1
+    handle: int = 0
+
+
+class BatchRun(Envelope, frozen=True):
+    """All answers.
+
+    Attributes:
+        answers: The answers to the commands.
+        handle: The connection that stays pinned since a transaction is open, or 0.
+    """
+
+    answers: tuple[Answer, ...]
+    handle: int = 0
+
+
+class BatchLost(Envelope, frozen=True):
+    """The connection was lost before all answers came.
+
+    Attributes:
+        reason: How.
+        answers: The answers that came.
+    """
+
+    reason: str
+    answers: tuple[Answer, ...] = ()
+
+
+class BatchNotSent(Envelope, frozen=True):
+    """Nothing was sent to the server.
+
+    Attributes:
+        reason: Why.
+        is_reachable: Whether the server itself answered.
+    """
+
+    reason: str
+    is_reachable: bool = True
+
+
+class DropPinned(Envelope, frozen=True):
+    """Close a pinned connection; its transaction is rolled back."""
+
+    handle: int
+
+
+class PinnedDropped(Envelope, frozen=True):
+    """The pinned connection is closed."""
+
+
+BatchMessage = (
+    RunBatch | BatchRun | BatchLost | BatchNotSent | DropPinned | PinnedDropped
+)
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(BatchMessage).decode
--- a/mangoramp/serving/command.py
+++ b/mangoramp/serving/command.py
@@ -6,34 +6,32 @@
 from enum import StrEnum
 from typing import Protocol
 
+import msgspec
+
 from ..policy.position import Position
 from ..sessions.reply import SessionState
 from ..sessions.statement import Execute, Read, Shape, Write
 
 
-@dataclass(frozen=True, slots=True)
-class ResetSession:
+class ResetSession(msgspec.Struct, frozen=True, tag=True):
     """Drops the connection's values and prepared statements."""
 
 
-@dataclass(frozen=True, slots=True)
-class AssignValue:
+class AssignValue(msgspec.Struct, frozen=True, tag=True):
     """Sets a value of the connection."""
 
     name: str
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class PrepareAs:
+class PrepareAs(msgspec.Struct, frozen=True, tag=True):
     """Prepares a shape under a name of the connection."""
 
     alias: str
     shape: Shape
 
 
-@dataclass(frozen=True, slots=True)
-class OpenTransaction:
+class OpenTransaction(msgspec.Struct, frozen=True, tag=True):
     """Opens a transaction.
 
     Attributes:
@@ -45,20 +43,17 @@
     after: Position | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RollBack:
+class RollBack(msgspec.Struct, frozen=True, tag=True):
     """Ends the connection's transaction and drops its writes."""
 
 
-@dataclass(frozen=True, slots=True)
-class CommitFor:
+class CommitFor(msgspec.Struct, frozen=True, tag=True):
     """A caller's commit, with the id of its request."""
 
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class RunFor:
+class RunFor(msgspec.Struct, frozen=True, tag=True):
     """A caller's statement.
 
     Attributes:
@@ -74,8 +69,7 @@
     after: Position | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class AskStatus:
+class AskStatus(msgspec.Struct, frozen=True, tag=True):
     """Asks the server for its role and position."""
 
 
@@ -113,8 +107,7 @@
 _MAY_HAVE_RUN = frozenset({Refusal.FAILED, Refusal.TIMEOUT, Refusal.OTHER})
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A server's answer to one command.
 
     Attributes:
@@ -161,6 +154,10 @@
         self.answers = answers
 
 
+class NotSentError(ConnectionLostError):
+    """Nothing was sent to a server."""
+
+
 class OpenRefusedError(Exception):
     """A server, or the way to it, refused a new connection.
 
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from ..control.group import GroupState, Server
 from ..errors import Code, Step
@@ -11,14 +10,19 @@
 from ..sessions.statement import Execute, Read, Write
 from .command import (
     Answer,
-    AssignValue,
     Command,
     ConnectionLostError,
-    PrepareAs,
+    NotSentError,
     Refusal,
-    ResetSession,
-    RunFor,
-    ServerConnection,
+)
+from .homes import Homes
+from .lease import (
+    HomeLostError,
+    Image,
+    Lease,
+    LocalLease,
+    RemoteLease,
+    ServerUnreachedError,
 )
 from .operation import BACK_SOON_S, Operation, refused
 from .pool import NoConnectionError
@@ -29,32 +33,28 @@
 BUSY_PAUSE_S = 0.01  # a short statement ends and frees a slot
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class Lease:
-    """A connection that is taken from its pool."""
-
-    server: Server
-    conn: ServerConnection
-    customer: str
-
-
 class Executor:
     """Takes connections and runs batches on them.
 
     Args:
         servers: The servers.
         is_lost: Tells whether a group's primary is out of reach here only.
+        homes: The homes of connections, None if all are held here.
     """
 
     def __init__(
-        self, servers: Servers, is_lost: Callable[[str], bool] = lambda group: False
+        self,
+        servers: Servers,
+        is_lost: Callable[[str], bool] = lambda group: False,
+        homes: Homes | None = None,
     ) -> None:
         self.servers = servers
+        self._homes = homes
         self.clock = servers.clock
         self._is_lost = is_lost
 
     async def take(self, op: Operation, server: Server, *, most_s: float) -> Lease:
-        """Take a connection to a server.
+        """Take a connection to a server, here or at its home.
 
         Args:
             op: The operation that needs it.
@@ -65,6 +65,16 @@
             NoConnectionError: There is none in time; nothing was sent.
         """
         left = min(most_s, op.deadline - self.clock())
+        home = self._homes.of(op.route.group, op.customer) if self._homes else None
+        if home is not None and self._homes is not None:
+            return RemoteLease(
+                server,
+                home,
+                op.customer,
+                self._homes,
+                wait_s=left,
+                priority=op.route.priority,
+            )
         pool = self.servers.pool(server)
         try:
             conn = await pool.acquire(
@@ -74,11 +84,7 @@
             if not exc.is_reachable:
                 server.failed(self.clock(), str(exc))
             raise
-        return Lease(server, conn, op.customer)
-
-    def give_back(self, lease: Lease) -> None:
-        """Give a connection back to its pool."""
-        self.servers.pool(lease.server).release(lease.conn, lease.customer)
+        return LocalLease(server, conn, op.customer, pool)
 
     async def run(
         self,
@@ -88,7 +94,7 @@
         *,
         timeout_s: float,
     ) -> tuple[Answer, ...]:
-        """Run commands, after what brings the connection into the session's state.
+        """Run commands in a session's values and prepared statements.
 
         Args:
             lease: The connection.
@@ -100,15 +106,23 @@
             The answers to the commands.
 
         Raises:
-            ConnectionLostError: The connection is closed; what it ran is not known.
+            ConnectionLostError: The connection is closed; what it ran is not known,
+                but for a ``NotSentError``.
         """
-        prelude = tuple(_prelude(lease.conn, session, commands))
-        named = tuple(_with_alias(lease.conn, session, c) for c in commands)
         server = lease.server
         started = self.clock()
         server.busy += 1
+        image = Image(session.values, session.shapes)
         try:
-            answers = await lease.conn.run(prelude + named, timeout_s=timeout_s)
+            answers = await lease.run(image, commands, timeout_s=timeout_s)
+        except ServerUnreachedError as exc:
+            server.failed(self.clock(), str(exc))
+            raise
+        except HomeLostError:
+            # It says nothing of the server.
+            raise
+        except NotSentError:
+            raise
         except ConnectionLostError as exc:
             server.failed(self.clock(), str(exc))
             raise
@@ -119,11 +133,7 @@
         for answer in answers:
             if answer.position is not None:
                 server.shows = answer.position
-        if any(answer.refusal is not None for answer in answers[: len(prelude)]):
-            lease.conn.close()
-            reason = "the session's values were not taken"
-            raise ConnectionLostError(reason, answers[len(prelude) :])
-        return answers[len(prelude) :]
+        return answers
 
     async def primary(self, op: Operation) -> Server:
         """Wait for a primary that answers.
@@ -176,37 +186,6 @@
         return self.servers.pool(server).has_idle(customer) and server.failures < 2
 
 
-def _prelude(
-    conn: ServerConnection, session: Session, commands: tuple[Command, ...]
-) -> list[Command]:
-    memory = conn.memory
-    found: list[Command] = []
-    if not memory.values.keys() <= session.values.keys():
-        found.append(ResetSession())
-        memory.values.clear()
-        memory.aliases.clear()
-    for name, value in session.values.items():
-        if memory.values.get(name) != value:
-            found.append(AssignValue(name, value))
-            memory.values[name] = value
-    for command in commands:
-        if isinstance(command, RunFor) and isinstance(command.statement, Execute):
-            shape = session.shapes[command.statement.name]
-            if shape not in memory.aliases:
-                alias = f"p{len(memory.aliases) + 1}"
-                memory.aliases[shape] = alias
-                found.append(PrepareAs(alias, shape))
-    return found
-
-
-def _with_alias(conn: ServerConnection, session: Session, command: Command) -> Command:
-    if isinstance(command, RunFor) and isinstance(command.statement, Execute):
-        shape = session.shapes[command.statement.name]
-        alias = conn.memory.aliases[shape]
-        return RunFor(command.request_id, command.statement, alias, command.after)
-    return command
-
-
 def writes(session: Session, statement: Read | Write | Execute) -> bool:
     """Whether a statement writes."""
     if isinstance(statement, Execute):
--- /dev/null
+++ b/mangoramp/serving/homes.py
@@ -0,0 +1,241 @@
+"""Homes of connections: which one to use, and serving the others as one."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Result, Success
+
+from ..errors import Fault
+from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
+from ..policy.homes import home_for, homes_of, part_of
+from ..proxies.link import Codec, LinkServer
+from ..proxies.links import Links
+from . import batches
+from .batches import (
+    BatchLost,
+    BatchMessage,
+    BatchNotSent,
+    BatchRun,
+    DropPinned,
+    PinnedDropped,
+    RunBatch,
+)
+from .command import Answer, ConnectionLostError
+from .lease import Image, LocalLease, needs_pin
+from .pool import NoConnectionError
+from .servers import Servers
+
+CODEC = Codec(batches.encode, batches.decode)
+SUSPECT_S = 0.5  # a link is opened anew meanwhile
+SILENCES = 2  # calls in a row without an answer show that the link is dead
+PINNED_S = 10.0  # longer than a transaction may idle and a statement may take
+FALLBACK = 1  # connections to a server of an instance that is no home of its group
+
+
+@dataclass(slots=True)
+class _Pinned:
+    lease: LocalLease
+    used_at: float
+    is_busy: bool = False
+
+
+class Homes:
+    """The homes of customers' connections.
+
+    Args:
+        name: This instance.
+        servers: The servers.
+        instances: Tells the instances in touch that are not leaving.
+        address_of: Tells where an instance listens, None if it is not known.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        servers: Servers,
+        *,
+        instances: Callable[[], list[str]],
+        address_of: Callable[[str], str | None],
+    ) -> None:
+        self._name = name
+        self._servers = servers
+        self._clock = servers.clock
+        self._instances = instances
+        self._links = Links(address_of, CODEC)
+        self._suspects: dict[str, float] = {}
+        self._silences: dict[str, int] = {}
+        self._pinned: dict[int, _Pinned] = {}
+        self._handles = itertools.count(1)
+        self._server: LinkServer | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._running = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or is pinned here for other instances."""
+        return not self._running and not self._pinned
+
+    def listen(self, address: str) -> None:
+        """Begin to serve the other instances."""
+        self._server = LinkServer(address, self._answer, CODEC)
+        self._task = asyncio.ensure_future(self._server.run())
+
+    def of(self, group: str, customer: str) -> str | None:
+        """The home of a customer's connections; None for this instance itself."""
+        homes = self._homes(group)
+        if self._name in homes and len(homes) == len(self._live()):
+            return None
+        home = home_for(group, customer, homes)
+        return None if home == self._name else home
+
+    def limit(self, group: str) -> int | None:
+        """The connections to each of a group's servers that this instance may hold.
+
+        Returns:
+            None while too little is known to tell.
+        """
+        most = self._servers.max_connections(group)
+        if not self._servers.instances:
+            return None
+        homes = self._homes(group)
+        if self._name not in homes:
+            return FALLBACK
+        # Those out of touch may have homes of their own.
+        in_touch = len(self._live()) / self._servers.instances
+        return int(part_of(most, len(homes)) * min(1.0, in_touch))
+
+    async def call(
+        self, home: str, message: RunBatch | DropPinned, *, timeout_s: float
+    ) -> Result[BatchMessage, Fault]:
+        """Ask a home.
+
+        Args:
+            home: The instance.
+            message: What to do.
+            timeout_s: Seconds to wait.
+        """
+        result = await self._links.call(home, message, timeout_s=timeout_s)
+        if isinstance(result, Success):
+            self._silences.pop(home, None)
+            return result
+        self._silences[home] = self._silences.get(home, 0) + 1
+        if self._silences[home] >= SILENCES:
+            # It may be the connection alone that is dead.
+            self._links.reset(home)
+            self._silences.pop(home, None)
+        return result
+
+    def suspect(self, home: str) -> None:
+        """Pass a home over for a while."""
+        self._suspects[home] = self._clock() + SUSPECT_S
+        emit(HOME_SUSPECTED, home=home)
+
+    def tidy(self) -> None:
+        """Drop the connections that stayed pinned for too long."""
+        oldest = self._clock() - PINNED_S
+        for handle, pinned in list(self._pinned.items()):
+            if not pinned.is_busy and pinned.used_at < oldest:
+                emit(PINNED_EXPIRED, server=pinned.lease.server.id)
+                self._drop(handle)
+
+    def drop_pinned(self) -> None:
+        """Drop all pinned connections that wait."""
+        for handle, pinned in list(self._pinned.items()):
+            if not pinned.is_busy:
+                self._drop(handle)
+
+    def close(self) -> None:
+        """End at once."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._server is not None:
+            self._server.close()
+        self._links.close()
+
+    def _live(self) -> list[str]:
+        now = self._clock()
+        found = [n for n in self._instances() if self._suspects.get(n, 0.0) <= now]
+        return found if self._name in found else [*found, self._name]
+
+    def _homes(self, group: str) -> list[str]:
+        return homes_of(group, self._live(), self._servers.max_connections(group))
+
+    async def _answer(self, message: BatchMessage) -> BatchMessage:
+        if isinstance(message, DropPinned):
+            self._drop(message.handle)
+            return PinnedDropped()
+        if not isinstance(message, RunBatch):
+            return BatchNotSent(reason="this message asks for nothing")
+        self._running += 1
+        try:
+            return await self._run(message)
+        finally:
+            self._running -= 1
+
+    async def _run(self, message: RunBatch) -> BatchMessage:
+        started = self._clock()
+        if message.handle:
+            pinned = self._pinned.get(message.handle)
+            if pinned is None:
+                return BatchLost(reason="the connection is not pinned any more")
+            lease = pinned.lease
+        else:
+            taken = await self._take(message)
+            if isinstance(taken, BatchNotSent):
+                return taken
+            lease = taken
+            pinned = None
+        left = message.timeout_s - (self._clock() - started)
+        if left <= 0 and pinned is None:
+            lease.give_back()
+            return BatchNotSent(reason="the time was over before a connection was free")
+        if pinned is not None:
+            pinned.is_busy = True
+        values = message.values
+        try:
+            answers = await lease.run(
+                None if values is None else Image(values, message.shapes),
+                message.commands,
+                timeout_s=max(0.0, left),
+            )
+        except ConnectionLostError as exc:
+            self._pinned.pop(message.handle, None)
+            lease.give_back()
+            return BatchLost(reason=str(exc), answers=exc.answers)
+        return BatchRun(
+            answers=answers, handle=self._keep(message.handle, lease, answers)
+        )
+
+    async def _take(self, message: RunBatch) -> LocalLease | BatchNotSent:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None:
+            return BatchNotSent(reason="the home does not know the server")
+        pool = self._servers.pool(server)
+        try:
+            conn = await pool.acquire(
+                message.customer,
+                priority=message.priority,
+                timeout_s=min(message.wait_s, message.timeout_s),
+            )
+        except NoConnectionError as exc:
+            return BatchNotSent(reason=str(exc), is_reachable=exc.is_reachable)
+        return LocalLease(server, conn, message.customer, pool)
+
+    def _keep(self, handle: int, lease: LocalLease, answers: tuple[Answer, ...]) -> int:
+        if not needs_pin(answers):
+            self._pinned.pop(handle, None)
+            lease.give_back()
+            return 0
+        handle = handle or next(self._handles)
+        self._pinned[handle] = _Pinned(lease, self._clock())
+        return handle
+
+    def _drop(self, handle: int) -> None:
+        pinned = self._pinned.pop(handle, None)
+        if pinned is not None:
+            pinned.lease.discard()
+            pinned.lease.give_back()
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -15,6 +15,7 @@
 from .command import (
     Answer,
     ConnectionLostError,
+    NotSentError,
     OpenTransaction,
     Refusal,
     RollBack,
@@ -208,9 +209,11 @@
             )
         except ConnectionLostError as exc:
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
+            if isinstance(exc, NotSentError):
+                await asyncio.sleep(BUSY_PAUSE_S)
             return None
         finally:
-            self._executor.give_back(lease)
+            lease.give_back()
 
     async def _final(
         self, op: Operation, server: Server, answer: Answer
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -12,8 +12,7 @@
 from .pool import ServerPool
 
 DEFAULT_CONNECTIONS = 16  # of a server whose group's configuration is not known
-LEAST = 2  # so that one open transaction does not stop all others
-RESERVE = 0.1  # of a server's connections, for instances that are not counted yet
+LEAST = 2  # while the number of instances is not known
 
 
 @dataclass(slots=True)
@@ -29,6 +28,11 @@
         connector: Opens connections.
         clock: Tells the time in seconds.
         rng: Source of the jitter.
+
+    Attributes:
+        instances: How many instances there are, 0 while that is not known.
+        limit: Tells the connections to each server of a group that this process may
+            hold, None while too little is known.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         self.rng = rng
         self.groups: dict[str, GroupState] = {}
         self.instances = 0
+        self.limit: Callable[[str], int | None] = lambda group: None
         self._deployment: Deployment | None = None
         self._pools: dict[str, _Entry] = {}
 
@@ -66,7 +71,7 @@
         return [entry.pool for entry in self._pools.values()]
 
     def resize(self, deployment: Deployment | None, instances: int) -> None:
-        """Share each server's connections between the instances.
+        """Take over what the parts of each server's connections depend on.
 
         Args:
             deployment: The configuration in force.
@@ -95,9 +100,11 @@
         for entry in self._pools.values():
             entry.pool.close()
 
-    def _limit(self, group: str) -> int:
-        if not self.instances:
-            return LEAST
+    def max_connections(self, group: str) -> int:
+        """The connections that each server of a group takes, from all instances."""
         known = self._deployment.groups.get(group) if self._deployment else None
-        most = known.max_connections if known is not None else DEFAULT_CONNECTIONS
-        return max(LEAST, int(most * (1 - RESERVE) / self.instances))
+        return known.max_connections if known is not None else DEFAULT_CONNECTIONS
+
+    def _limit(self, group: str) -> int:
+        limit = self.limit(group)
+        return LEAST if limit is None else max(1, limit)
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -27,7 +27,8 @@
     RollBack,
     RunFor,
 )
-from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, Lease, writes
+from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, writes
+from .lease import Lease
 from .operation import BACK_SOON_S, FaultError, Operation, refused, unknown
 from .pool import NoConnectionError
 from .reading import CONNECTION_WAIT_S, Reader
@@ -117,7 +118,7 @@
             emit(COMMIT_UNKNOWN, id=op.request_id, server=lease.server.id)
             raise unknown(Code.CONNECTION_LOST, str(exc), peer=lease.server.id) from exc
         if answer.refusal is not None or answer.state is not SessionState.IDLE:
-            lease.conn.close()
+            lease.discard()
         self._let_go(tx, lease)
         if answer.refusal is None and answer.signature:
             self._committed(op, tx, answer.position, asked_at)
@@ -145,17 +146,17 @@
 
     async def _roll_back(self, lease: Lease) -> None:
         try:
-            (answer,) = await lease.conn.run((RollBack(),), timeout_s=ROLLBACK_S)
+            (answer,) = await lease.run(None, (RollBack(),), timeout_s=ROLLBACK_S)
             if answer.state is not SessionState.IDLE:
-                lease.conn.close()
+                lease.discard()
         except ConnectionLostError as exc:
             emit(TRANSACTION_LOST, server=lease.server.id, reason=str(exc))
         finally:
-            self._executor.give_back(lease)
+            lease.give_back()
 
     def _let_go(self, tx: Transaction, lease: Lease) -> None:
         tx.lease = None
-        self._executor.give_back(lease)
+        lease.give_back()
 
     async def _in_lease(
         self, op: Operation, tx: Transaction, lease: Lease, command: RunFor
@@ -180,7 +181,7 @@
         if answer.refusal is None:
             if still_open and answer.signature:
                 return answer
-            lease.conn.close()
+            lease.discard()
             self._let_go(tx, lease)
             raise _aborted("its server does not hold it any more", lease)
         if answer.refusal is Refusal.NOT_PRIMARY:
@@ -243,13 +244,14 @@
                 lease, op.session, (command,), timeout_s=left
             )
         except ConnectionLostError as exc:
-            self._executor.give_back(lease)
+            lease.give_back()
             emit(
                 TRANSACTION_RETRIED,
                 id=op.request_id,
                 server=server.id,
                 reason=str(exc),
             )
+            await asyncio.sleep(BUSY_PAUSE_S)
             return False
         if answer.refusal is None and answer.state is SessionState.IN_TRANSACTION:
             emit(
@@ -263,8 +265,8 @@
                 group.proved(asked_at, answer.position)
             return True
         if answer.state is not SessionState.IDLE:
-            lease.conn.close()
-        self._executor.give_back(lease)
+            lease.discard()
+        lease.give_back()
         if answer.refusal is Refusal.NOT_PRIMARY:
             server.disowned_at = self._clock()
         elif answer.refusal is Refusal.BEHIND and command.after is not None:
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -8,7 +8,7 @@
 from ..errors import Code
 from ..events import WRITE_RETRIED, WRITE_ROUTED, WRITE_UNKNOWN, emit
 from ..sessions.statement import Execute, Write
-from .command import Answer, ConnectionLostError, Refusal, RunFor
+from .command import Answer, ConnectionLostError, NotSentError, Refusal, RunFor
 from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor
 from .operation import Operation, unknown
 from .pool import NoConnectionError
@@ -61,11 +61,15 @@
                 (RunFor(op.request_id, statement),),
                 timeout_s=max(0.0, left),
             )
+        except NotSentError as exc:
+            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
+            await asyncio.sleep(BUSY_PAUSE_S)
+            return None
         except ConnectionLostError as exc:
             emit(WRITE_UNKNOWN, id=op.request_id, server=server.id, reason=str(exc))
             raise unknown(Code.CONNECTION_LOST, str(exc), peer=server.id) from exc
         finally:
-            self._executor.give_back(lease)
+            lease.give_back()
         return await self._final(op, server, answer)
 
     async def _final(
--- a/mangoramp/sessions/statement.py
+++ b/mangoramp/sessions/statement.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 
 @dataclass(frozen=True, slots=True)
 class Begin:
@@ -22,15 +24,13 @@
     """Ends a transaction and drops its writes."""
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True, tag=True):
     """Reads an item; ``text`` is the statement exactly as the caller sent it."""
 
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True, tag=True):
     """Writes an item; ``text`` is the statement exactly as the caller sent it."""
 
     text: str
@@ -65,8 +65,7 @@
     shape: Shape
 
 
-@dataclass(frozen=True, slots=True)
-class Execute:
+class Execute(msgspec.Struct, frozen=True, tag=True):
     """Runs a prepared statement; ``arguments`` are exactly as the caller sent them."""
 
     name: str
