Homes only where an equal part sustains no customer; reports cost the same at any size

Change: homes only where an instance's part, four customers to a connection, does not sustain the customers; one home a customer for all groups, which also keeps its limits; the weaker half of the instances is no home. Reports are sent less often the more instances there are, and urgent ones hold only customers near their limits. A primary is replaced only if no peer has heard it since it fell silent here.

--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -9,6 +9,7 @@
 from .deployment import Customer, Deployment
 from .peers import Peers
 
+NEAR = 0.5  # of the burst; above it, a late report admits nothing beyond the limits
 LONGEST_WAIT_S = 60.0  # told to a caller whose customer may do nothing at all
 
 
@@ -77,6 +78,14 @@
         self.spent[customer] = self.spent.get(customer, 0) + 1
         return 0.0
 
+    def urgent(self) -> dict[str, int]:
+        """What was admitted here of customers that are near their limits."""
+        return {
+            name: self.spent[name]
+            for name, bucket in self._buckets.items()
+            if name in self.spent and bucket.level < NEAR * self._limits[name].burst
+        }
+
     def spent_by(self, peer: str, customer: str, count: int, now: float) -> None:
         """Take out what a peer admitted."""
         bucket = self._buckets.get(customer)
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -17,9 +17,10 @@
 from ..policy.isolation import has_majority
 from .settings import Address
 
-NEWS_S = 0.1  # between reports that say something new
-QUIET_S = 0.25  # between reports that say nothing new
-HEARD_S = 0.8  # two quiet reports may be lost
+TICK_S = 0.1  # between reports while a customer is near its limits
+QUIET_S = 0.25  # between other reports, at the least
+QUIET_S_A_PEER = 0.02  # so that all peers together cost the same at any size
+HEARD_REPORTS = 3.2  # two reports may be lost
 MAX_REPORT_BYTES = 60_000  # a datagram's
 
 
@@ -33,8 +34,11 @@
         is_leaving: Whether the process is about to end.
         is_draining: Whether it takes no new work.
         revision: The revision of the configuration that it has in force.
-        spent: Operations admitted since its start, by customer.
-        heard: By group, the primary it hears and the milliseconds since it did.
+        spent: Operations admitted since its start, by customer; those that are
+            missing are as they were.
+        heard: By group, the primary it hears and the milliseconds since it did; None
+            if the report says nothing of it.
+        strength: How much it can carry.
     """
 
     name: str
@@ -44,7 +48,8 @@
     is_draining: bool = False
     revision: int = 0
     spent: dict[str, int] = {}
-    heard: dict[str, tuple[str, int]] = {}
+    heard: dict[str, tuple[str, int]] | None = None
+    strength: int = 1
 
 
 @dataclass(slots=True)
@@ -55,14 +60,15 @@
         report: Its latest report.
         address: Where it reports from.
         heard_at: When that came, in seconds.
+        primaries_at: When a report came that said which primaries it hears.
         is_silent: Whether it was reported as silent.
     """
 
     report: Report
     address: Address
     heard_at: float
+    primaries_at: float
     is_silent: bool = False
-    spent: dict[str, int] = field(default_factory=dict)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -71,6 +77,7 @@
     Args:
         name: This instance.
         report: Builds the report, but for its number.
+        urgent: Tells what was spent of customers that are near their limits.
         clock: Tells the time in seconds.
         rng: Makes the incarnation.
 
@@ -83,11 +90,13 @@
         self,
         name: str,
         report: Callable[[int, int], Report],
+        urgent: Callable[[], dict[str, int]],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.peers: dict[str, Peer] = {}
         self.on_spent: Callable[[str, str, int], None] = lambda peer, customer, n: None
+        self._urgent = urgent
         self._name = name
         self._report = report
         self._clock = clock
@@ -96,7 +105,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._addresses: dict[str, Address] = {}
         self._seeds: tuple[Address, ...] = ()
-        self._said: tuple[object, ...] = ()
+        self._urgent_said: dict[str, int] = {}
         self._said_at = float("-inf")
         self._gone: set[tuple[str, int]] = set()
 
@@ -117,7 +126,7 @@
     def heard(self) -> list[str]:
         """The instances in touch with this one, itself included."""
         now = self._clock()
-        found = [n for n, p in self.peers.items() if now - p.heard_at < HEARD_S]
+        found = [n for n, p in self.peers.items() if now - p.heard_at < self.silence_s]
         return [self._name, *found]
 
     @property
@@ -126,13 +135,23 @@
         return [self._name, *({*self._addresses, *self.peers} - {self._name})]
 
     @property
-    def serving(self) -> list[str]:
-        """The instances in touch that take new work, this one included."""
-        return [
-            name
+    def quiet_s(self) -> float:
+        """Seconds between two reports that nobody waits for."""
+        return max(QUIET_S, QUIET_S_A_PEER * len(self.everyone))
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds after which a peer that was not heard is out of touch."""
+        return HEARD_REPORTS * self.quiet_s
+
+    @property
+    def serving(self) -> dict[str, int]:
+        """The peers in touch that take new work, and how much each can carry."""
+        return {
+            name: self.peers[name].report.strength
             for name in self.heard
-            if name == self._name or not self.peers[name].report.is_draining
-        ]
+            if name != self._name and not self.peers[name].report.is_draining
+        }
 
     def address_of(self, name: str) -> Address | None:
         """Where an instance is reached, None if it is not known."""
@@ -149,24 +168,30 @@
         self._addresses = {n: a for n, a in addresses.items() if n != self._name}
         now = self._clock()
         for name, peer in list(self.peers.items()):
-            if name not in addresses and now - peer.heard_at > HEARD_S:
+            if name not in addresses and now - peer.heard_at > self.silence_s:
                 del self.peers[name]
 
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
             self.tell()
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(TICK_S)
 
     def tell(self, *, at_once: bool = False) -> None:
-        """Send a report if there is news, or the last one is old."""
+        """Send a report if there is urgent news, or the last one is old."""
         now = self._clock()
-        report = self._report(self._incarnation, self._number + 1)
-        said = (report.spent, report.revision, report.is_leaving, report.is_draining)
-        if not at_once and said == self._said and now - self._said_at < QUIET_S:
+        is_due = at_once or now - self._said_at >= self.quiet_s
+        urgent = self._urgent()
+        if not is_due and (not urgent or urgent == self._urgent_said):
             return
+        report = self._report(self._incarnation, self._number + 1)
+        if not is_due:
+            # What nobody waits for goes with the next report that is due.
+            report = msgspec.structs.replace(report, spent=urgent, heard=None)
         self._number += 1
-        self._said, self._said_at = said, now
+        self._urgent_said = urgent
+        if is_due:
+            self._said_at = now
         data = msgspec.msgpack.encode(report)
         if self._transport is None or len(data) > MAX_REPORT_BYTES:
             return
@@ -196,7 +221,13 @@
             self.peers.pop(report.name, None)
             self._addresses.pop(report.name, None)
             return
-        self.peers[report.name] = Peer(report, (addr[0], addr[1]), now)
+        primaries_at = now
+        if is_same and known is not None:
+            if report.heard is None:
+                primaries_at = known.primaries_at
+            report = _completed(report, known.report)
+        address = (addr[0], addr[1])
+        self.peers[report.name] = Peer(report, address, now, primaries_at)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over a peer that does not listen; its silence tells."""
@@ -226,6 +257,13 @@
 
     def _note_silent(self, now: float) -> None:
         for name, peer in self.peers.items():
-            if not peer.is_silent and now - peer.heard_at >= HEARD_S:
+            if not peer.is_silent and now - peer.heard_at >= self.silence_s:
                 peer.is_silent = True
                 emit(PEER_SILENT, peer=name, silent_s=round(now - peer.heard_at, 2))
+
+
+def _completed(report: Report, before: Report) -> Report:
+    heard = before.heard if report.heard is None else report.heard
+    return msgspec.structs.replace(
+        report, spent=before.spent | report.spent, heard=heard
+    )
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -191,6 +191,7 @@
             silent_s=now - since if since is not None else 0.0,
             failures=primary.failures,
             peer_heard_s=self._peer_heard_s(group.name, primary.id, now),
+            report_s=self._peers.quiet_s,
             has_majority=majority,
         )
 
@@ -198,9 +199,9 @@
         ages = [float("inf")]
         for name in self._peers.heard:
             peer = self._peers.peers.get(name)
-            heard = peer.report.heard.get(group) if peer is not None else None
+            heard = (peer.report.heard or {}).get(group) if peer is not None else None
             if peer is not None and heard is not None and heard[0] == server_id:
-                ages.append(now - peer.heard_at + heard[1] / 1000)
+                ages.append(now - peer.primaries_at + heard[1] / 1000)
         return min(ages)
 
     def _rank(self, group: str) -> int:
--- a/mangoramp/control/settings.py
+++ b/mangoramp/control/settings.py
@@ -42,6 +42,7 @@
         heartbeat_s: Seconds between two reports of a server.
         is_first_start: Whether the whole system starts for the first time.
         bounds: The promises.
+        strength: How much it can carry, to be compared with the others'.
     """
 
     name: str
@@ -55,3 +56,4 @@
     heartbeat_s: float = 1.2
     is_first_start: bool = False
     bounds: Bounds = Bounds()
+    strength: int = 1
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -26,6 +26,7 @@
 from .serving.executor import Executor
 from .serving.gateway import Gateway
 from .serving.homes import Homes
+from .serving.operation import Ticket
 from .serving.reading import Reader
 from .serving.servers import Servers
 from .serving.traffic import Traffic
@@ -54,7 +55,9 @@
         self.registry = CollectorRegistry()
         self.servers = Servers(WireConnector(), boot_time, rng)
         self.beliefs = Beliefs(self.servers)
-        self.peers = Peers(cfg.name, self._report, boot_time, rng)
+        self.peers = Peers(
+            cfg.name, self._report, lambda: self._urgent(), boot_time, rng
+        )
         self.limits = Limits(cfg.name, self.peers, is_first_start=cfg.is_first_start)
         self._client = PlatformClient(cfg.store_url)
         self._orders = PromotionClient(cfg.promotion_url)
@@ -74,11 +77,14 @@
         self.homes = Homes(
             cfg.name,
             self.servers,
-            instances=lambda: self.peers.serving,
+            instances=lambda: self.peers.serving | {cfg.name: cfg.strength},
+            admit=self._take_ticket,
             address_of=self._link_address,
         )
         self.servers.limit = self.homes.limit
-        executor = Executor(self.servers, self._promoter.is_lost, self.homes)
+        executor = Executor(
+            self.servers, self._promoter.is_lost, self.homes, self._take_ticket
+        )
         reader = Reader(executor, cfg.failure_domain)
         self.gateway = Gateway(
             deployment=lambda: self.beliefs.deployment,
@@ -86,7 +92,7 @@
             reader=reader,
             writer=Writer(executor),
             transactions=TransactionRunner(executor, reader),
-            admit=self.limits.admit,
+            admit=self._admit,
             clock=boot_time,
             traffic=Traffic(self.registry),
         )
@@ -197,6 +203,20 @@
     def _spent(self, peer: str, customer: str, count: int) -> None:
         self.limits.spent_by(peer, customer, count, boot_time())
 
+    def _take_ticket(self, customer: str) -> float:
+        return self.limits.admit(customer, boot_time())
+
+    def _admit(self, customer: str, ticket: Ticket) -> float:
+        # Where customers have homes, only these know all that is asked.
+        if ticket.is_taken or not self.homes.is_direct:
+            return 0.0
+        wait_s = self._take_ticket(customer)
+        ticket.is_taken = wait_s == 0
+        return wait_s
+
+    def _urgent(self) -> dict[str, int]:
+        return self.limits.urgent() if self.homes.is_direct else {}
+
     def _report(self, incarnation: int, number: int) -> Report:
         return Report(
             name=self.cfg.name,
@@ -205,8 +225,9 @@
             is_leaving=self._is_stopping and self._listener.is_idle,
             is_draining=self._is_stopping,
             revision=self.beliefs.revision,
-            spent=dict(self.limits.spent),
+            spent=dict(self.limits.spent) if self.homes.is_direct else {},
             heard=self._promoter.heard(),
+            strength=self.cfg.strength,
         )
 
 
--- a/mangoramp/platform/settings.py
+++ b/mangoramp/platform/settings.py
@@ -29,6 +29,12 @@
     quota_window_s: float = 5
 
 
+class _Limits(msgspec.Struct):
+    cpu_share: float = 1.0  # of each core
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class _Server(msgspec.Struct):
     address: str = ""
 
@@ -42,6 +48,7 @@
     platform: _Server
     cloud: _Server = msgspec.field(default_factory=_Server)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: tuple[str, ...] = ()  # control addresses, of which only the hosts serve here
     heartbeat_ms: float = 1200
     bootstrap: bool = False
@@ -83,9 +90,16 @@
         heartbeat_s=raw.heartbeat_ms / 1000,
         is_first_start=raw.bootstrap,
         bounds=_bounds(raw.bounds),
+        strength=_strength(raw.limits),
     )
 
 
+def _strength(raw: _Limits) -> int:
+    # Statements a second: a core runs about 500, a megabit carries about 50.
+    cores = raw.cpu_share * raw.cores
+    return round(min(500 * cores, 50 * raw.link_mbps))
+
+
 def _bounds(raw: _Bounds) -> Bounds:
     return Bounds(
         settled_s=raw.stable_window_ms / 1000,
--- a/mangoramp/policy/isolation.py
+++ b/mangoramp/policy/isolation.py
@@ -11,7 +11,7 @@
 
 LOST_S = 0.5  # several lost packets in a row, and a new connection that failed too
 LEAST_FAILURES = 2
-LATER_S = 0.1  # a report's age is known to within the time between two of them
+LATER_S = 0.3  # a report's age is known to within the time between two of them
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangoramp/policy/succession.py
+++ b/mangoramp/policy/succession.py
@@ -8,7 +8,7 @@
 from .position import Position
 
 SILENT_S = 0.8  # four lost packets in a row, far more than a slow statement's wait
-PEER_HEARD_S = 0.6  # a peer with callers hears a live primary more often than this
+LATER_S = 0.3  # a report's age is known to within the time between two of them
 VACANT_S = 1.0  # a change of primary that is under way shows in the registry sooner
 LEAST_FAILURES = 2
 
@@ -25,6 +25,7 @@
         failures: Failed attempts in a row.
         vacant_s: Seconds for which there has been no primary.
         peer_heard_s: Seconds since a peer heard it, as far as peers in touch say.
+        report_s: Seconds between two reports of a peer.
         has_majority: Whether the instances in touch outnumber the rest.
     """
 
@@ -35,6 +36,7 @@
     failures: int = 0
     vacant_s: float = 0.0
     peer_heard_s: float = float("inf")
+    report_s: float = 0.0
     has_majority: bool = True
 
 
@@ -46,9 +48,11 @@
         return ""
     if not evidence.is_known:
         return "there is none" if evidence.vacant_s >= VACANT_S else ""
-    if evidence.failures < LEAST_FAILURES or evidence.silent_s < SILENT_S:
+    # Long enough for a peer that still hears it to have said so.
+    patience_s = max(SILENT_S, LATER_S + 2 * evidence.report_s)
+    if evidence.failures < LEAST_FAILURES or evidence.silent_s < patience_s:
         return ""
-    if evidence.peer_heard_s < PEER_HEARD_S:
+    if evidence.peer_heard_s < evidence.silent_s - LATER_S:
         return ""
     return "it is silent" if evidence.is_listed else "it is silent and not listed"
 
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -23,6 +23,8 @@
         wait_s: Seconds of these to wait for a connection.
         priority: The request's class, 0 for the most urgent.
         handle: The pinned connection to use, 0 for any.
+        opens: Whether an operation begins that is to be taken from the customer's
+            limits.
     """
 
     server: str
@@ -35,6 +37,7 @@
     wait_s: float
     priority: int = 1
     handle: int = 0
+    opens: bool = False
 
 
 class BatchRun(Envelope, frozen=True):
@@ -73,6 +76,16 @@
     is_reachable: bool = True
 
 
+class BatchOverRate(Envelope, frozen=True):
+    """The operation is beyond the customer's limits; nothing was sent.
+
+    Attributes:
+        wait_s: Seconds until it might not be.
+    """
+
+    wait_s: float
+
+
 class DropPinned(Envelope, frozen=True):
     """Close a pinned connection; its transaction is rolled back."""
 
@@ -84,7 +97,13 @@
 
 
 BatchMessage = (
-    RunBatch | BatchRun | BatchLost | BatchNotSent | DropPinned | PinnedDropped
+    RunBatch
+    | BatchRun
+    | BatchLost
+    | BatchNotSent
+    | BatchOverRate
+    | DropPinned
+    | PinnedDropped
 )
 
 encode = msgspec.msgpack.Encoder().encode
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -24,7 +24,7 @@
     RemoteLease,
     ServerUnreachedError,
 )
-from .operation import BACK_SOON_S, Operation, refused
+from .operation import BACK_SOON_S, Operation, over_rate, refused
 from .pool import NoConnectionError
 from .servers import Servers
 
@@ -40,6 +40,8 @@
         servers: The servers.
         is_lost: Tells whether a group's primary is out of reach here only.
         homes: The homes of connections, None if all are held here.
+        admit: Takes an operation from a customer's limits; tells the seconds to wait
+            if it is beyond them.
     """
 
     def __init__(
@@ -47,8 +49,10 @@
         servers: Servers,
         is_lost: Callable[[str], bool] = lambda group: False,
         homes: Homes | None = None,
+        admit: Callable[[str], float] = lambda customer: 0.0,
     ) -> None:
         self.servers = servers
+        self._take_ticket = admit
         self._homes = homes
         self.clock = servers.clock
         self._is_lost = is_lost
@@ -65,7 +69,7 @@
             NoConnectionError: There is none in time; nothing was sent.
         """
         left = min(most_s, op.deadline - self.clock())
-        home = self._homes.of(op.route.group, op.customer) if self._homes else None
+        home = self._homes.of(op.customer) if self._homes else None
         if home is not None and self._homes is not None:
             return RemoteLease(
                 server,
@@ -74,7 +78,9 @@
                 self._homes,
                 wait_s=left,
                 priority=op.route.priority,
+                ticket=op.ticket,
             )
+        self._admit(op)
         pool = self.servers.pool(server)
         try:
             conn = await pool.acquire(
@@ -86,6 +92,14 @@
             raise
         return LocalLease(server, conn, op.customer, pool)
 
+    def _admit(self, op: Operation) -> None:
+        if op.ticket.is_taken:
+            return
+        wait_s = self._take_ticket(op.customer)
+        if wait_s > 0:
+            raise over_rate(wait_s)
+        op.ticket.is_taken = True
+
     async def run(
         self,
         lease: Lease,
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -27,7 +27,14 @@
     Write,
 )
 from .executor import writes
-from .operation import BACK_SOON_S, FaultError, Operation, refused
+from .operation import (
+    BACK_SOON_S,
+    FaultError,
+    Operation,
+    Ticket,
+    over_rate,
+    refused,
+)
 from .reading import Reader
 from .traffic import Traffic
 from .transactions import Transaction, TransactionRunner, end_quietly
@@ -37,7 +44,7 @@
 NO_CUSTOMER = "-"  # stands for the customer of a caller without a key
 
 
-Admit = Callable[[str, float], float]
+Admit = Callable[[str, Ticket], float]
 
 
 class Gateway:
@@ -49,8 +56,8 @@
         reader: Runs reads.
         writer: Runs writes.
         transactions: Runs transactions.
-        admit: Takes an operation from a customer's limits; tells the seconds to wait
-            if it is beyond them.
+        admit: Takes an operation from a customer's limits if they are kept here; tells
+            the seconds to wait if it is beyond them.
         clock: Tells the time in seconds.
         traffic: Counts what is answered.
     """
@@ -209,17 +216,11 @@
         message = "the transaction has failed; roll it back"
         raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
 
-    def _admitted(self) -> tuple[Route, str]:
-        route, customer = self._checked()
-        wait_s = self._gateway.admit(customer, self._clock())
+    def _admit(self, customer: str, ticket: Ticket) -> None:
+        """Refuse early what this instance itself knows to be over the limits."""
+        wait_s = self._gateway.admit(customer, ticket)
         if wait_s > 0:
-            raise refused(
-                Code.OVER_RATE,
-                "the customer is over its rate",
-                Step.ADMIT,
-                retry_after_s=wait_s,
-            )
-        return route, customer
+            raise over_rate(wait_s)
 
     def _checked(self) -> tuple[Route, str]:
         checked = self._gateway.check(self.session)
@@ -233,9 +234,11 @@
         if session.transaction is not None:
             message = "a transaction is open"
             raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
-        _, customer = self._admitted()
+        _, customer = self._checked()
         now = self._clock()
-        session.transaction = Transaction(customer, read_only, now, now)
+        tx = Transaction(customer, read_only, now, now)
+        self._admit(customer, tx.ticket)
+        session.transaction = tx
         session.state = SessionState.IN_TRANSACTION
         return Reply(session.state)
 
@@ -258,8 +261,9 @@
         if session.transaction is not None:
             return await self._run_in(session.transaction, request_id, statement)
         now = self._clock()
-        route, customer = self._admitted()
-        op = Operation(request_id, customer, route, now, now, session)
+        route, customer = self._checked()
+        op = Operation(request_id, customer, route, now, now, session, Ticket())
+        self._admit(customer, op.ticket)
         if not writes(session, statement):
             assert not isinstance(statement, Write)
             answer = await self._gateway.reader.run(op, statement)
@@ -318,7 +322,9 @@
             raise _aborted("its key is another customer's now")
         now = self._clock()
         tx.used_at = now
-        return Operation(request_id, customer, route, now, tx.begun_at, self.session)
+        return Operation(
+            request_id, customer, route, now, tx.begun_at, self.session, tx.ticket
+        )
 
     def _drop_if_left(self, tx: Transaction) -> None:
         if self.session.is_left:
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -11,7 +11,7 @@
 
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
-from ..policy.homes import home_for, homes_of, part_of
+from ..policy.homes import choose_homes, home_for, is_direct, part_of
 from ..proxies.link import Codec, LinkServer
 from ..proxies.links import Links
 from . import batches
@@ -19,6 +19,7 @@
     BatchLost,
     BatchMessage,
     BatchNotSent,
+    BatchOverRate,
     BatchRun,
     DropPinned,
     PinnedDropped,
@@ -49,7 +50,10 @@
     Args:
         name: This instance.
         servers: The servers.
-        instances: Tells the instances in touch that are not leaving.
+        instances: Tells the instances in touch that are not leaving, and how much
+            each can carry; this one is always among them.
+        admit: Takes an operation from a customer's limits; tells the seconds to wait
+            if it is beyond them.
         address_of: Tells where an instance listens, None if it is not known.
     """
 
@@ -58,13 +62,15 @@
         name: str,
         servers: Servers,
         *,
-        instances: Callable[[], list[str]],
+        instances: Callable[[], dict[str, int]],
+        admit: Callable[[str], float],
         address_of: Callable[[str], str | None],
     ) -> None:
         self._name = name
         self._servers = servers
         self._clock = servers.clock
         self._instances = instances
+        self._admit = admit
         self._links = Links(address_of, CODEC)
         self._suspects: dict[str, float] = {}
         self._silences: dict[str, int] = {}
@@ -84,12 +90,21 @@
         self._server = LinkServer(address, self._answer, CODEC)
         self._task = asyncio.ensure_future(self._server.run())
 
-    def of(self, group: str, customer: str) -> str | None:
+    @property
+    def is_direct(self) -> bool:
+        """Whether every instance holds connections of its own."""
+        servers = self._servers
+        if not servers.instances:
+            return True
+        return is_direct(
+            servers.fewest_connections, servers.instances, servers.customers
+        )
+
+    def of(self, customer: str) -> str | None:
         """The home of a customer's connections; None for this instance itself."""
-        homes = self._homes(group)
-        if self._name in homes and len(homes) == len(self._live()):
+        if self.is_direct:
             return None
-        home = home_for(group, customer, homes)
+        home = home_for(customer, self._homes())
         return None if home == self._name else home
 
     def limit(self, group: str) -> int | None:
@@ -98,14 +113,17 @@
         Returns:
             None while too little is known to tell.
         """
-        most = self._servers.max_connections(group)
-        if not self._servers.instances:
+        servers = self._servers
+        if not servers.instances:
             return None
-        homes = self._homes(group)
+        most = servers.max_connections(group)
+        if self.is_direct:
+            return part_of(most, servers.instances)
+        homes = self._homes()
         if self._name not in homes:
             return FALLBACK
         # Those out of touch may have homes of their own.
-        in_touch = len(self._live()) / self._servers.instances
+        in_touch = len(self._live()) / servers.instances
         return int(part_of(most, len(homes)) * min(1.0, in_touch))
 
     async def call(
@@ -156,13 +174,16 @@
             self._server.close()
         self._links.close()
 
-    def _live(self) -> list[str]:
+    def _live(self) -> dict[str, int]:
         now = self._clock()
-        found = [n for n in self._instances() if self._suspects.get(n, 0.0) <= now]
-        return found if self._name in found else [*found, self._name]
+        return {
+            name: strength
+            for name, strength in self._instances().items()
+            if name == self._name or self._suspects.get(name, 0.0) <= now
+        }
 
-    def _homes(self, group: str) -> list[str]:
-        return homes_of(group, self._live(), self._servers.max_connections(group))
+    def _homes(self) -> list[str]:
+        return choose_homes(self._live(), self._servers.fewest_connections)
 
     async def _answer(self, message: BatchMessage) -> BatchMessage:
         if isinstance(message, DropPinned):
@@ -178,6 +199,10 @@
 
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
+        if message.opens:
+            wait_s = self._admit(message.customer)
+            if wait_s > 0:
+                return BatchOverRate(wait_s=wait_s)
         if message.handle:
             pinned = self._pinned.get(message.handle)
             if pinned is None:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -17,6 +17,7 @@
     BatchLost,
     BatchMessage,
     BatchNotSent,
+    BatchOverRate,
     BatchRun,
     DropPinned,
     RunBatch,
@@ -32,6 +33,7 @@
     RunFor,
     ServerConnection,
 )
+from .operation import Ticket, over_rate
 from .pool import ServerPool
 
 HOP_S = 0.1  # the way to a home and back, beside the time for the answers
@@ -148,6 +150,7 @@
         caller: The way to the home.
         wait_s: Seconds to wait there for a connection.
         priority: The request's class, 0 for the most urgent.
+        ticket: Whether the operation was taken from its customer's limits.
         handle: The pinned connection, 0 if none is.
     """
 
@@ -157,8 +160,11 @@
     caller: HomeCaller
     wait_s: float
     priority: int
+    ticket: Ticket
     handle: int = 0
-    _drops: set[asyncio.Future[object]] = field(default_factory=set, repr=False)
+    _drops: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
+        default_factory=set, repr=False
+    )
 
     async def run(
         self, image: Image | None, commands: tuple[Command, ...], *, timeout_s: float
@@ -176,11 +182,15 @@
             wait_s=self.wait_s,
             priority=self.priority,
             handle=self.handle,
+            opens=not self.ticket.is_taken,
         )
         result = await self.caller.call(self.home, message, timeout_s=timeout_s + HOP_S)
         if not isinstance(result, Success):
             self._raise_unreached(result.failure())
         answer = result.unwrap()
+        if isinstance(answer, BatchOverRate):
+            raise over_rate(answer.wait_s)
+        self.ticket.is_taken = True
         if isinstance(answer, BatchNotSent):
             if not answer.is_reachable:
                 raise ServerUnreachedError(answer.reason)
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -11,6 +11,13 @@
 BACK_SOON_S = 0.1  # a connection or a slot is free again within this time
 
 
+@dataclass(slots=True)
+class Ticket:
+    """Whether an operation was taken from its customer's limits."""
+
+    is_taken: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Operation:
     """A statement that has to be run.
@@ -22,6 +29,7 @@
         received_at: When it was read, in seconds.
         fresh_since: When the read, or its transaction, began, in seconds.
         session: The caller's session.
+        ticket: Whether it was taken from its customer's limits.
     """
 
     request_id: str
@@ -30,6 +38,7 @@
     received_at: float
     fresh_since: float
     session: Session
+    ticket: Ticket
 
     @property
     def deadline(self) -> float:
@@ -54,6 +63,16 @@
     )
 
 
+def over_rate(wait_s: float) -> FaultError:
+    """The refusal of an operation beyond its customer's limits."""
+    return refused(
+        Code.OVER_RATE,
+        "the customer is over its rate",
+        Step.ADMIT,
+        retry_after_s=wait_s,
+    )
+
+
 def unknown(code: Code, message: str, *, peer: str) -> FaultError:
     """An end of which nobody knows whether the statement has run."""
     return FaultError(
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -100,6 +100,18 @@
         for entry in self._pools.values():
             entry.pool.close()
 
+    @property
+    def customers(self) -> int:
+        """How many customers the configuration has."""
+        return len(self._deployment.customers) if self._deployment else 0
+
+    @property
+    def fewest_connections(self) -> int:
+        """The connections that each server of the scarcest group takes."""
+        groups = self._deployment.groups.values() if self._deployment else ()
+        most = (group.max_connections for group in groups)
+        return min(most, default=DEFAULT_CONNECTIONS)
+
     def max_connections(self, group: str) -> int:
         """The connections that each server of a group takes, from all instances."""
         known = self._deployment.groups.get(group) if self._deployment else None
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -29,7 +29,14 @@
 )
 from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, writes
 from .lease import Lease
-from .operation import BACK_SOON_S, FaultError, Operation, refused, unknown
+from .operation import (
+    BACK_SOON_S,
+    FaultError,
+    Operation,
+    Ticket,
+    refused,
+    unknown,
+)
 from .pool import NoConnectionError
 from .reading import CONNECTION_WAIT_S, Reader
 
@@ -49,6 +56,7 @@
         statements: Statements that were acknowledged.
         has_written: Whether a write of it was sent.
         is_busy: Whether a statement of it runs.
+        ticket: Whether it was taken from its customer's limits.
     """
 
     customer: str
@@ -59,6 +67,7 @@
     statements: int = 0
     has_written: bool = False
     is_busy: bool = False
+    ticket: Ticket = field(default_factory=Ticket)
 
 
 class TransactionRunner:
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,188 @@
+import pytest
+
+from mangoramp.policy.homes import (
+    choose_homes,
+    home_for,
+    is_direct,
+    part_of,
+)
+from mangoramp.policy.placement import Replica, choose_replica
+from mangoramp.policy.position import Position
+from mangoramp.policy.quota import SharedBucket
+from mangoramp.policy.samples import PrimarySamples, Sample
+from mangoramp.policy.succession import (
+    Evidence,
+    Successor,
+    choose_successor,
+    reason_to_promote,
+)
+
+
+def replica(name, **changes):
+    fields = {
+        "shows": None,
+        "lag_s": 0.05,
+        "latency_s": 0.01,
+        "busy": 0,
+        "slots": 2,
+        "is_near": True,
+        "has_connection": True,
+        "is_suspect": False,
+    }
+    return Replica(name, **(fields | changes))
+
+
+class TestSamples:
+    def test_the_earliest_late_enough_asks_least_of_replicas(self):
+        samples = PrimarySamples()
+        for number in range(1, 6):
+            samples.add(Sample(float(number), Position(1, number)))
+        assert samples.earliest_since(2.5) == Sample(3.0, Position(1, 3))
+        assert samples.earliest_since(5.1) is None
+
+    def test_takes_no_answer_of_a_former_primary(self):
+        samples = PrimarySamples()
+        samples.add(Sample(1.0, Position(2, 5)))
+        samples.add(Sample(2.0, Position(1, 9)))
+        assert samples.earliest_since(1.5) is None
+
+    def test_idle_primaries_keep_a_fresh_sample(self):
+        samples = PrimarySamples()
+        for number in range(2000):
+            samples.add(Sample(number / 100, Position(1, 1)))
+        assert samples.earliest_since(19.9) is not None
+        assert samples.earliest_since(15.0).asked_at < 15.1
+
+
+class TestPlacement:
+    def test_passes_over_replicas_that_cannot_show_it_yet(self):
+        chosen = choose_replica([replica("a")], Position(1, 5), need_age_s=0.01)
+        assert chosen is None
+
+    def test_takes_one_that_is_known_to_show_it(self):
+        ahead = replica("a", shows=Position(1, 5))
+        assert choose_replica([ahead], Position(1, 5), need_age_s=0.0) is ahead
+
+    @pytest.mark.parametrize(
+        "worse",
+        [
+            {"busy": 4},
+            {"latency_s": 0.05},
+            {"has_connection": False},
+            {"is_near": False},
+            {"is_suspect": True},
+        ],
+    )
+    def test_the_one_that_answers_soonest(self, worse):
+        found = choose_replica(
+            [replica("a", **worse), replica("b")], Position(1, 1), need_age_s=1.0
+        )
+        assert found.id == "b"
+
+
+class TestSuccession:
+    SILENT = Evidence(is_known=True, silent_s=2.0, failures=3)
+
+    def test_replaces_a_silent_primary(self):
+        assert reason_to_promote(self.SILENT)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"silent_s": 0.5},
+            {"failures": 1},
+            {"peer_heard_s": 0.4},
+            {"has_majority": False},
+            {"report_s": 1.4},
+        ],
+    )
+    def test_does_not_on_weak_evidence(self, changes):
+        fields = {"is_known": True, "silent_s": 2.0, "failures": 3}
+        assert not reason_to_promote(Evidence(**(fields | changes)))
+
+    def test_replaces_one_that_leaves_at_once(self):
+        assert reason_to_promote(Evidence(is_known=True, is_draining=True))
+
+    def test_chooses_the_log_that_holds_most(self):
+        found = choose_successor(
+            [
+                Successor("a", Position(2, 5)),
+                Successor("b", Position(2, 7)),
+                Successor("c", Position(1, 9)),
+            ]
+        )
+        assert found.id == "b"
+
+
+class TestSharedBucket:
+    def test_instances_that_report_admit_no_more_than_one_would(self):
+        buckets = [SharedBucket(10, 10, now=0.0, fill=1.0) for _ in range(3)]
+        admitted = 0
+        for tick in range(1000):
+            now = tick / 100
+            for number, bucket in enumerate(buckets):
+                if bucket.take(str(number), now, 1.0) == 0:
+                    admitted += 1
+                    for other in buckets:
+                        if other is not bucket:
+                            other.spent(str(number), 1.0, now, 1.0)
+        assert admitted <= 10 + 10 * 10 + 1
+        assert admitted >= 10 * 10
+
+    def test_parts_of_a_partition_together_keep_the_rate(self):
+        everyone = [str(n) for n in range(6)]
+        sides = (everyone[:2], everyone[2:])
+        buckets = {name: SharedBucket(60, 60, now=0.0, fill=1.0) for name in everyone}
+        for tick in range(200):
+            for name in everyone:
+                weight = 3 if name == "0" else 1
+                for bucket in buckets.values():
+                    bucket.spent(name, weight * 0.01, tick / 100, 1.0)
+        parts = [buckets[side[0]].part_of(side, everyone) for side in sides]
+        assert sum(parts) == pytest.approx(1.0, abs=0.01)
+        # The side whose instance is used most keeps most of what it used.
+        assert parts[0] > 0.4
+
+    def test_overspending_is_paid_back(self):
+        bucket = SharedBucket(10, 10, now=0.0, fill=1.0)
+        bucket.spent("b", 30, 0.0, 1.0)
+        assert bucket.take("a", 1.0, 1.0) > 0
+        assert bucket.take("a", 2.2, 1.0) == 0
+
+    def test_a_lower_limit_binds_at_once(self):
+        bucket = SharedBucket(100, 100, now=0.0, fill=1.0)
+        bucket.limit(1, 1, 0.0, 1.0)
+        assert bucket.take("a", 0.0, 1.0) == 0
+        assert bucket.take("a", 0.1, 1.0) > 0
+
+
+class TestHomes:
+    NAMES = tuple(f"i{n}" for n in range(69))
+
+    @pytest.mark.parametrize(
+        ("connections", "instances", "customers", "expected"),
+        [(16, 6, 8, True), (34, 6, 8, True), (35, 69, 77, False), (250, 64, 74, False)],
+    )
+    def test_direct_where_the_part_sustains_the_customers(
+        self, connections, instances, customers, expected
+    ):
+        assert is_direct(connections, instances, customers) is expected
+
+    def test_the_parts_of_all_homes_fit_a_server(self):
+        for connections in (5, 16, 35, 250):
+            homes = choose_homes(dict.fromkeys(self.NAMES, 1), connections)
+            assert len(homes) * part_of(connections, len(homes)) <= connections
+
+    def test_prefers_the_stronger_half(self):
+        strengths = {n: 100 if i % 2 else 1000 for i, n in enumerate(self.NAMES)}
+        homes = choose_homes(strengths, 35)
+        assert {strengths[name] for name in homes} == {1000}
+
+    def test_few_customers_move_when_a_home_leaves(self):
+        strengths = dict.fromkeys(self.NAMES, 1)
+        before = choose_homes(strengths, 35)
+        del strengths[before[0]]
+        after = choose_homes(strengths, 35)
+        customers = [f"c{n}" for n in range(100)]
+        moved = sum(home_for(c, before) != home_for(c, after) for c in customers)
+        assert moved <= 100 * 2 // len(before) + 15
