Know who is in touch without counting anew; ask the store when a peer knows more

Change: who is in touch is worked out once in 50 ms, the homes once in 100 ms, a primary that answers is not examined; a watch waits longer the more instances there are, since one that knows less than a peer asks anew; a report names primaries by checksum.

--- a/mangoramp/control/beliefs.py
+++ b/mangoramp/control/beliefs.py
@@ -20,6 +20,7 @@
     Attributes:
         deployment: The configuration in force, None before the first.
         revision: The store's revision of it.
+        registry_revision: The store's latest revision of a server's entry.
         deployed: Set once there is a configuration.
         registered: Set once the servers were listed.
         on_deployment: Called when the configuration has changed.
@@ -28,6 +29,7 @@
     def __init__(self, servers: Servers) -> None:
         self.deployment: Deployment | None = None
         self.revision = 0
+        self.registry_revision = 0
         self.deployed = asyncio.Event()
         self.registered = asyncio.Event()
         self.on_deployment: Callable[[], None] = lambda: None
@@ -57,6 +59,7 @@
         if former is not None and former != endpoint.group:
             self._servers.group(former).unlist(endpoint.id, self._servers.clock())
         self._groups[endpoint.id] = endpoint.group
+        self.registry_revision = max(self.registry_revision, revision)
         self._servers.group(endpoint.group).list_endpoint(endpoint, revision)
         emit(
             ENDPOINT_CHANGED,
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -21,6 +21,7 @@
 QUIET_S = 0.25  # between other reports, at the least
 QUIET_S_A_PEER = 0.02  # so that all peers together cost the same at any size
 HEARD_REPORTS = 3.2  # two reports may be lost
+STANDING_S = 0.05  # half of the time between two urgent reports
 MAX_REPORT_BYTES = 60_000  # a datagram's
 
 
@@ -34,10 +35,11 @@
         is_leaving: Whether the process is about to end.
         is_draining: Whether it takes no new work.
         revision: The revision of the configuration that it has in force.
+        registry_revision: The latest revision of a server's entry that it knows.
         spent: Operations admitted since its start, by customer; those that are
             missing are as they were.
-        heard: By group, the primary it hears and the milliseconds since it did; None
-            if the report says nothing of it.
+        heard: By the checksum of a group and its primary, the milliseconds since it
+            heard that primary; None if the report says nothing of it.
         strength: How much it can carry.
     """
 
@@ -47,8 +49,9 @@
     is_leaving: bool = False
     is_draining: bool = False
     revision: int = 0
+    registry_revision: int = 0
     spent: dict[str, int] = {}
-    heard: dict[str, tuple[str, int]] | None = None
+    heard: dict[int, int] | None = None
     strength: int = 1
 
 
@@ -71,6 +74,17 @@
     is_silent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Standing:
+    """Who is in touch, at a moment."""
+
+    at: float
+    heard: list[str]
+    everyone: list[str]
+    serving: dict[str, int]
+    has_majority: bool
+
+
 class Peers(asyncio.DatagramProtocol):
     """Sends this instance's reports and takes over the others'.
 
@@ -108,6 +122,7 @@
         self._urgent_said: dict[str, int] = {}
         self._said_at = float("-inf")
         self._gone: set[tuple[str, int]] = set()
+        self._standing = _Standing(float("-inf"), [], [], {}, True)
 
     async def listen(self, address: Address, seeds: Iterable[Address]) -> None:
         """Begin to send and to receive."""
@@ -125,19 +140,17 @@
     @property
     def heard(self) -> list[str]:
         """The instances in touch with this one, itself included."""
-        now = self._clock()
-        found = [n for n, p in self.peers.items() if now - p.heard_at < self.silence_s]
-        return [self._name, *found]
+        return self._current.heard
 
     @property
     def everyone(self) -> list[str]:
         """All instances that are known, in touch or not."""
-        return [self._name, *({*self._addresses, *self.peers} - {self._name})]
+        return self._current.everyone
 
     @property
     def quiet_s(self) -> float:
         """Seconds between two reports that nobody waits for."""
-        return max(QUIET_S, QUIET_S_A_PEER * len(self.everyone))
+        return max(QUIET_S, QUIET_S_A_PEER * (1 + len(self.peers)))
 
     @property
     def silence_s(self) -> float:
@@ -146,12 +159,17 @@
 
     @property
     def serving(self) -> dict[str, int]:
-        """The peers in touch that take new work, and how much each can carry."""
-        return {
-            name: self.peers[name].report.strength
-            for name in self.heard
-            if name != self._name and not self.peers[name].report.is_draining
-        }
+        """The instances in touch that take new work, and how much each can carry."""
+        return self._current.serving
+
+    @property
+    def newest(self) -> tuple[int, int]:
+        """The latest revisions of configuration and registry that a peer knows."""
+        reports = [peer.report for peer in self.peers.values()]
+        return (
+            max((report.revision for report in reports), default=0),
+            max((report.registry_revision for report in reports), default=0),
+        )
 
     def address_of(self, name: str) -> Address | None:
         """Where an instance is reached, None if it is not known."""
@@ -161,11 +179,35 @@
     @property
     def has_majority(self) -> bool:
         """Whether the instances in touch outnumber the rest."""
-        return has_majority(self.heard, self.everyone)
+        return self._current.has_majority
+
+    @property
+    def _current(self) -> _Standing:
+        now = self._clock()
+        if now - self._standing.at >= STANDING_S:
+            self._standing = self._look(now)
+        return self._standing
+
+    def _look(self, now: float) -> _Standing:
+        silence_s = self.silence_s
+        peers = {
+            name: peer
+            for name, peer in self.peers.items()
+            if now - peer.heard_at < silence_s
+        }
+        heard = [self._name, *peers]
+        everyone = [self._name, *({*self._addresses, *self.peers} - {self._name})]
+        serving = {
+            name: peer.report.strength
+            for name, peer in peers.items()
+            if not peer.report.is_draining
+        }
+        return _Standing(now, heard, everyone, serving, has_majority(heard, everyone))
 
     def know(self, addresses: dict[str, Address]) -> None:
         """Take over where the instances are that the store lists."""
         self._addresses = {n: a for n, a in addresses.items() if n != self._name}
+        self._standing = self._look(self._clock())
         now = self._clock()
         for name, peer in list(self.peers.items()):
             if name not in addresses and now - peer.heard_at > self.silence_s:
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -33,6 +34,7 @@
 CLAIM_S = 3.0  # an order, its repetitions and the server's change of role
 ORDERS = 3  # an order whose answer was lost is repeated, it changes nothing twice
 SETTLE_S = 1.0  # after an order, until the server shows its new role
+HEARD_KEEP_S = 30.0  # an older answer proves nothing to a peer
 PROBE_S = 0.4  # between two attempts at a silent primary without callers
 
 
@@ -109,15 +111,16 @@
             for task in self._tasks:
                 task.cancel()
 
-    def heard(self) -> dict[str, tuple[str, int]]:
-        """By group, the primary that is heard here and the milliseconds since."""
+    def heard(self) -> dict[int, int]:
+        """By the checksum of group and primary, the milliseconds since it was heard."""
         now = self._servers.clock()
         found = {}
         for group in self._servers.groups.values():
             primary = group.primary(now)
-            if primary is None or now - primary.heard_at > 60.0:
+            if primary is None or now - primary.heard_at > HEARD_KEEP_S:
                 continue
-            found[group.name] = (primary.id, round((now - primary.heard_at) * 1000))
+            age_ms = round((now - primary.heard_at) * 1000)
+            found[_checksum(group.name, primary.id)] = age_ms
         return found
 
     @property
@@ -152,9 +155,12 @@
 
     def _look(self, group: GroupState, watched: _Watchfulness) -> None:
         now = self._servers.clock()
+        primary = group.primary(now)
+        if primary is not None and _is_well(primary):
+            watched.vacant_since = watched.reason_since = None
+            return
         evidence = self.evidence(group, watched, now)
         reason = reason_to_promote(evidence)
-        primary = group.primary(now)
         if primary is not None and evidence.failures and not reason:
             self._probe(primary, watched, now)
         if not reason:
@@ -199,9 +205,11 @@
         ages = [float("inf")]
         for name in self._peers.heard:
             peer = self._peers.peers.get(name)
-            heard = (peer.report.heard or {}).get(group) if peer is not None else None
-            if peer is not None and heard is not None and heard[0] == server_id:
-                ages.append(now - peer.primaries_at + heard[1] / 1000)
+            if peer is None or peer.report.heard is None:
+                continue
+            age_ms = peer.report.heard.get(_checksum(group, server_id))
+            if age_ms is not None:
+                ages.append(now - peer.primaries_at + age_ms / 1000)
         return min(ages)
 
     def _rank(self, group: str) -> int:
@@ -358,3 +366,11 @@
                 watched.working = False
 
         task.add_done_callback(done)
+
+
+def _checksum(group: str, server_id: str) -> int:
+    return zlib.crc32(f"{group}\0{server_id}".encode())
+
+
+def _is_well(primary: Server) -> bool:
+    return primary.failing_since is None and not primary.endpoint.is_draining
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -63,7 +63,12 @@
         self._orders = PromotionClient(cfg.promotion_url)
         self._members = Members(cfg, self._client, self.peers, rng)
         self._feed = Feed(
-            self._client, self.beliefs, cfg.bounds, rng=rng, clock=boot_time
+            self._client,
+            self.beliefs,
+            cfg.bounds,
+            instances=lambda: len(self.peers.heard),
+            rng=rng,
+            clock=boot_time,
         )
         self._promoter = Promoter(
             cfg.name,
@@ -103,6 +108,8 @@
         self.beliefs.on_deployment = self._resize
         self.peers.on_spent = self._spent
         self._knows_instances = False
+        self._was_behind = False
+        self._asked_for = (0, 0)
         self._members.on_listed = self._listed
 
     @property
@@ -177,10 +184,25 @@
             self.servers.tidy()
             self.homes.tidy()
             self._share()
+            self._catch_up()
             if self._promoter.is_cut_off:
                 # Their callers connect again, to an instance that can serve them.
                 self._listener.close_idle()
 
+    def _catch_up(self) -> None:
+        known = (self.beliefs.revision, self.beliefs.registry_revision)
+        newest = self.peers.newest
+        behind = any(
+            theirs > max(mine, asked)
+            for theirs, mine, asked in zip(newest, known, self._asked_for, strict=True)
+        )
+        # A watch tells a change within milliseconds of the peers' own.
+        if behind and self._was_behind:
+            self._feed.nudge()
+            # An entry that has vanished since is never known here.
+            self._asked_for = newest
+        self._was_behind = behind
+
     def _listed(self) -> None:
         self._knows_instances = True
         self._share()
@@ -225,6 +247,7 @@
             is_leaving=self._is_stopping and self._listener.is_idle,
             is_draining=self._is_stopping,
             revision=self.beliefs.revision,
+            registry_revision=self.beliefs.registry_revision,
             spent=dict(self.limits.spent) if self.homes.is_direct else {},
             heard=self._promoter.heard(),
             strength=self.cfg.strength,
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -21,6 +21,7 @@
 RETRY_MAX_S = 0.5  # entries have to be known again two seconds after an outage
 LEAST_WAIT_S = 1.0
 MOST_WAIT_S = 20.0
+WATCHING_INSTANCES = 12  # of more, some have their watch answered often enough to tell
 
 
 class FeedReceiver(Protocol):
@@ -46,6 +47,7 @@
         client: The store.
         receiver: What is told of changes.
         bounds: The promises; a watch that went silent is noticed in time for them.
+        instances: Tells how many instances watch, and tell one another.
         rng: Source of the jitter.
         clock: Tells the time in seconds.
     """
@@ -56,6 +58,7 @@
         receiver: FeedReceiver,
         bounds: Bounds,
         *,
+        instances: Callable[[], int],
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
@@ -63,7 +66,13 @@
         self._known = {CONFIGURATION_KIND: -1, REGISTRY_KIND: -1}
         # Half of the time in which a change must be in force after a disturbance: the
         # other half is left for the next call.
-        wait_s = (bounds.settled_s + bounds.configuration_s) / 2
+        alone_s = max(LEAST_WAIT_S, (bounds.settled_s + bounds.configuration_s) / 2)
+
+        def wait_s() -> float:
+            return min(
+                MOST_WAIT_S, alone_s * max(1.0, instances() / WATCHING_INSTANCES)
+            )
+
         takers = {
             CONFIGURATION_KIND: self._take_configuration,
             REGISTRY_KIND: self._take_registry,
@@ -77,12 +86,17 @@
                 on_changes=taker,
                 rng=rng,
                 clock=clock,
-                wait_s=min(MOST_WAIT_S, max(LEAST_WAIT_S, wait_s)),
+                wait_s=wait_s,
                 retry_max_s=RETRY_MAX_S,
             )
             for kind, taker in takers.items()
         ]
 
+    def nudge(self) -> None:
+        """Ask anew, since others know more."""
+        for watch in self._watches:
+            watch.nudge()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         await asyncio.gather(*(watch.run() for watch in self._watches))
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-from returns.result import Success
+from returns.result import Result, Success
 
+from ..errors import Fault
 from ..events import PLATFORM_BACK, PLATFORM_LOST, emit
 from .client import Changes, PlatformClient
 
@@ -31,7 +32,7 @@
             a listing), and when it was asked, in seconds.
         rng: Source of the jitter after failures.
         clock: Tells the time in seconds.
-        wait_s: The longest that a poll waits, in seconds.
+        wait_s: Tells the longest that a poll waits, in seconds.
         retry_max_s: The longest pause after a failure, in seconds.
     """
 
@@ -45,7 +46,7 @@
         on_changes: Callable[[Changes[T], int, float], None],
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
-        wait_s: float = WAIT_S,
+        wait_s: Callable[[], float] = lambda: WAIT_S,
         retry_max_s: float = RETRY_MAX_S,
     ) -> None:
         self._client = client
@@ -56,6 +57,7 @@
         self._rng = rng or random.Random()
         self._clock = clock
         self._wait_s = wait_s
+        self._nudged = asyncio.Event()
         self._retry_max_s = retry_max_s
 
     async def run(self) -> None:
@@ -64,12 +66,9 @@
         while True:
             known = self._since()
             asked_at = self._clock()
-            answer = await self._client.changes(
-                self._kind,
-                self._type,
-                since=max(0, known),
-                wait_s=self._wait_s if known > 0 and not failures else 0.0,
-            )
+            answer = await self._poll(known, is_patient=known > 0 and not failures)
+            if answer is None:
+                continue
             if not isinstance(answer, Success):
                 failures += 1
                 reason = answer.failure().message
@@ -86,6 +85,30 @@
             if known == 0 == changes.version:
                 await asyncio.sleep(self._backoff(1))
 
+    def nudge(self) -> None:
+        """Ask anew: the present poll does not tell what others know already."""
+        self._nudged.set()
+
+    async def _poll(
+        self, known: int, *, is_patient: bool
+    ) -> Result[Changes[T], Fault] | None:
+        self._nudged.clear()
+        polling = asyncio.ensure_future(
+            self._client.changes(
+                self._kind,
+                self._type,
+                since=max(0, known),
+                wait_s=self._wait_s() if is_patient else 0.0,
+            )
+        )
+        nudged = asyncio.ensure_future(self._nudged.wait())
+        try:
+            await asyncio.wait((polling, nudged), return_when=asyncio.FIRST_COMPLETED)
+            return polling.result() if polling.done() else None
+        finally:
+            polling.cancel()
+            nudged.cancel()
+
     def _backoff(self, failures: int) -> float:
         longest = min(self._retry_max_s, RETRY_BASE_S * 2 ** min(failures, 10))
         return self._rng.uniform(RETRY_BASE_S, longest)
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -78,10 +78,11 @@
         if len(heard) >= len(everyone):
             return 1.0
         even = len(heard) / len(everyone)
-        total = sum(self._usage.get(name, 0.0) for name in everyone)
+        in_touch = set(heard)
+        total = sum(self._usage.values())
         if total <= 0:
             return even
-        used = sum(self._usage.get(name, 0.0) for name in heard) / total
+        used = sum(u for name, u in self._usage.items() if name in in_touch) / total
         return EVEN_PART * even + (1 - EVEN_PART) * used
 
     def _spend(self, instance: str, count: float, now: float) -> None:
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -33,6 +33,7 @@
 CODEC = Codec(batches.encode, batches.decode)
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
 SILENCES = 2  # calls in a row without an answer show that the link is dead
+CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
 PINNED_S = 10.0  # longer than a transaction may idle and a statement may take
 FALLBACK = 1  # connections to a server of an instance that is no home of its group
 
@@ -74,6 +75,8 @@
         self._links = Links(address_of, CODEC)
         self._suspects: dict[str, float] = {}
         self._silences: dict[str, int] = {}
+        self._chosen: list[str] = []
+        self._chosen_at = float("-inf")
         self._pinned: dict[int, _Pinned] = {}
         self._handles = itertools.count(1)
         self._server: LinkServer | None = None
@@ -123,7 +126,7 @@
         if self._name not in homes:
             return FALLBACK
         # Those out of touch may have homes of their own.
-        in_touch = len(self._live()) / servers.instances
+        in_touch = len(self._instances()) / servers.instances
         return int(part_of(most, len(homes)) * min(1.0, in_touch))
 
     async def call(
@@ -150,6 +153,7 @@
     def suspect(self, home: str) -> None:
         """Pass a home over for a while."""
         self._suspects[home] = self._clock() + SUSPECT_S
+        self._chosen_at = float("-inf")
         emit(HOME_SUSPECTED, home=home)
 
     def tidy(self) -> None:
@@ -183,7 +187,11 @@
         }
 
     def _homes(self) -> list[str]:
-        return choose_homes(self._live(), self._servers.fewest_connections)
+        now = self._clock()
+        if now - self._chosen_at >= CHOICE_S:
+            self._chosen_at = now
+            self._chosen = choose_homes(self._live(), self._servers.fewest_connections)
+        return self._chosen
 
     async def _answer(self, message: BatchMessage) -> BatchMessage:
         if isinstance(message, DropPinned):
