Structured log on standard output, bounded and never waiting; explain a request

Change: a writer that leaves lines out and counts them where the reader has stopped or an event comes too fast; lines carry instance, request, inputs and their age; mangoramp explain ID FILE... prints a request's way and what its instance believed.

--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -11,6 +11,7 @@
 
 from . import events
 from .load import add_load_command
+from .operators.explain import add_explain_command
 from .operators.key_commands import add_key_commands
 from .operators.output import Exit
 from .operators.status_command import add_status_command
@@ -56,6 +57,7 @@
     add_table_commands(commands.add_parser("table", help="the operators' table"))
     add_key_commands(commands.add_parser("keys", help="customers' keys"))
     add_status_command(commands.add_parser("status", help="the state of the fleet"))
+    add_explain_command(commands.add_parser("explain", help="a request's way by logs"))
     add_load_command(commands.add_parser("load", help="send requests at a rate"))
     show = commands.add_parser("demo", help="run a small fleet in this process")
     show.set_defaults(run=_demo)
--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -49,12 +49,13 @@
             part = self._part(bucket)
             bucket.limit(customer.rate, customer.burst, now, part)
 
-    def admit(self, customer: str, now: float) -> float:
+    def admit(self, customer: str, now: float, request_id: str) -> float:
         """Take one operation from a customer's limits.
 
         Args:
             customer: The customer.
             now: The time, in seconds.
+            request_id: The id of the operation's first statement.
 
         Returns:
             0 if it was taken, else the seconds until it might be.
@@ -67,6 +68,7 @@
                 limits = self._limits[customer]
                 emit(
                     RATE_REFUSED,
+                    id=request_id,
                     customer=customer,
                     rate=limits.rate,
                     burst=limits.burst,
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -5,18 +5,18 @@
 import logging
 import re
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from loguru import logger
 
+from .logs import LEFT_OUT, LineWriter
+
 KEY_LIKE = re.compile(r"mr_[0-9A-Za-z_]*")
 MAX_SAID_CHARS = 500
 TEXT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
-_encode = msgspec.json.Encoder(enc_hook=str).encode
-
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -41,6 +41,7 @@
 INSTANCE_STARTED = Event(105, "INFO", "instance started")
 INSTANCE_STOPPING = Event(106, "INFO", "instance stopping")
 INSTANCE_STOPPED = Event(107, "INFO", "instance stopped")
+LINES_LEFT_OUT = Event(LEFT_OUT, "WARNING", "lines left out")
 REQUEST_ROUTED = Event(200, "INFO", "request routed to a server")
 REQUEST_FORWARDED = Event(201, "INFO", "request forwarded to the home of its group")
 REQUEST_REFUSED = Event(202, "INFO", "request refused")
@@ -118,33 +119,38 @@
     logger.bind(event=event.number, **fields).log(event.level, event.text)
 
 
-def configure(*, level: str = "INFO", json: bool = True) -> None:
+def configure(*, level: str = "INFO", json: bool = True, instance: str = "") -> None:
     """Set up the process's log.
 
     Args:
         level: The lowest level that is written.
-        json: One JSON object a line if true, else text for people.
+        json: One JSON object a line on standard output if true, else text for people.
+        instance: The instance's name, which then stands in each line.
     """
     logger.remove()
+    logger.configure(extra={"instance": instance} if instance else {})
     # With diagnose, tracebacks would show the values of variables, keys among them.
     if json:
-        logger.add(_write_json, level=level, format="", diagnose=False)
+        logger.add(_json_sink(LineWriter()), level=level, format="", diagnose=False)
     else:
         logger.add(sys.stderr, level=level, format=TEXT, diagnose=False)
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
 
 
-def _write_json(message: Any) -> None:
-    record = message.record
-    line = {
-        "time": record["time"].timestamp(),
-        "level": record["level"].name,
-        "message": record["message"],
-        **record["extra"],
-    }
-    if record["exception"] is not None:
-        line["exception"] = _without_key(repr(record["exception"].value))
-    sys.stderr.write(_encode(line).decode() + "\n")
+def _json_sink(writer: LineWriter) -> Callable[[Any], None]:
+    def write(message: Any) -> None:
+        record = message.record
+        line = {
+            "time": record["time"].timestamp(),
+            "level": record["level"].name,
+            "message": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = _without_key(repr(record["exception"].value))
+        writer.write(line)
+
+    return write
 
 
 def _without_key(text: str) -> str:
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -225,14 +225,14 @@
     def _spent(self, peer: str, customer: str, count: int) -> None:
         self.limits.spent_by(peer, customer, count, boot_time())
 
-    def _take_ticket(self, customer: str) -> float:
-        return self.limits.admit(customer, boot_time())
+    def _take_ticket(self, customer: str, request_id: str) -> float:
+        return self.limits.admit(customer, boot_time(), request_id)
 
     def _admit(self, customer: str, ticket: Ticket) -> float:
         # Where customers have homes, only these know all that is asked.
         if ticket.is_taken or not self.homes.is_direct:
             return 0.0
-        wait_s = self._take_ticket(customer)
+        wait_s = self._take_ticket(customer, ticket.request_id)
         ticket.is_taken = wait_s == 0
         return wait_s
 
--- a/mangoramp/policy/position.py
+++ b/mangoramp/policy/position.py
@@ -18,6 +18,9 @@
     term: int
     offset: int
 
+    def __str__(self) -> str:
+        return f"{self.term}.{self.offset}"
+
 
 START = Position(0, 0)
 
--- a/mangoramp/serve.py
+++ b/mangoramp/serve.py
@@ -30,8 +30,9 @@
     if not isinstance(loaded, Success):
         print(loaded.failure(), file=sys.stderr)
         return WRONG_SETTINGS
-    events.configure()
-    asyncio.run(_run(loaded.unwrap()))
+    cfg = loaded.unwrap()
+    events.configure(instance=cfg.name)
+    asyncio.run(_run(cfg))
     return DONE
 
 
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -23,8 +23,8 @@
         wait_s: Seconds of these to wait for a connection.
         priority: The request's class, 0 for the most urgent.
         handle: The pinned connection to use, 0 for any.
-        opens: Whether an operation begins that is to be taken from the customer's
-            limits.
+        ticket: The id of the first statement of an operation that is still to be taken
+            from the customer's limits; empty if none is.
     """
 
     server: str
@@ -37,7 +37,7 @@
     wait_s: float
     priority: int = 1
     handle: int = 0
-    opens: bool = False
+    ticket: str = ""
 
 
 class BatchRun(Envelope, frozen=True):
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -40,8 +40,8 @@
         servers: The servers.
         is_lost: Tells whether a group's primary is out of reach here only.
         homes: The homes of connections, None if all are held here.
-        admit: Takes an operation from a customer's limits; tells the seconds to wait
-            if it is beyond them.
+        admit: Takes an operation, by its customer and its first statement's id, from
+            the customer's limits; tells the seconds to wait if it is beyond them.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         servers: Servers,
         is_lost: Callable[[str], bool] = lambda group: False,
         homes: Homes | None = None,
-        admit: Callable[[str], float] = lambda customer: 0.0,
+        admit: Callable[[str, str], float] = lambda customer, request_id: 0.0,
     ) -> None:
         self.servers = servers
         self._take_ticket = admit
@@ -95,7 +95,7 @@
     def _admit(self, op: Operation) -> None:
         if op.ticket.is_taken:
             return
-        wait_s = self._take_ticket(op.customer)
+        wait_s = self._take_ticket(op.customer, op.ticket.request_id)
         if wait_s > 0:
             raise over_rate(wait_s)
         op.ticket.is_taken = True
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from ..control.deployment import Customer, Deployment, Route
+from ..control.deployment import Deployment, Route
 from ..errors import Code, Fault, Step
 from ..events import SESSION_REFUSED, STATEMENT_DONE, STATEMENT_REFUSED, emit
 from ..sessions.reply import Reply, SessionState
@@ -122,10 +122,11 @@
             return Failure(Fault(Code.KEY_UNKNOWN, message, Step.KEY))
         return Success((route, customer or NO_CUSTOMER))
 
-    def customer(self, name: str) -> Customer | None:
-        """A customer's limits."""
+    @property
+    def version(self) -> int:
+        """The configuration in force, 0 before the first."""
         known = self._deployment()
-        return known.customers.get(name) if known is not None else None
+        return known.version if known is not None else 0
 
     def end_idle(self) -> None:
         """End the transactions that idle for too long or whose key is withdrawn."""
@@ -203,7 +204,7 @@
             case _ if failed:
                 return self._after_failure()
             case Begin(read_only):
-                return self._begin(read_only)
+                return self._begin(req.id, read_only)
             case Read() | Write() | Execute():
                 return await self._run(req.id, statement)
         _change_session(statement, session)
@@ -229,14 +230,14 @@
         found: tuple[Route, str] = checked.unwrap()
         return found
 
-    def _begin(self, read_only: bool) -> Reply:
+    def _begin(self, request_id: str, read_only: bool) -> Reply:
         session = self.session
         if session.transaction is not None:
             message = "a transaction is open"
             raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
         _, customer = self._checked()
         now = self._clock()
-        tx = Transaction(customer, read_only, now, now)
+        tx = Transaction(customer, read_only, now, now, Ticket(request_id))
         self._admit(customer, tx.ticket)
         session.transaction = tx
         session.state = SessionState.IN_TRANSACTION
@@ -262,7 +263,8 @@
             return await self._run_in(session.transaction, request_id, statement)
         now = self._clock()
         route, customer = self._checked()
-        op = Operation(request_id, customer, route, now, now, session, Ticket())
+        ticket = Ticket(request_id)
+        op = Operation(request_id, customer, route, now, now, session, ticket)
         self._admit(customer, op.ticket)
         if not writes(session, statement):
             assert not isinstance(statement, Write)
@@ -343,13 +345,22 @@
         self._gateway.traffic.answered(kind, reply.fault, took_s)
         if reply.fault is None:
             if reply.signature:
-                emit(STATEMENT_DONE, id=req.id, kind=kind, took_s=round(took_s, 4))
+                emit(
+                    STATEMENT_DONE,
+                    id=req.id,
+                    kind=kind,
+                    database=self.session.database,
+                    version=self._gateway.version,
+                    took_s=round(took_s, 4),
+                )
             return
         fault = reply.fault
         emit(
             STATEMENT_REFUSED,
             id=req.id,
             kind=kind,
+            database=self.session.database,
+            version=self._gateway.version,
             code=fault.code,
             outcome=fault.outcome,
             step=fault.step,
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -53,8 +53,8 @@
         servers: The servers.
         instances: Tells the instances in touch that are not leaving, and how much
             each can carry; this one is always among them.
-        admit: Takes an operation from a customer's limits; tells the seconds to wait
-            if it is beyond them.
+        admit: Takes an operation, by its customer and its first statement's id, from
+            the customer's limits; tells the seconds to wait if it is beyond them.
         address_of: Tells where an instance listens, None if it is not known.
     """
 
@@ -64,7 +64,7 @@
         servers: Servers,
         *,
         instances: Callable[[], dict[str, int]],
-        admit: Callable[[str], float],
+        admit: Callable[[str, str], float],
         address_of: Callable[[str], str | None],
     ) -> None:
         self._name = name
@@ -207,8 +207,8 @@
 
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
-        if message.opens:
-            wait_s = self._admit(message.customer)
+        if message.ticket:
+            wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
                 return BatchOverRate(wait_s=wait_s)
         if message.handle:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -57,6 +57,11 @@
     """A connection that is taken."""
 
     server: Server
+    customer: str
+
+    @property
+    def held_by(self) -> str:
+        """The instance that holds the connection, empty for this one."""
 
     async def run(
         self, image: Image | None, commands: tuple[Command, ...], *, timeout_s: float
@@ -95,6 +100,11 @@
     customer: str
     pool: ServerPool
 
+    @property
+    def held_by(self) -> str:
+        """The instance that holds the connection, empty for this one."""
+        return ""
+
     async def run(
         self, image: Image | None, commands: tuple[Command, ...], *, timeout_s: float
     ) -> tuple[Answer, ...]:
@@ -166,6 +176,11 @@
         default_factory=set, repr=False
     )
 
+    @property
+    def held_by(self) -> str:
+        """The instance that holds the connection."""
+        return self.home
+
     async def run(
         self, image: Image | None, commands: tuple[Command, ...], *, timeout_s: float
     ) -> tuple[Answer, ...]:
@@ -182,7 +197,7 @@
             wait_s=self.wait_s,
             priority=self.priority,
             handle=self.handle,
-            opens=not self.ticket.is_taken,
+            ticket="" if self.ticket.is_taken else self.ticket.request_id,
         )
         result = await self.caller.call(self.home, message, timeout_s=timeout_s + HOP_S)
         if not isinstance(result, Success):
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -13,8 +13,14 @@
 
 @dataclass(slots=True)
 class Ticket:
-    """Whether an operation was taken from its customer's limits."""
+    """Whether an operation was taken from its customer's limits.
 
+    Attributes:
+        request_id: The id of its first statement.
+        is_taken: Whether it was taken.
+    """
+
+    request_id: str
     is_taken: bool = False
 
 
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -194,14 +194,21 @@
         except NoConnectionError as exc:
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
             return None
-        left = op.deadline - self._clock()
+        now = self._clock()
+        left = op.deadline - now
         patience = max(LEAST_PATIENCE_S, PATIENCE * server.latency_s)
         emit(
             READ_ROUTED,
             id=op.request_id,
             server=server.id,
+            customer=op.customer,
+            home=lease.held_by,
             primary=len(commands) > 1,
+            after=str(getattr(commands[0], "after", None) or "-"),
+            shows=str(server.shows or "-"),
+            heard_s=round(now - server.heard_at, 3),
             busy=server.busy,
+            left_s=round(left, 3),
         )
         try:
             return await self._executor.run(
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -52,22 +52,22 @@
         read_only: Whether it may run at a replica.
         begun_at: When the caller began it, in seconds.
         used_at: When the caller last sent a statement of it, in seconds.
+        ticket: Whether it was taken from its customer's limits.
         lease: Its connection, None before the first statement.
         statements: Statements that were acknowledged.
         has_written: Whether a write of it was sent.
         is_busy: Whether a statement of it runs.
-        ticket: Whether it was taken from its customer's limits.
     """
 
     customer: str
     read_only: bool
     begun_at: float
     used_at: float
+    ticket: Ticket
     lease: Lease | None = field(default=None, repr=False)
     statements: int = 0
     has_written: bool = False
     is_busy: bool = False
-    ticket: Ticket = field(default_factory=Ticket)
 
 
 class TransactionRunner:
@@ -267,7 +267,10 @@
                 TRANSACTION_OPENED,
                 id=op.request_id,
                 server=server.id,
+                customer=lease.customer,
+                home=lease.held_by,
                 read_only=command.read_only,
+                after=str(command.after or "-"),
             )
             if not command.read_only:
                 group = self._executor.servers.group(op.route.group)
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -53,7 +53,16 @@
             emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
             return None
         left = op.deadline - self._clock()
-        emit(WRITE_ROUTED, id=op.request_id, server=server.id, left_s=left)
+        emit(
+            WRITE_ROUTED,
+            id=op.request_id,
+            server=server.id,
+            customer=op.customer,
+            home=lease.held_by,
+            leads_since=server.leads_since,
+            heard_s=round(self._clock() - server.heard_at, 3),
+            left_s=round(left, 3),
+        )
         try:
             (answer,) = await self._executor.run(
                 lease,
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -8,9 +8,14 @@
 
 
 @pytest.fixture
-def written(capsys):
+def written(capfd):
     """Reads what was logged; the suite's own log settings come back afterwards."""
-    yield lambda: capsys.readouterr().err
+
+    def read():
+        out, err = capfd.readouterr()
+        return out or err
+
+    yield read
     events.configure(level="ERROR", json=False)
 
 
@@ -20,6 +25,7 @@
         events.emit(events.REQUEST_ROUTED, group="register", seen=Position(1, 2))
         text = written()
         line = json.loads(text)
+        assert text.count("\n") == 1
         assert (line["event"], line["level"], line["group"]) == (
             200,
             "INFO",
