--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -86,12 +86,18 @@
     Args:
         name: The group's name.
         server_ids: Its servers; the first one leads.
+
+    Attributes:
+        log: The commits that are in force.
+        history: All commits that ever were, those that a promotion dropped included.
+        runs: All statements that were run.
     """
 
     def __init__(self, name: str, server_ids: tuple[str, ...]) -> None:
         self.name = name
         self.term = 1
         self.log: list[Entry] = []
+        self.history: list[Entry] = []
         self.runs: list[Run] = []
         self.servers = {i: WireServer(self, i) for i in server_ids}
         self.primary = server_ids[0]
@@ -105,6 +111,7 @@
         """Append to the log; replicas that do not lag show it at once."""
         position = Position(self.term, len(self.log) + 1)
         self.log.append(Entry(position, items))
+        self.history.append(self.log[-1])
         for server in self.servers.values():
             if not server.is_deaf:
                 server.applied = len(self.log)
@@ -147,6 +154,7 @@
         self.applied = 0
         self.is_deaf = False
         self.opened = 0
+        self._port = 0
         self._streams: set[IOStream] = set()
 
     @property
@@ -155,6 +163,11 @@
         port: int = next(iter(self._sockets.values())).getsockname()[1]
         return port
 
+    @property
+    def listening_port(self) -> int:
+        """The port that it listens on, or did before it crashed."""
+        return self.port if self._sockets else self._port
+
     @property
     def leads(self) -> bool:
         """Whether it is the primary."""
@@ -173,7 +186,18 @@
 
     def crash(self) -> None:
         """Stop listening and break all connections."""
+        self._port = self.port if self._sockets else self._port
         self.stop()
+        self._sockets.clear()
+        self.reset()
+
+    def restart(self) -> None:
+        """Listen again on the same port, with the same log."""
+        if not self._sockets:
+            self.listen(self._port, HOST)
+
+    def reset(self) -> None:
+        """Break all connections."""
         for stream in list(self._streams):
             stream.close()
 
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -426,3 +426,86 @@
             await world.until(lambda: len(second.peers.everyone) == 2)
             await first.stop()
             await world.until(lambda: second.peers.everyone == ["i1"])
+
+
+class TestHomes:
+    FEW = {"services": [{"name": GROUP, "max_connections": 6}]}
+
+    async def settle(self, world):
+        world.put("config", "main", configuration(2, **self.FEW))
+        instances = world.instances
+        await world.until(
+            lambda: all(
+                len(i.peers.heard) == len(instances) and not i.homes.is_direct
+                for i in instances
+            )
+        )
+        (home,) = {i.homes.of("alpha") or i.cfg.name for i in instances}
+        index = next(n for n, i in enumerate(instances) if i.cfg.name == home)
+        return home, index, (index + 1) % len(instances)
+
+    async def test_statements_go_through_the_home(self):
+        async with World(instances=3) as world:
+            home, index, other = await self.settle(world)
+            caller = await world.caller("notes", instance=other)
+            assert (await caller.ask("WRITE a 1", "w1"))[0] == "DONE sig.w1"
+            assert (await caller.ask("READ a", "r1"))[0] == "ROW 1"
+            await caller.ask("PREPARE p WRITE shape")
+            await caller.ask("SET who me")
+            assert (await caller.ask("EXEC p b 2", "w2"))[0] == "DONE sig.w2"
+            assert world.ran("w2")[0].values == (("who", "me"),)
+            pools = world.instances[other].servers.pools()
+            assert sum(pool.opened for pool in pools) == 0
+
+    async def test_transactions_are_pinned_at_the_home(self):
+        async with World(instances=3) as world:
+            home, index, other = await self.settle(world)
+            caller = await world.caller(instance=other)
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1", "w1")
+            assert not world.instances[index].homes.is_idle
+            assert (await caller.ask("READ a"))[0] == "ROW 1"
+            assert (await caller.ask("COMMIT", "c1"))[0] == "DONE sig.c1"
+            assert world.ran("w1")[0].in_transaction
+            assert world.instances[index].homes.is_idle
+
+    async def test_a_caller_that_leaves_drops_its_transaction_there(self):
+        async with World(instances=3) as world:
+            home, index, other = await self.settle(world)
+            caller = await world.caller(instance=other)
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE a 1")
+            caller.close()
+            await world.until(lambda: world.instances[index].homes.is_idle)
+            assert not world.group.log
+
+    async def test_a_home_that_dies_in_a_write_leaves_it_unknown_and_once(self):
+        async with World(instances=3) as world:
+            home, index, other = await self.settle(world)
+            caller = await world.caller(instance=other)
+            await caller.ask("WRITE a 0")
+            world.group.servers["s1"].faults.work_s = 0.3
+            await caller.send("WRITE a 1", "w1")
+            await asyncio.sleep(0.1)
+            world.instances.pop(index).close()
+            answer = await caller.reply()
+            assert answer[0].startswith("ERR UNSURE ")
+            world.group.servers["s1"].faults.work_s = 0.0
+            assert len(world.ran("w1")) <= 1
+            assert (await caller.ask("WRITE a 2"))[0].startswith("DONE")
+
+    async def test_the_home_keeps_the_limits(self):
+        async with World(instances=3) as world:
+            tenants = [
+                {"name": "alpha", "api_keys": ["k-alpha"], "rate_per_s": 1, "burst": 12}
+            ]
+            self.FEW["tenants"] = tenants
+            await self.settle(world)
+            done = 0
+            for number in range(3):
+                caller = await world.caller(instance=number)
+                for _ in range(10):
+                    answer = await caller.ask("READ a")
+                    done += answer[-2].startswith("DONE")
+            del self.FEW["tenants"]
+            assert 11 <= done <= 14
--- /dev/null
+++ b/tests/test_platform_files.py
@@ -0,0 +1,93 @@
+import pytest
+from returns.result import Success
+
+from mangoramp.control.deployment import ReadRule
+from mangoramp.platform.configuration import decode_deployment
+from mangoramp.platform.registry import decode_endpoint
+from mangoramp.platform.settings import load_instance
+
+SETTINGS = """
+node_name = "n1"
+ip = "127.0.0.1"
+zone = "a"
+internal_ports = [7560, 7575]
+seeds = ["127.0.0.1:1", "127.0.0.2:1"]
+something_new = { a = 1 }
+[listen_addresses]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+"""
+
+
+class TestSettings:
+    def load(self, tmp_path, text):
+        path = tmp_path / "local.toml"
+        path.write_text(text)
+        return load_instance(path)
+
+    def test_takes_what_it_knows_and_passes_over_the_rest(self, tmp_path):
+        cfg = self.load(tmp_path, SETTINGS).unwrap()
+        assert cfg.peers == ("127.0.0.1", 7560)
+        assert cfg.seeds == (("127.0.0.2", 7560),)
+        assert cfg.bounds.grace_s == 6
+
+    @pytest.mark.parametrize(
+        ("change", "named"),
+        [
+            (('node_name = "n1"', ""), "node_name"),
+            (("[7560, 7575]", '"x"'), "internal_ports"),
+            (('front = "127.0.0.1:1"', 'front = "nowhere"'), "nowhere"),
+            (("[platform]", "[other]"), "platform"),
+            (("node_name", "= ="), "line"),
+        ],
+    )
+    def test_names_file_and_field_of_a_mistake(self, tmp_path, change, named):
+        loaded = self.load(tmp_path, SETTINGS.replace(*change))
+        assert not isinstance(loaded, Success)
+        assert "local.toml" in loaded.failure()
+        assert named in loaded.failure()
+
+    def test_a_missing_file_is_a_mistake_too(self, tmp_path):
+        assert "nothing.toml" in load_instance(tmp_path / "nothing.toml").failure()
+
+
+class TestConfiguration:
+    def test_fields_that_are_missing_have_safe_values(self):
+        raw = b'{"version": 3, "routes": [{"database_name": "d", "service": "g"}]}'
+        (route,) = decode_deployment(raw).routes.values()
+        assert route.rule is ReadRule.PRIMARY
+        assert not route.open_to_all
+
+    @pytest.mark.parametrize("raw", [b"{}", b"[]", b'{"version": "x"}', b"\xff{"])
+    def test_what_cannot_be_read_is_refused(self, raw):
+        with pytest.raises(ValueError, match=r".+"):
+            decode_deployment(raw)
+
+
+class TestRegistry:
+    ENTRY = (
+        '{"service":"g","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,'
+        '"state":"ready","cold_remaining_ms":0,"db_role":"replica","sequence":4}'
+    )
+
+    def test_reads_an_entry(self):
+        endpoint = decode_endpoint("s1", self.ENTRY.encode())
+        assert endpoint.address == ("10.0.0.1", 80)
+        assert not endpoint.is_primary
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            ('"ready"', '"resting"'),
+            ('"replica"', '"witness"'),
+            ('"slots":2', '"slots":"two"'),
+            ('"service":"g",', ""),
+            ("10.0.0.1:80", "10.0.0.1"),
+            ("}", ""),
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_server(self, change):
+        with pytest.raises(ValueError, match=r".+"):
+            decode_endpoint("s1", self.ENTRY.replace(*change).encode())
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,124 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mangoramp.errors import Code, Fault, Outcome, Step
+from mangoramp.platform import mirror, wire
+from mangoramp.policy.position import Position
+from mangoramp.serving.command import (
+    Answer,
+    AssignValue,
+    CommitFor,
+    OpenTransaction,
+    PrepareAs,
+    Refusal,
+    RollBack,
+    RunFor,
+)
+from mangoramp.sessions.reply import Reply, SessionState
+from mangoramp.sessions.statement import Execute, Malformed, Read, Request, Shape, Write
+
+WORDS = st.text(
+    st.characters(min_codepoint=33, max_codepoint=255), min_size=1, max_size=20
+)
+TEXTS = st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=200)
+POSITIONS = st.none() | st.builds(
+    Position, st.integers(0, 10**6), st.integers(0, 10**9)
+)
+COMMANDS = st.one_of(
+    st.builds(
+        RunFor,
+        WORDS,
+        st.builds(lambda item: Read(f"READ {item}"), WORDS),
+        after=POSITIONS,
+    ),
+    st.builds(
+        RunFor,
+        WORDS,
+        st.builds(lambda item, data: Write(f"WRITE {item} {data}"), WORDS, WORDS),
+    ),
+    st.builds(AssignValue, WORDS, WORDS),
+    st.builds(PrepareAs, WORDS, st.builds(Shape, st.booleans(), WORDS)),
+    st.builds(OpenTransaction, st.booleans(), POSITIONS),
+    st.builds(CommitFor, WORDS),
+    st.just(RollBack()),
+)
+
+
+class TestCallers:
+    @given(st.binary(max_size=300))
+    def test_no_line_raises(self, raw):
+        assert wire.decode_caller(raw + b"\r\n") is not None
+
+    @given(TEXTS)
+    def test_no_text_of_a_statement_raises(self, text):
+        assert wire.decode_statement(text) is not None
+
+    @given(WORDS, WORDS, TEXTS)
+    def test_what_is_sent_on_is_what_came(self, request_id, item, data):
+        raw = f"QUERY {request_id} WRITE {item} {data}\r\n".encode("latin-1")
+        found = wire.decode_caller(raw)
+        if request_id == wire.OWN_ID:
+            assert isinstance(found, wire.Garbled)
+            return
+        assert isinstance(found, Request)
+        if isinstance(found.statement, Write):
+            sent = wire.encode_command(RunFor(found.id, found.statement))
+            assert sent == raw
+
+    @pytest.mark.parametrize("smuggled", ["\r", "\n", "\0", "\nQUERY y WRITE a 1"])
+    def test_nothing_is_smuggled_inside_a_message(self, smuggled):
+        raw = f"QUERY x READ a{smuggled}\r\n".encode()
+        assert isinstance(wire.decode_caller(raw), wire.Garbled)
+
+    @given(TEXTS)
+    def test_callers_cannot_speak_the_servers_words(self, rest):
+        for word in ("AFTER", "RESET", "STATUS", "HOLD", "RESUME", "DEMOTE"):
+            assert isinstance(wire.decode_statement(f"{word} {rest}"), Malformed)
+
+    def test_only_what_has_not_run_gets_a_word_that_promises_so(self):
+        promises = {"BUSY", "ABORTED", "BEHIND", "READONLY", "MISDIRECT", "TOOMANY"}
+        for code in Code:
+            fault = Fault(code, "m", Step.RUN, outcome=Outcome.UNKNOWN)
+            assert wire.error_word(fault) not in promises
+
+    def test_a_refusal_says_when_to_come_back(self):
+        fault = Fault(Code.OVERLOADED, "full\r\nx", Step.QUEUE, retry_after_s=0.25)
+        raw = wire.encode_reply(Reply(SessionState.IDLE, fault=fault))
+        assert raw == b"ERR BUSY full  x; retry after 250 ms\r\nREADY I -\r\n"
+
+
+class TestServers:
+    @given(COMMANDS)
+    def test_commands_arrive_as_they_were_meant(self, command):
+        request_id = getattr(command, "request_id", "")
+        raw = wire.encode_command(command)
+        assert raw.endswith(b"\r\n")
+        assert raw.count(b"\r\n") == 1
+        found = mirror.decode_command(raw)
+        assert type(found) is type(command)
+        assert getattr(found, "after", None) == getattr(command, "after", None)
+        assert getattr(found, "request_id", "") == request_id
+
+    def test_a_prepared_statement_runs_under_the_connections_name(self):
+        command = RunFor("q1", Execute("s1", "1a4 data x"), alias="p3")
+        assert wire.encode_command(command) == b"QUERY q1 EXEC p3 1a4 data x\r\n"
+
+    @given(st.sampled_from(list(Refusal)))
+    def test_refusals_survive(self, refusal):
+        answer = mirror.refuse(Answer(SessionState.FAILED, None), refusal)
+        first, second = mirror.encode_answer(answer).splitlines(keepends=True)
+        assert wire.decode_server(first).refusal is refusal
+        assert wire.decode_server(second) == wire.ReadyLine(SessionState.FAILED, None)
+
+    @given(st.binary(max_size=100))
+    def test_a_line_of_a_server_decodes_or_is_refused(self, raw):
+        try:
+            decoded = wire.decode_server(raw + b"\r\n")
+        except ValueError:
+            return
+        assert decoded is not None
+
+    @pytest.mark.parametrize("row", ["", "primary", "primary x 1.2", "replica 3 -"])
+    def test_a_status_that_cannot_be_read_is_none(self, row):
+        assert wire.decode_status(row) is None
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -56,7 +56,7 @@
     server = group.servers[server_id]
     found = {
         "service": group.name,
-        "address": f"{HOST}:{server.port}",
+        "address": f"{HOST}:{server.listening_port}",
         "zone": "a",
         "version": "v1",
         "slots": 2,
