Roll back before a connection inside a transaction is used again

Change: such a transaction is rolled back first; its commit, never sent, is refused with a promise. Measured: the test fails before and passes after, for a statement and a commit.

--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -22,6 +22,7 @@
     Answer,
     CommitFor,
     ConnectionLostError,
+    NotSentError,
     OpenTransaction,
     Refusal,
     RollBack,
@@ -120,6 +121,9 @@
                 (CommitFor(op.request_id),),
                 timeout_s=max(0.0, op.deadline - asked_at),
             )
+        except NotSentError as exc:
+            self.roll_back(tx)
+            raise _aborted(str(exc), lease) from exc
         except ConnectionLostError as exc:
             self._let_go(tx, lease)
             if not tx.has_written:
@@ -177,6 +181,10 @@
                 (command,),
                 timeout_s=max(0.0, op.deadline - self._clock()),
             )
+        except NotSentError as exc:
+            # The connection is still inside the transaction.
+            self.roll_back(tx)
+            raise _aborted(str(exc), lease) from exc
         except ConnectionLostError as exc:
             self._let_go(tx, lease)
             emit(
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,17 +1,25 @@
+import asyncio
 import random
 
 import pytest
 
+from mangoramp.control.deployment import ReadRule, Route
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
+from mangoramp.errors import Outcome
 from mangoramp.serving.command import (
+    Answer,
     AnswerTimeoutError,
     ConnectionLostError,
     NotSentError,
+    RollBack,
     RunFor,
 )
 from mangoramp.serving.executor import Executor
+from mangoramp.serving.operation import FaultError, Operation, Ticket
 from mangoramp.serving.servers import Servers
+from mangoramp.serving.transactions import Transaction, TransactionRunner
+from mangoramp.sessions.reply import SessionState
 from mangoramp.sessions.session import Session
 from mangoramp.sessions.statement import Write
 
@@ -58,3 +66,49 @@
         with pytest.raises(ConnectionLostError):
             await executor().run(lease, Session("d", ""), COMMANDS, timeout_s=timeout_s)
         assert lease.server.failures == failures
+
+
+class TimelessLease(StubLease):
+    """A connection that is asked when no time is left, inside a transaction."""
+
+    customer = "c"
+    held_by = ""
+
+    def __init__(self):
+        super().__init__(NotSentError("no time is left"))
+        self.commands = []
+        self.given_back = []
+
+    async def run(self, image, commands, *, timeout_s):
+        self.commands.extend(commands)
+        if isinstance(commands[0], RollBack):
+            return (Answer(SessionState.IDLE, None),)
+        raise self.outcome
+
+    def give_back(self):
+        self.given_back.append(self.commands[-1])
+
+    def discard(self):
+        self.commands.append("discard")
+
+
+class TestTransactionWithoutTime:
+    @pytest.mark.parametrize("ends", ["run", "commit"])
+    async def test_is_rolled_back_before_its_connection_is_used_again(self, ends):
+        runner = TransactionRunner(executor(), None)
+        lease = TimelessLease()
+        tx = Transaction("c", False, 0.0, 0.0, Ticket("b1", is_taken=True), lease)
+        tx.has_written = True
+        route = Route("d", "g", ReadRule.PRIMARY, 1.0, 1.0, 0.2, 1)
+        op = Operation("w1", "c", route, 0.0, 0.0, Session("d", ""), tx.ticket)
+        work = (
+            runner.commit(op, tx)
+            if ends == "commit"
+            else runner.run(op, tx, Write("WRITE a 1"))
+        )
+        with pytest.raises(FaultError) as caught:
+            await work
+        assert caught.value.fault.outcome is Outcome.NOT_RUN
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert isinstance(lease.given_back[0], RollBack)
