--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -193,6 +193,7 @@
             lease = await self._executor.take(op, server, most_s=connection_s)
         except NoConnectionError as exc:
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
+            await asyncio.sleep(BUSY_PAUSE_S)
             return None
         now = self._clock()
         left = op.deadline - now
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -245,6 +245,7 @@
                     server=server.id,
                     reason=str(exc),
                 )
+                await asyncio.sleep(BUSY_PAUSE_S)
                 continue
             if await self._begin(op, lease, command):
                 tx.lease = lease
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -51,6 +51,7 @@
             lease = await self._executor.take(op, server, most_s=left)
         except NoConnectionError as exc:
             emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
+            await asyncio.sleep(BUSY_PAUSE_S)
             return None
         left = op.deadline - self._clock()
         emit(
