--- a/tests/soak.py
+++ b/tests/soak.py
@@ -171,7 +171,7 @@
         self.store_relay = Relay(lambda: self._store_port)
         self._clock = 0
         self._version = 1
-        self._quiet_from = float("inf")
+        self._is_over = False
 
     async def __aenter__(self):
         await super().__aenter__()
@@ -218,6 +218,7 @@
         await asyncio.sleep(QUIET_S)
         healed = time.monotonic()
         await asyncio.sleep(1.0)
+        self._is_over = True
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
@@ -247,7 +248,8 @@
         who = f"c{number}"
         rng = random.Random(f"{self._seed}-{who}")
         count = 0
-        while True:
+        # A cancellation may be lost in wait_for, so the flag ends it too.
+        while not self._is_over:
             daemon = rng.choice(self.daemons)
             with contextlib.suppress(Exception):
                 async with asyncio.timeout(ANSWER_S):
