--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -23,7 +23,7 @@
         assert len(rows) == len(Code)
 
     def test_operating_page_has_each_column_and_exit_code(self):
-        page = (DOCS / "OPERATING.md").read_text()
+        page = (DOCS / "OPERATIONS.md").read_text()
         for column in NUMBERS:
             assert f"| `{column.name}` | {column.low:g} to {column.high:.10g} |" in page
         for code in Exit:
