Reload settings on SIGHUP; one copy of each error; gauges of an instance

Cause: SIGHUP ended the process, as is the default of an unhandled signal; a second FaultError and two makers of an aborted transaction stood beside the first; failed reads of the store by members and promoter, unreadable reports and faults of tasks and sessions left no line; the metrics showed statements only. Change: as the title says; each of these failures has an event.

--- a/mangoramp/control/members.py
+++ b/mangoramp/control/members.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Success
 
+from ..events import PLATFORM_LOST, emit
 from ..platform.client import PlatformClient
 from .peers import Peers
 from .settings import Address, InstanceSettings
@@ -75,7 +76,8 @@
                     version = found.unwrap().version
                     await self._client.put(KIND, self._cfg.name, None, version=version)
         except TimeoutError:
-            return
+            # The others forget this instance once it is silent for long.
+            emit(PLATFORM_LOST, kind=KIND, reason="no answer to the leave")
 
     async def _register(self) -> None:
         host, port = self._cfg.peers
@@ -96,6 +98,7 @@
     async def _relist(self) -> bool | None:
         found = await self._client.listing(KIND, InstanceRecord, allow_stale=True)
         if not isinstance(found, Success):
+            emit(PLATFORM_LOST, kind=KIND, reason=found.failure().message)
             return None
         addresses: dict[str, Address] = {}
         for record in found.unwrap().objects:
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -13,7 +13,13 @@
 
 import msgspec
 
-from ..events import PEER_HEARD, PEER_SILENT, emit
+from ..events import (
+    PEER_HEARD,
+    PEER_SILENT,
+    REPORT_TOO_LARGE,
+    REPORT_UNREADABLE,
+    emit,
+)
 from ..policy.isolation import has_majority
 from .settings import Address
 
@@ -235,7 +241,10 @@
         if is_due:
             self._said_at = now
         data = msgspec.msgpack.encode(report)
-        if self._transport is None or len(data) > MAX_REPORT_BYTES:
+        if len(data) > MAX_REPORT_BYTES:
+            emit(REPORT_TOO_LARGE, size=len(data), limit=MAX_REPORT_BYTES)
+            return
+        if self._transport is None:
             return
         for address in self._targets():
             self._transport.sendto(data, address)
@@ -245,7 +254,8 @@
         """Take over a peer's report."""
         try:
             report = msgspec.msgpack.decode(data, type=Report)
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as exc:
+            emit(REPORT_UNREADABLE, address=addr[0], reason=str(exc))
             return
         sender = (report.name, report.incarnation)
         if report.name == self._name or sender in self._gone:
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -11,7 +11,13 @@
 import msgspec
 from returns.result import Success
 
-from ..events import PROMOTION_CLAIMED, PROMOTION_ENDED, PROMOTION_LEFT, emit
+from ..events import (
+    CONNECTION_REFUSED,
+    PROMOTION_CLAIMED,
+    PROMOTION_ENDED,
+    PROMOTION_LEFT,
+    emit,
+)
 from ..platform.client import PlatformClient
 from ..platform.promotion import PromotionClient, PromotionOutcome
 from ..policy._rendezvous import ranked
@@ -251,6 +257,8 @@
     ) -> None:
         found = await self._client.get(KIND, group.name, Claim)
         if not isinstance(found, Success):
+            reason = found.failure().message
+            emit(PROMOTION_LEFT, group=group.name, reason=reason)
             return
         known = found.unwrap()
         now = self._servers.clock()
@@ -264,6 +272,7 @@
             return
         successor = await self._successor(group, former)
         if successor is None:
+            emit(PROMOTION_LEFT, group=group.name, reason="no server may succeed")
             watched.quiet_until = self._servers.clock() + SETTLE_S
             return
         mine = Claim(
@@ -275,6 +284,8 @@
         )
         put = await self._client.put(KIND, group.name, mine, version=known.version)
         if not isinstance(put, Success) or not put.unwrap():
+            # A lost answer is found out by the next look at the claim.
+            emit(PROMOTION_LEFT, group=group.name, reason="the claim was not made")
             return
         emit(
             PROMOTION_CLAIMED,
@@ -342,7 +353,7 @@
                 endpoint.id, endpoint.group, endpoint.address, self._any_customer()
             )
         except OpenRefusedError as exc:
-            emit(PROMOTION_LEFT, server=server.id, reason=str(exc))
+            emit(CONNECTION_REFUSED, server=server.id, reason=str(exc))
             return None
         try:
             status = await self._servers.connector.status(conn)
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
+from dataclasses import fields, replace
 from typing import Any
 
 from prometheus_client import CollectorRegistry
@@ -16,7 +17,15 @@
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
 from .control.settings import Address, InstanceSettings
-from .events import INSTANCE_STARTED, INSTANCE_STOPPED, INSTANCE_STOPPING, emit
+from .events import (
+    INSTANCE_STARTED,
+    INSTANCE_STOPPED,
+    INSTANCE_STOPPING,
+    SETTINGS_RELOADED,
+    TASK_ENDED,
+    emit,
+)
+from .instance_metrics import InstanceCollector
 from .platform.client import PlatformClient
 from .platform.connection import WireConnector
 from .platform.feed import Feed
@@ -82,7 +91,7 @@
         self.homes = Homes(
             cfg.name,
             self.servers,
-            instances=lambda: self.peers.serving | {cfg.name: cfg.strength},
+            instances=lambda: self.peers.serving | {cfg.name: self.cfg.strength},
             admit=self._take_ticket,
             address_of=self._link_address,
         )
@@ -102,6 +111,7 @@
             traffic=Traffic(self.registry),
         )
         self._listener = Listener(self.gateway.open)
+        self.registry.register(InstanceCollector(self))
         self._readiness = ReadinessServer(lambda: self.is_ready, self.registry)
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -161,6 +171,16 @@
         await self._members.leave()
         self.close()
 
+    def reload(self, cfg: InstanceSettings) -> None:
+        """Take over changed settings; addresses stay as they were at the start."""
+        changed = [
+            field.name
+            for field in fields(cfg)
+            if getattr(cfg, field.name) != getattr(self.cfg, field.name)
+        ]
+        self.cfg = replace(self.cfg, bounds=cfg.bounds, strength=cfg.strength)
+        emit(SETTINGS_RELOADED, changed=changed)
+
     def close(self) -> None:
         """End at once."""
         for task in self._tasks:
@@ -175,7 +195,9 @@
         emit(INSTANCE_STOPPED, name=self.cfg.name)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.ensure_future(work))
+        task = asyncio.create_task(work, name=work.__qualname__)
+        task.add_done_callback(_report_fault)
+        self._tasks.append(task)
 
     async def _keep_house(self) -> None:
         while True:
@@ -257,3 +279,8 @@
 def _link_url(address: Address) -> str:
     host, port = address
     return f"tcp://{host}:{port}"
+
+
+def _report_fault(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        emit(TASK_ENDED, task=task.get_name(), reason=repr(task.exception()))
--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -13,6 +13,7 @@
 
 from ..control.settings import Address
 from ..errors import Code, Fault, Step
+from ..events import HANDLER_FAILED, emit
 from ..sessions.reply import Reply
 from ..sessions.statement import Request
 from . import wire
@@ -112,6 +113,9 @@
             await self._run()
         except (StreamClosedError, UnsatisfiableReadError):
             return
+        except Exception as exc:
+            # A fault of this program ends one session, not the others.
+            emit(HANDLER_FAILED, reason=repr(exc))
         finally:
             self._stream.close()
 
--- a/mangoramp/serve.py
+++ b/mangoramp/serve.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 
 from returns.result import Success
@@ -39,10 +40,21 @@
 async def _run(cfg: InstanceSettings) -> None:
     instance = Instance(cfg)
     stopped, _ = stop_signals()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP, lambda: _reload(instance)
+    )
     await instance.start()
     await stopped.wait()
     await instance.stop()
 
 
+def _reload(instance: Instance) -> None:
+    loaded = load_instance(settings_path())
+    if isinstance(loaded, Success):
+        instance.reload(loaded.unwrap())
+    else:
+        events.emit(events.SETTINGS_REFUSED, reason=loaded.failure())
+
+
 if __name__ == "__main__":
     sys.exit(serve())
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -18,6 +18,7 @@
 )
 from .homes import Homes
 from .lease import (
+    LEAST_S,
     HomeLostError,
     Image,
     Lease,
@@ -29,7 +30,6 @@
 from .pool import NoConnectionError
 from .servers import Servers
 
-LEAST_S = 0.002  # a way to a server and back; less time left is none
 WAIT_S = 0.05  # for a change of the group before its state is looked at again
 TELLING_S = 0.2  # a server that works answers within that time as a rule
 BUSY_PAUSE_S = 0.01  # a short statement ends and frees a slot
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..control.deployment import Deployment, Route
-from ..errors import Code, Fault, Step
+from ..errors import Code, Fault, FaultError, Step
 from ..events import SESSION_REFUSED, STATEMENT_DONE, STATEMENT_REFUSED, emit
 from ..sessions.reply import Reply, SessionState
 from ..sessions.session import Session
@@ -29,9 +29,9 @@
 from .executor import writes
 from .operation import (
     BACK_SOON_S,
-    FaultError,
     Operation,
     Ticket,
+    aborted,
     over_rate,
     refused,
 )
@@ -198,7 +198,7 @@
                 return self._roll_back()
             case Commit() if failed:
                 session.state = SessionState.IDLE
-                raise _aborted(session.failure or "a statement of it failed")
+                raise aborted(session.failure or "a statement of it failed")
             case Commit():
                 return await self._commit(req.id)
             case _ if failed:
@@ -213,7 +213,7 @@
     def _after_failure(self) -> Reply:
         failure, self.session.failure = self.session.failure, ""
         if failure:
-            raise _aborted(failure)
+            raise aborted(failure)
         message = "the transaction has failed; roll it back"
         raise FaultError(Fault(Code.BAD_REQUEST, message, Step.TRANSACTION))
 
@@ -321,7 +321,7 @@
         route, customer = checked.unwrap()
         if customer != tx.customer:
             self._gateway.transactions.roll_back(tx)
-            raise _aborted("its key is another customer's now")
+            raise aborted("its key is another customer's now")
         now = self._clock()
         tx.used_at = now
         return Operation(
@@ -406,15 +406,6 @@
     )
 
 
-def _aborted(reason: str) -> FaultError:
-    return refused(
-        Code.TRANSACTION_ABORTED,
-        f"the transaction was rolled back: {reason}",
-        Step.TRANSACTION,
-        retry_after_s=BACK_SOON_S,
-    )
-
-
 def _unknown_statement(name: str) -> FaultError:
     message = f"no prepared statement is called {name}"
     return FaultError(Fault(Code.STATEMENT_UNKNOWN, message, Step.PARSE))
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -26,14 +26,13 @@
     RunBatch,
 )
 from .command import Answer, ConnectionLostError
-from .lease import Image, LocalLease, needs_pin
+from .lease import LEAST_S, Image, LocalLease, needs_pin
 from .pool import NoConnectionError
 from .servers import Servers
 
 CODEC = Codec(batches.encode, batches.decode)
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
 SILENCES = 2  # calls in a row without an answer show that the link is dead
-LEAST_S = 0.002  # a way to a server and back; less time left is none
 CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
 PINNED_S = 10.0  # longer than a transaction may idle and a statement may take
 FALLBACK = 1  # connections to a server of an instance that is no home of its group
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -36,6 +36,7 @@
 from .operation import Ticket, over_rate
 from .pool import ServerPool
 
+LEAST_S = 0.002  # a way to a server and back; less time left is none
 HOP_S = 0.1  # the way to a home and back, beside the time for the answers
 DROP_S = 0.5  # a home that does not answer drops the connection itself
 
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..control.deployment import Route
-from ..errors import Code, Fault, Outcome, Step
+from ..errors import Code, Fault, FaultError, Outcome, Step
 from ..sessions.session import Session
 
 BACK_SOON_S = 0.1  # a connection or a slot is free again within this time
@@ -52,14 +52,6 @@
         return self.received_at + self.route.timeout_s
 
 
-class FaultError(Exception):
-    """The final answer of a statement that was not done."""
-
-    def __init__(self, fault: Fault) -> None:
-        super().__init__(fault.message)
-        self.fault = fault
-
-
 def refused(
     code: Code, message: str, step: Step, *, peer: str = "", retry_after_s: float
 ) -> FaultError:
@@ -69,6 +61,17 @@
     )
 
 
+def aborted(reason: str, *, peer: str = "") -> FaultError:
+    """The end of a transaction of which nothing is kept."""
+    return refused(
+        Code.TRANSACTION_ABORTED,
+        f"the transaction was rolled back: {reason}",
+        Step.TRANSACTION,
+        peer=peer,
+        retry_after_s=BACK_SOON_S,
+    )
+
+
 def over_rate(wait_s: float) -> FaultError:
     """The refusal of an operation beyond its customer's limits."""
     return refused(
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..errors import Code, Step
+from ..errors import Code
 from ..events import (
     COMMIT_UNKNOWN,
     TRANSACTION_LOST,
@@ -30,14 +30,7 @@
 )
 from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, writes
 from .lease import Lease
-from .operation import (
-    BACK_SOON_S,
-    FaultError,
-    Operation,
-    Ticket,
-    refused,
-    unknown,
-)
+from .operation import Operation, Ticket, aborted, unknown
 from .pool import NoConnectionError
 from .reading import CONNECTION_WAIT_S, Reader
 
@@ -104,7 +97,7 @@
                 tx.statements += 1
                 return answer
             self.roll_back(tx)
-            raise _aborted(answer.detail, lease)
+            raise aborted(answer.detail, peer=lease.server.id)
 
     async def commit(self, op: Operation, tx: Transaction) -> Answer:
         """Commit a transaction.
@@ -123,11 +116,13 @@
             )
         except NotSentError as exc:
             self.roll_back(tx)
-            raise _aborted(str(exc), lease) from exc
+            raise aborted(str(exc), peer=lease.server.id) from exc
         except ConnectionLostError as exc:
             self._let_go(tx, lease)
             if not tx.has_written:
-                raise _aborted("it only read, and its server was lost", lease) from exc
+                raise aborted(
+                    "it only read, and its server was lost", peer=lease.server.id
+                ) from exc
             emit(COMMIT_UNKNOWN, id=op.request_id, server=lease.server.id)
             raise unknown(Code.CONNECTION_LOST, str(exc), peer=lease.server.id) from exc
         if answer.refusal is not None or answer.state is not SessionState.IDLE:
@@ -137,7 +132,7 @@
             self._committed(op, tx, answer.position, asked_at)
             return answer
         if answer.refusal in RETRIED_REFUSALS or not tx.has_written:
-            raise _aborted(answer.detail, lease)
+            raise aborted(answer.detail, peer=lease.server.id)
         raise unknown(Code.STATEMENT_FAILED, answer.detail, peer=lease.server.id)
 
     def roll_back(self, tx: Transaction) -> None:
@@ -184,7 +179,7 @@
         except NotSentError as exc:
             # The connection is still inside the transaction.
             self.roll_back(tx)
-            raise _aborted(str(exc), lease) from exc
+            raise aborted(str(exc), peer=lease.server.id) from exc
         except ConnectionLostError as exc:
             self._let_go(tx, lease)
             emit(
@@ -193,14 +188,14 @@
                 server=lease.server.id,
                 reason=str(exc),
             )
-            raise _aborted(str(exc), lease) from exc
+            raise aborted(str(exc), peer=lease.server.id) from exc
         still_open = answer.state is SessionState.IN_TRANSACTION
         if answer.refusal is None:
             if still_open and answer.signature:
                 return answer
             lease.discard()
             self._let_go(tx, lease)
-            raise _aborted("its server does not hold it any more", lease)
+            raise aborted("its server does not hold it any more", peer=lease.server.id)
         if answer.refusal is Refusal.NOT_PRIMARY:
             lease.server.disowned_at = self._clock()
         if answer.refusal in RETRIED_REFUSALS and self._may_retry(op, tx, still_open):
@@ -296,16 +291,6 @@
         return False
 
 
-def _aborted(reason: str, lease: Lease) -> FaultError:
-    return refused(
-        Code.TRANSACTION_ABORTED,
-        f"the transaction was rolled back: {reason}",
-        Step.TRANSACTION,
-        peer=lease.server.id,
-        retry_after_s=BACK_SOON_S,
-    )
-
-
 def end_quietly(session: Session, runner: TransactionRunner, why: str) -> None:
     """Roll back a session's transaction; its next statement is told why."""
     tx = session.transaction
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -367,6 +367,10 @@
     daemon.start()
 
 
+async def hang_up(soak):
+    soak.daemon().send(signal.SIGHUP)
+
+
 async def pause(soak):
     daemon = soak.daemon()
     daemon.send(signal.SIGSTOP)
@@ -467,6 +471,7 @@
     kill,
     kill_all,
     stop,
+    hang_up,
     pause,
     crash_server,
     mute_server,
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -6,7 +6,7 @@
 from mangoramp.control.deployment import ReadRule, Route
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
-from mangoramp.errors import Outcome
+from mangoramp.errors import FaultError, Outcome
 from mangoramp.serving.command import (
     Answer,
     AnswerTimeoutError,
@@ -16,7 +16,7 @@
     RunFor,
 )
 from mangoramp.serving.executor import Executor
-from mangoramp.serving.operation import FaultError, Operation, Ticket
+from mangoramp.serving.operation import Operation, Ticket
 from mangoramp.serving.servers import Servers
 from mangoramp.serving.transactions import Transaction, TransactionRunner
 from mangoramp.sessions.reply import SessionState
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,7 +1,10 @@
 import asyncio
+from dataclasses import replace
 
 import pytest
+from tornado.httpclient import AsyncHTTPClient
 
+from mangoramp.control.settings import Bounds
 from mangoramp.serving.command import CommitFor, Refusal, RunFor
 
 from .wire_world import GROUP, SERVERS, World, configuration
@@ -509,3 +512,27 @@
                     done += answer[-2].startswith("DONE")
             del self.FEW["tenants"]
             assert 11 <= done <= 14
+
+
+class TestOperation:
+    async def test_metrics_show_what_the_instance_believes(self):
+        async with World() as world:
+            caller = await world.caller(key="k-beta")
+            await caller.ask("WRITE a secret-data", "w1")
+            host, port = world.instances[0].cfg.health
+            resp = await AsyncHTTPClient().fetch(f"http://{host}:{port}/metrics")
+            text = resp.body.decode()
+            assert 'mangoramp_statements_total{code="",kind="write"' in text
+            assert "mangoramp_configuration_version 1.0" in text
+            assert 'mangoramp_server_connections{server="s1"}' in text
+            assert "k-beta" not in text
+            assert "secret-data" not in text
+
+    async def test_changed_settings_are_taken_over(self):
+        async with World() as world:
+            (instance,) = world.instances
+            caller = await world.caller()
+            changed = replace(instance.cfg, bounds=Bounds(grace_s=9.0))
+            instance.reload(changed)
+            assert instance.cfg.bounds.grace_s == 9.0
+            assert (await caller.ask("WRITE a 1"))[0].startswith("DONE")
