--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -195,7 +195,7 @@
         emit(INSTANCE_STOPPED, name=self.cfg.name)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work, name=work.__qualname__)
+        task = asyncio.create_task(work, name=getattr(work, "__qualname__", "task"))
         task.add_done_callback(_report_fault)
         self._tasks.append(task)
 
