Let no fault of the soak start a process after its end

Cause: two instances of the soak were still running after the landing's runs: a fault that waited for a process to end started it again when the soak had already ended its processes. Change: faults under way are cancelled before everything is healed.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -213,7 +213,11 @@
             self.faults.append(fault.__name__)
             running.add(asyncio.ensure_future(fault(self)))
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
-        await asyncio.wait(running, timeout=ANSWER_S)
+        _, late = await asyncio.wait(running, timeout=ANSWER_S)
+        # A fault that is still under way would start its process again after the end.
+        for fault in late:
+            fault.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
         self._heal()
         await asyncio.sleep(QUIET_S)
         healed = time.monotonic()
