Take configuration and entries from a peer when the store turns an instance away

Cause: an instance that the store refuses learned nothing of withdrawn keys, new routes and leaving servers, though its peers' reports told that they knew more; one that started without the store never became ready. Change: once it has been behind for a second, and a nudged watch has not helped, it asks the best informed peer in touch over the link between instances. Entries and configurations are taken by revision and never go back. The link and its server belong to the instance now; homes are one of its two users.

--- a/mangoramp/control/beliefs.py
+++ b/mangoramp/control/beliefs.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from ..events import DEPLOYMENT_CHANGED, ENDPOINT_CHANGED, ENDPOINT_GONE, emit
 from ..serving.servers import Servers
@@ -11,6 +12,14 @@
 from .endpoint import Endpoint
 
 
+@dataclass(frozen=True, slots=True)
+class ListedEndpoint:
+    """A server's entry and the store's revision of it."""
+
+    endpoint: Endpoint
+    revision: int
+
+
 class Beliefs:
     """Takes over what the store says; nothing of it goes back to an older version.
 
@@ -34,7 +43,7 @@
         self.registered = asyncio.Event()
         self.on_deployment: Callable[[], None] = lambda: None
         self._servers = servers
-        self._groups: dict[str, str] = {}
+        self._listed: dict[str, ListedEndpoint] = {}
 
     def take_deployment(self, deployment: Deployment, revision: int) -> None:
         """Take over a configuration, unless it is older than the one in force."""
@@ -54,11 +63,14 @@
         self.on_deployment()
 
     def take_endpoint(self, endpoint: Endpoint, revision: int) -> None:
-        """Take over a server's entry."""
-        former = self._groups.get(endpoint.id)
-        if former is not None and former != endpoint.group:
+        """Take over a server's entry, unless it is older than the one known."""
+        known = self._listed.get(endpoint.id)
+        if known is not None and revision < known.revision:
+            return
+        former = known.endpoint.group if known is not None else endpoint.group
+        if former != endpoint.group:
             self._servers.group(former).unlist(endpoint.id, self._servers.clock())
-        self._groups[endpoint.id] = endpoint.group
+        self._listed[endpoint.id] = ListedEndpoint(endpoint, revision)
         self.registry_revision = max(self.registry_revision, revision)
         self._servers.group(endpoint.group).list_endpoint(endpoint, revision)
         emit(
@@ -70,17 +82,22 @@
             revision=revision,
         )
 
+    def endpoints_since(self, revision: int) -> Iterator[ListedEndpoint]:
+        """The servers' entries that are newer than a revision."""
+        return (e for e in self._listed.values() if e.revision > revision)
+
     def drop_endpoint(self, server_id: str) -> None:
         """Take over that a server has no entry."""
-        group = self._groups.pop(server_id, None)
-        if group is None:
+        known = self._listed.pop(server_id, None)
+        if known is None:
             return
+        group = known.endpoint.group
         self._servers.group(group).unlist(server_id, self._servers.clock())
         emit(ENDPOINT_GONE, server=server_id, group=group)
 
     def keep_endpoints(self, server_ids: frozenset[str]) -> None:
         """Take over that no other servers have entries."""
-        for server_id in list(self._groups):
+        for server_id in list(self._listed):
             if server_id not in server_ids:
                 self.drop_endpoint(server_id)
         self.registered.set()
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -177,6 +177,15 @@
             max((report.registry_revision for report in reports), default=0),
         )
 
+    def best_informed(self, passed_over: Collection[str]) -> str | None:
+        """The peer in touch that knows the latest revisions, None if there is none."""
+        fit = (n for n in self.heard if n in self.peers and n not in passed_over)
+        return max(fit, key=self._informed, default=None)
+
+    def _informed(self, name: str) -> tuple[int, int]:
+        report = self.peers[name].report
+        return report.revision, report.registry_revision
+
     def address_of(self, name: str) -> Address | None:
         """Where an instance is reached, None if it is not known."""
         peer = self.peers.get(name)
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -8,15 +8,19 @@
 from dataclasses import fields, replace
 from typing import Any
 
+import msgspec
 from prometheus_client import CollectorRegistry
+from returns.result import Result
 
 from .clock import boot_time
 from .control.beliefs import Beliefs
 from .control.limits import Limits
 from .control.members import Members
+from .control.news import AskNews, CatchUp, News, NewsMessage
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
 from .control.settings import Address, InstanceSettings
+from .errors import Fault
 from .events import (
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
@@ -32,6 +36,9 @@
 from .platform.listener import Listener
 from .platform.promotion import PromotionClient
 from .platform.readiness import ReadinessServer
+from .proxies.link import Codec, LinkServer
+from .proxies.links import Links
+from .serving.batches import BatchMessage
 from .serving.executor import Executor
 from .serving.gateway import Gateway
 from .serving.homes import Homes
@@ -46,6 +53,10 @@
 UNLISTED_S = 2.3  # the balancer takes an instance out after two probes, a second apart
 LAST_S = 0.8  # of the grace, for the end of the process itself
 POLL_S = 0.05
+LINK_CODEC = Codec(
+    msgspec.msgpack.Encoder().encode,
+    msgspec.msgpack.Decoder(BatchMessage | NewsMessage).decode,
+)
 
 
 class Instance:
@@ -88,12 +99,17 @@
             lambda: self.beliefs.deployment,
             rng,
         )
+        self._links = Links(self._link_address, LINK_CODEC)
+        self._link_server: LinkServer | None = None
+        self._catch_up = CatchUp(
+            self.beliefs, self.peers, self._feed.nudge, self._ask_news
+        )
         self.homes = Homes(
             cfg.name,
             self.servers,
             instances=lambda: self.peers.serving | {cfg.name: self.cfg.strength},
             admit=self._take_ticket,
-            address_of=self._link_address,
+            links=self._links,
         )
         self.servers.limit = self.homes.limit
         executor = Executor(
@@ -118,8 +134,6 @@
         self.beliefs.on_deployment = self._resize
         self.peers.on_spent = self._spent
         self._knows_instances = False
-        self._was_behind = False
-        self._asked_for = (0, 0)
         self._members.on_listed = self._listed
 
     @property
@@ -132,7 +146,8 @@
         """Listen, and learn what the store holds."""
         self._readiness.listen(self.cfg.health)
         self._listener.listen(self.cfg.callers)
-        self.homes.listen(_link_url(self.cfg.peers))
+        address = _link_url(self.cfg.peers)
+        self._link_server = LinkServer(address, self._answer_peer, LINK_CODEC)
         await self.peers.listen(self.cfg.peers, self.cfg.seeds)
         for work in (
             self._feed.run(),
@@ -140,6 +155,7 @@
             self._members.run(),
             self._promoter.run(),
             self._keep_house(),
+            self._link_server.run(),
         ):
             self._start(work)
         emit(
@@ -187,7 +203,10 @@
             task.cancel()
         self._listener.close()
         self._readiness.close()
-        self.homes.close()
+        self._catch_up.close()
+        if self._link_server is not None:
+            self._link_server.close()
+        self._links.close()
         self.servers.close()
         self.peers.close()
         self._client.close()
@@ -206,24 +225,22 @@
             self.servers.tidy()
             self.homes.tidy()
             self._share()
-            self._catch_up()
+            self._catch_up.look()
             if self._promoter.is_cut_off:
                 # Their callers connect again, to an instance that can serve them.
                 self._listener.close_idle()
 
-    def _catch_up(self) -> None:
-        known = (self.beliefs.revision, self.beliefs.registry_revision)
-        newest = self.peers.newest
-        behind = any(
-            theirs > max(mine, asked)
-            for theirs, mine, asked in zip(newest, known, self._asked_for, strict=True)
-        )
-        # A watch tells a change within milliseconds of the peers' own.
-        if behind and self._was_behind:
-            self._feed.nudge()
-            # An entry that has vanished since is never known here.
-            self._asked_for = newest
-        self._was_behind = behind
+    async def _answer_peer(
+        self, message: BatchMessage | NewsMessage
+    ) -> BatchMessage | NewsMessage:
+        if isinstance(message, AskNews | News):
+            return self._catch_up.answer(message)
+        return await self.homes.answer(message)
+
+    async def _ask_news(
+        self, peer: str, message: AskNews, timeout_s: float
+    ) -> Result[News, Fault]:
+        return await self._links.call(peer, message, timeout_s=timeout_s)
 
     def _listed(self) -> None:
         self._knows_instances = True
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from ..proxies.messages import Envelope
 from ..sessions.statement import Shape
 from .command import Answer, Command
@@ -105,6 +103,3 @@
     | DropPinned
     | PinnedDropped
 )
-
-encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(BatchMessage).decode
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,9 +11,7 @@
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
 from ..policy.homes import choose_homes, home_for, is_direct, part_of
-from ..proxies.link import Codec, LinkServer
 from ..proxies.links import Links
-from . import batches
 from .batches import (
     BatchLost,
     BatchMessage,
@@ -30,7 +27,6 @@
 from .pool import NoConnectionError
 from .servers import Servers
 
-CODEC = Codec(batches.encode, batches.decode)
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
 SILENCES = 2  # calls in a row without an answer show that the link is dead
 CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
@@ -55,7 +51,7 @@
             each can carry; this one is always among them.
         admit: Takes an operation, by its customer and its first statement's id, from
             the customer's limits; tells the seconds to wait if it is beyond them.
-        address_of: Tells where an instance listens, None if it is not known.
+        links: The ways to the other instances.
     """
 
     def __init__(
@@ -65,22 +61,20 @@
         *,
         instances: Callable[[], dict[str, int]],
         admit: Callable[[str, str], float],
-        address_of: Callable[[str], str | None],
+        links: Links,
     ) -> None:
         self._name = name
         self._servers = servers
         self._clock = servers.clock
         self._instances = instances
         self._admit = admit
-        self._links = Links(address_of, CODEC)
+        self._links = links
         self._suspects: dict[str, float] = {}
         self._silences: dict[str, int] = {}
         self._chosen: list[str] = []
         self._chosen_at = float("-inf")
         self._pinned: dict[int, _Pinned] = {}
         self._handles = itertools.count(1)
-        self._server: LinkServer | None = None
-        self._task: asyncio.Task[None] | None = None
         self._running = 0
 
     @property
@@ -88,11 +82,6 @@
         """Whether nothing runs or is pinned here for other instances."""
         return not self._running and not self._pinned
 
-    def listen(self, address: str) -> None:
-        """Begin to serve the other instances."""
-        self._server = LinkServer(address, self._answer, CODEC)
-        self._task = asyncio.ensure_future(self._server.run())
-
     @property
     def is_direct(self) -> bool:
         """Whether every instance holds connections of its own."""
@@ -170,14 +159,6 @@
             if not pinned.is_busy:
                 self._drop(handle)
 
-    def close(self) -> None:
-        """End at once."""
-        if self._task is not None:
-            self._task.cancel()
-        if self._server is not None:
-            self._server.close()
-        self._links.close()
-
     def _live(self) -> dict[str, int]:
         now = self._clock()
         return {
@@ -193,7 +174,8 @@
             self._chosen = choose_homes(self._live(), self._servers.fewest_connections)
         return self._chosen
 
-    async def _answer(self, message: BatchMessage) -> BatchMessage:
+    async def answer(self, message: BatchMessage) -> BatchMessage:
+        """Answer another instance."""
         if isinstance(message, DropPinned):
             self._drop(message.handle)
             return PinnedDropped()
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -7,7 +7,8 @@
 from mangoramp.control.settings import Bounds
 from mangoramp.serving.command import CommitFor, Refusal, RunFor
 
-from .wire_world import GROUP, SERVERS, World, configuration
+from .relay import Relay
+from .wire_world import GROUP, HOST, SERVERS, World, configuration
 
 USUAL_LAG_S = 0.15  # a replica is asked once the primary has held an entry that long
 
@@ -338,6 +339,52 @@
             assert {run.server for run in world.ran("r9")} == {"s1"}
 
 
+class TestNews:
+    async def turned_away(self, world, relay):
+        """An instance whose way to the store is a relay that is then cut."""
+        url = f"http://{HOST}:{relay.port}"
+        instance = await world.start_instance("cut-off", store_url=url)
+        await world.until(lambda: instance.is_ready)
+        await world.until(lambda: len(instance.peers.heard) == 2)
+        relay.refuses = True
+        relay.reset()
+        return instance
+
+    async def test_a_key_withdrawn_during_a_refusal_of_the_store(self):
+        async with World() as world:
+            relay = Relay(lambda: world._store_port)
+            await relay.start()
+            instance = await self.turned_away(world, relay)
+            caller = await world.caller(instance=1)
+            tenants = [{"name": "alpha", "api_keys": ["other"]}]
+            world.put("config", "main", configuration(2, tenants=tenants))
+            await world.until(lambda: instance.beliefs.deployment.version == 2)
+            assert (await caller.ask("READ a"))[0].startswith("ERR NOAUTH ")
+            relay.close()
+
+    async def test_a_leaving_server_during_a_refusal_of_the_store(self):
+        async with World() as world:
+            relay = Relay(lambda: world._store_port)
+            await relay.start()
+            instance = await self.turned_away(world, relay)
+            world.list_server("s2", state="draining")
+            server = instance.servers.group(GROUP).servers["s2"]
+            await world.until(lambda: server.endpoint.is_draining)
+            relay.close()
+
+    async def test_an_instance_that_starts_without_the_store(self):
+        async with World() as world:
+            relay = Relay(lambda: world._store_port)
+            await relay.start()
+            relay.refuses = True
+            url = f"http://{HOST}:{relay.port}"
+            instance = await world.start_instance("late", store_url=url)
+            await world.until(lambda: instance.is_ready)
+            caller = await world.caller(instance=1)
+            assert (await caller.ask("WRITE a 1"))[0].startswith("DONE")
+            relay.close()
+
+
 class TestRates:
     async def test_refuses_beyond_the_burst_with_when_to_come_back(self):
         async with World() as world:
