One way to take a connection or pause, for reads, writes and transactions

Cause: three copies of take, log, pause and try again, of which the busy loop had once to be mended in each; two random sources that nothing read. Change: Executor.try_to_take and Executor.pause; Promoter and Servers take no random source. Behaviour is the same.

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -84,7 +83,6 @@
         client: The store.
         orders: Orders promotions.
         deployment: Tells the configuration in force.
-        rng: Source of the jitter.
     """
 
     def __init__(
@@ -95,7 +93,6 @@
         client: PlatformClient,
         orders: PromotionClient,
         deployment: Callable[[], Deployment | None],
-        rng: random.Random,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -103,7 +100,6 @@
         self._client = client
         self._orders = orders
         self._deployment = deployment
-        self._rng = rng
         self._watched: dict[str, _Watchfulness] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -73,7 +73,7 @@
         rng = rng or random.Random()
         self.cfg = cfg
         self.registry = CollectorRegistry()
-        self.servers = Servers(WireConnector(), boot_time, rng)
+        self.servers = Servers(WireConnector(), boot_time)
         self.beliefs = Beliefs(self.servers)
         self.peers = Peers(
             cfg.name, self._report, lambda: self._urgent(), boot_time, rng
@@ -97,7 +97,6 @@
             self._client,
             self._orders,
             lambda: self.beliefs.deployment,
-            rng,
         )
         self._links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from ..control.group import GroupState, Server
 from ..errors import Code, Step
+from ..events import Event, emit
 from ..sessions.session import Session
 from ..sessions.statement import Execute, Read, Write
 from .command import (
@@ -95,6 +97,30 @@
             raise
         return LocalLease(server, conn, op.customer, pool)
 
+    async def try_to_take(
+        self, op: Operation, server: Server, *, most_s: float, retried: Event
+    ) -> Lease | None:
+        """Take a connection; pause and tell why if there is none.
+
+        Args:
+            op: The operation that needs it.
+            server: The server.
+            most_s: Seconds to wait at most.
+            retried: The event that tells that the operation is tried again.
+        """
+        try:
+            return await self.take(op, server, most_s=most_s)
+        except NoConnectionError as exc:
+            await self.pause(op, server, str(exc), retried)
+            return None
+
+    async def pause(
+        self, op: Operation, server: Server, reason: str, retried: Event
+    ) -> None:
+        """Wait a moment before an operation that did not run is tried again."""
+        emit(retried, id=op.request_id, server=server.id, reason=reason)
+        await asyncio.sleep(BUSY_PAUSE_S)
+
     def _admit(self, op: Operation) -> None:
         if op.ticket.is_taken:
             return
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -23,7 +23,6 @@
 )
 from .executor import BUSY_PAUSE_S, Executor
 from .operation import Operation, unknown
-from .pool import NoConnectionError
 
 LEAST_PATIENCE_S = 0.25  # the longest statement of usual work
 PATIENCE = 8.0  # times the usual latency, before a read is tried elsewhere
@@ -189,11 +188,10 @@
         commands: tuple[OpenTransaction | RunFor | RollBack, ...],
         connection_s: float,
     ) -> tuple[Answer, ...] | None:
-        try:
-            lease = await self._executor.take(op, server, most_s=connection_s)
-        except NoConnectionError as exc:
-            emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
-            await asyncio.sleep(BUSY_PAUSE_S)
+        lease = await self._executor.try_to_take(
+            op, server, most_s=connection_s, retried=READ_RETRIED
+        )
+        if lease is None:
             return None
         now = self._clock()
         left = op.deadline - now
@@ -215,10 +213,11 @@
             return await self._executor.run(
                 lease, op.session, commands, timeout_s=min(left, patience)
             )
+        except NotSentError as exc:
+            await self._executor.pause(op, server, str(exc), READ_RETRIED)
+            return None
         except ConnectionLostError as exc:
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
-            if isinstance(exc, NotSentError):
-                await asyncio.sleep(BUSY_PAUSE_S)
             return None
         finally:
             lease.give_back()
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -27,7 +26,6 @@
     Args:
         connector: Opens connections.
         clock: Tells the time in seconds.
-        rng: Source of the jitter.
 
     Attributes:
         instances: How many instances there are, 0 while that is not known.
@@ -35,12 +33,9 @@
             hold, None while too little is known.
     """
 
-    def __init__(
-        self, connector: Connector, clock: Callable[[], float], rng: random.Random
-    ) -> None:
+    def __init__(self, connector: Connector, clock: Callable[[], float]) -> None:
         self.connector = connector
         self.clock = clock
-        self.rng = rng
         self.groups: dict[str, GroupState] = {}
         self.instances = 0
         self.limit: Callable[[str], int | None] = lambda group: None
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -31,7 +31,6 @@
 from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, writes
 from .lease import Lease
 from .operation import Operation, Ticket, aborted, unknown
-from .pool import NoConnectionError
 from .reading import CONNECTION_WAIT_S, Reader
 
 ROLLBACK_S = 0.5  # a server that takes longer gets the connection closed instead
@@ -199,15 +198,10 @@
         if answer.refusal is Refusal.NOT_PRIMARY:
             lease.server.disowned_at = self._clock()
         if answer.refusal in RETRIED_REFUSALS and self._may_retry(op, tx, still_open):
-            emit(
-                TRANSACTION_RETRIED,
-                id=op.request_id,
-                server=lease.server.id,
-                reason=answer.refusal.value,
-            )
             if not still_open:
                 self.roll_back(tx)
-            await asyncio.sleep(BUSY_PAUSE_S)
+            reason = answer.refusal.value
+            await self._executor.pause(op, lease.server, reason, TRANSACTION_RETRIED)
             return None
         return answer
 
@@ -231,18 +225,10 @@
                 server = await self._executor.primary(op)
                 command = OpenTransaction(read_only=False)
                 most_s = op.deadline - self._clock()
-            try:
-                lease = await self._executor.take(op, server, most_s=most_s)
-            except NoConnectionError as exc:
-                emit(
-                    TRANSACTION_RETRIED,
-                    id=op.request_id,
-                    server=server.id,
-                    reason=str(exc),
-                )
-                await asyncio.sleep(BUSY_PAUSE_S)
-                continue
-            if await self._begin(op, lease, command):
+            lease = await self._executor.try_to_take(
+                op, server, most_s=most_s, retried=TRANSACTION_RETRIED
+            )
+            if lease is not None and await self._begin(op, lease, command):
                 tx.lease = lease
                 return lease
 
@@ -258,13 +244,7 @@
             )
         except ConnectionLostError as exc:
             lease.give_back()
-            emit(
-                TRANSACTION_RETRIED,
-                id=op.request_id,
-                server=server.id,
-                reason=str(exc),
-            )
-            await asyncio.sleep(BUSY_PAUSE_S)
+            await self._executor.pause(op, server, str(exc), TRANSACTION_RETRIED)
             return False
         if answer.refusal is None and answer.state is SessionState.IN_TRANSACTION:
             emit(
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from ..control.group import Server
 from ..errors import Code
 from ..events import WRITE_RETRIED, WRITE_ROUTED, WRITE_UNKNOWN, emit
 from ..sessions.statement import Execute, Write
 from .command import Answer, ConnectionLostError, NotSentError, Refusal, RunFor
-from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor
+from .executor import RETRIED_REFUSALS, Executor
 from .operation import Operation, unknown
-from .pool import NoConnectionError
 
 
 class Writer:
@@ -47,11 +44,10 @@
         self, op: Operation, statement: Write | Execute, server: Server
     ) -> Answer | None:
         left = op.deadline - self._clock()
-        try:
-            lease = await self._executor.take(op, server, most_s=left)
-        except NoConnectionError as exc:
-            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
-            await asyncio.sleep(BUSY_PAUSE_S)
+        lease = await self._executor.try_to_take(
+            op, server, most_s=left, retried=WRITE_RETRIED
+        )
+        if lease is None:
             return None
         left = op.deadline - self._clock()
         emit(
@@ -72,8 +68,7 @@
                 timeout_s=max(0.0, left),
             )
         except NotSentError as exc:
-            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
-            await asyncio.sleep(BUSY_PAUSE_S)
+            await self._executor.pause(op, server, str(exc), WRITE_RETRIED)
             return None
         except ConnectionLostError as exc:
             emit(WRITE_UNKNOWN, id=op.request_id, server=server.id, reason=str(exc))
@@ -88,11 +83,10 @@
         if answer.refusal is None and answer.signature:
             return answer
         if answer.refusal in RETRIED_REFUSALS:
-            reason = answer.refusal.value
-            emit(WRITE_RETRIED, id=op.request_id, server=server.id, reason=reason)
             if answer.refusal is Refusal.NOT_PRIMARY:
                 server.disowned_at = self._clock()
-            await asyncio.sleep(BUSY_PAUSE_S)
+            reason = answer.refusal.value
+            await self._executor.pause(op, server, reason, WRITE_RETRIED)
             return None
         timed_out = answer.refusal is Refusal.TIMEOUT
         code = Code.TIMEOUT if timed_out else Code.STATEMENT_FAILED
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,5 +1,4 @@
 import asyncio
-import random
 
 import pytest
 
@@ -41,7 +40,7 @@
 
 
 def executor():
-    return Executor(Servers(None, lambda: 0.0, random.Random(1)))
+    return Executor(Servers(None, lambda: 0.0))
 
 
 class TestExecutor:
