Wait for connections by objective, and refuse at once what would come too late

Ruled out: the servers' own queues; at most 30 connections for 3 slots of 24 ms each hold a statement for a quarter of a second, less than its objective. Homes pass objective and expected wait on. A refusal for that reason tells when to come back.

--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -19,6 +19,7 @@
         commands: The commands.
         timeout_s: Seconds for a connection and all answers.
         wait_s: Seconds of these to wait for a connection.
+        due_s: Seconds until the answer is late for its objective.
         priority: The request's class, 0 for the most urgent.
         handle: The pinned connection to use, 0 for any.
         ticket: The id of the first statement of an operation that is still to be taken
@@ -33,6 +34,7 @@
     commands: tuple[Command, ...]
     timeout_s: float
     wait_s: float
+    due_s: float
     priority: int = 1
     handle: int = 0
     ticket: str = ""
@@ -68,10 +70,12 @@
     Attributes:
         reason: Why.
         is_reachable: Whether the server itself answered.
+        wait_s: Seconds until there might be a connection, 0 if that is not known.
     """
 
     reason: str
     is_reachable: bool = True
+    wait_s: float = 0.0
 
 
 class BatchOverRate(Envelope, frozen=True):
--- a/mangoramp/serving/command.py
+++ b/mangoramp/serving/command.py
@@ -159,7 +159,15 @@
 
 
 class NotSentError(ConnectionLostError):
-    """Nothing was sent to a server."""
+    """Nothing was sent to a server.
+
+    Attributes:
+        wait_s: Seconds until it might be, 0 if that is not known.
+    """
+
+    def __init__(self, reason: str, *, wait_s: float = 0.0) -> None:
+        super().__init__(reason)
+        self.wait_s = wait_s
 
 
 class OpenRefusedError(Exception):
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -29,7 +29,7 @@
     ServerUnreachedError,
 )
 from .operation import BACK_SOON_S, Operation, over_rate, refused
-from .pool import NoConnectionError
+from .pool import NoConnectionError, Urgency
 from .servers import Servers
 
 WAIT_S = 0.05  # for a change of the group before its state is looked at again
@@ -72,8 +72,10 @@
         Raises:
             NoConnectionError: There is none in time; nothing was sent.
         """
+        now = self.clock()
         # A connection that comes too late for an answer is of no use.
-        left = min(most_s, op.deadline - self.clock() - server.latency_s)
+        left = min(most_s, op.deadline - now - server.latency_s)
+        urgency = Urgency(op.route.priority, op.due_at - now, left)
         home = self._homes.of(op.customer) if self._homes else None
         if home is not None and self._homes is not None:
             return RemoteLease(
@@ -81,16 +83,13 @@
                 home,
                 op.customer,
                 self._homes,
-                wait_s=left,
-                priority=op.route.priority,
+                urgency=urgency,
                 ticket=op.ticket,
             )
         self._admit(op)
         pool = self.servers.pool(server)
         try:
-            conn = await pool.acquire(
-                op.customer, priority=op.route.priority, timeout_s=left
-            )
+            conn = await pool.acquire(op.customer, urgency)
         except NoConnectionError as exc:
             if not exc.is_reachable:
                 server.failed(self.clock(), str(exc))
@@ -111,13 +110,38 @@
         try:
             return await self.take(op, server, most_s=most_s)
         except NoConnectionError as exc:
-            await self.pause(op, server, str(exc), retried)
+            await self.pause(op, server, str(exc), retried, wait_s=exc.wait_s)
             return None
 
     async def pause(
-        self, op: Operation, server: Server, reason: str, retried: Event
+        self,
+        op: Operation,
+        server: Server,
+        reason: str,
+        retried: Event,
+        *,
+        wait_s: float = 0.0,
     ) -> None:
-        """Wait a moment before an operation that did not run is tried again."""
+        """Wait a moment before an operation that did not run is tried again.
+
+        Args:
+            op: The operation.
+            server: The server that did not run it.
+            reason: Why.
+            retried: The event that tells that the operation is tried again.
+            wait_s: Seconds until the server might run it, 0 if that is not known.
+
+        Raises:
+            FaultError: That is too late for it.
+        """
+        if wait_s > op.deadline - self.clock():
+            raise refused(
+                Code.OVERLOADED,
+                reason,
+                Step.QUEUE,
+                peer=server.id,
+                retry_after_s=wait_s,
+            )
         emit(retried, id=op.request_id, server=server.id, reason=reason)
         await asyncio.sleep(BUSY_PAUSE_S)
 
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -24,7 +24,7 @@
 )
 from .command import Answer, ConnectionLostError
 from .lease import LEAST_S, Image, LocalLease, needs_pin
-from .pool import NoConnectionError
+from .pool import NoConnectionError, Urgency
 from .servers import Servers
 
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
@@ -231,13 +231,16 @@
             return BatchNotSent(reason="the home does not know the server")
         pool = self._servers.pool(server)
         try:
-            conn = await pool.acquire(
-                message.customer,
-                priority=message.priority,
-                timeout_s=min(message.wait_s, message.timeout_s),
+            urgency = Urgency(
+                message.priority,
+                message.due_s,
+                min(message.wait_s, message.timeout_s),
             )
+            conn = await pool.acquire(message.customer, urgency)
         except NoConnectionError as exc:
-            return BatchNotSent(reason=str(exc), is_reachable=exc.is_reachable)
+            return BatchNotSent(
+                reason=str(exc), is_reachable=exc.is_reachable, wait_s=exc.wait_s
+            )
         return LocalLease(server, conn, message.customer, pool)
 
     def _keep(self, handle: int, lease: LocalLease, answers: tuple[Answer, ...]) -> int:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -34,7 +34,7 @@
     ServerConnection,
 )
 from .operation import Ticket, over_rate
-from .pool import ServerPool
+from .pool import ServerPool, Urgency
 
 LEAST_S = 0.002  # a way to a server and back; less time left is none
 HOP_S = 0.1  # the way to a home and back, beside the time for the answers
@@ -159,8 +159,7 @@
         home: The instance that holds the connection.
         customer: Whose it is.
         caller: The way to the home.
-        wait_s: Seconds to wait there for a connection.
-        priority: The request's class, 0 for the most urgent.
+        urgency: How urgently the connection is needed there.
         ticket: Whether the operation was taken from its customer's limits.
         handle: The pinned connection, 0 if none is.
     """
@@ -169,8 +168,7 @@
     home: str
     customer: str
     caller: HomeCaller
-    wait_s: float
-    priority: int
+    urgency: Urgency
     ticket: Ticket
     handle: int = 0
     _drops: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
@@ -195,8 +193,9 @@
             shapes={} if image is None else _needed(image, commands),
             commands=commands,
             timeout_s=timeout_s,
-            wait_s=self.wait_s,
-            priority=self.priority,
+            wait_s=self.urgency.timeout_s,
+            due_s=self.urgency.due_s,
+            priority=self.urgency.priority,
             handle=self.handle,
             ticket="" if self.ticket.is_taken else self.ticket.request_id,
         )
@@ -210,7 +209,7 @@
         if isinstance(answer, BatchNotSent):
             if not answer.is_reachable:
                 raise ServerUnreachedError(answer.reason)
-            raise NotSentError(answer.reason)
+            raise NotSentError(answer.reason, wait_s=answer.wait_s)
         if isinstance(answer, BatchLost):
             self.handle = 0
             raise ConnectionLostError(answer.reason, answer.answers)
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -46,6 +46,11 @@
     session: Session
     ticket: Ticket
 
+    @property
+    def due_at(self) -> float:
+        """When its answer is late for its callers' objective, in seconds."""
+        return self.received_at + self.route.objective_s
+
     @property
     def deadline(self) -> float:
         """When its answer is of no more use, in seconds."""
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..control.group import Server
 from ..events import CONNECTION_REFUSED, emit
+from ..policy.line import Line, Place
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
 
 FULL_PAUSE_S = 0.05  # another process gives a connection back within this time
@@ -23,19 +22,28 @@
 
     Attributes:
         is_reachable: Whether the server itself answered.
+        wait_s: Seconds until there might be one, 0 if that is not known.
     """
 
-    def __init__(self, reason: str, *, is_reachable: bool) -> None:
+    def __init__(self, reason: str, *, is_reachable: bool, wait_s: float = 0.0) -> None:
         super().__init__(reason)
         self.is_reachable = is_reachable
+        self.wait_s = wait_s
 
 
-@dataclass(order=True, slots=True)
-class _Waiter:
+@dataclass(frozen=True, slots=True)
+class Urgency:
+    """How urgently a request needs a connection.
+
+    Attributes:
+        priority: Its class, 0 for the most urgent.
+        due_s: Seconds until its answer is late for its objective.
+        timeout_s: Seconds for which it waits.
+    """
+
     priority: int
-    number: int
-    customer: str = field(compare=False)
-    fut: asyncio.Future[None] = field(compare=False)
+    due_s: float
+    timeout_s: float
 
 
 @dataclass(slots=True)
@@ -73,8 +81,8 @@
         self._clock = clock
         self._idle: deque[_Idle] = deque()
         self._count = 0
-        self._waiters: list[_Waiter] = []
-        self._numbers = itertools.count()
+        self._line = Line()
+        self._futs: dict[Place, asyncio.Future[None]] = {}
         self._full_until = float("-inf")
         self._full_pause = FULL_PAUSE_S
         self._opening = 0
@@ -88,26 +96,25 @@
     @property
     def waiting(self) -> int:
         """Requests that wait for a connection."""
-        return sum(not waiter.fut.done() for waiter in self._waiters)
+        return len(self._line)
 
     def has_idle(self, customer: str) -> bool:
         """Whether a connection of a customer is free."""
         return any(i.customer == customer and i.conn.is_open for i in self._idle)
 
-    async def acquire(
-        self, customer: str, *, priority: int, timeout_s: float
-    ) -> ServerConnection:
+    async def acquire(self, customer: str, urgency: Urgency) -> ServerConnection:
         """Take a connection; give it back by :meth:`release`.
 
         Args:
             customer: Whose statements it will run.
-            priority: The request's class, 0 for the most urgent.
-            timeout_s: Seconds to wait.
+            urgency: How urgently it is needed.
 
         Raises:
             NoConnectionError: There is none in time.
         """
-        deadline = self._clock() + timeout_s
+        now = self._clock()
+        deadline = now + urgency.timeout_s
+        place: Place | None = None
         while True:
             if self._is_closed:
                 raise NoConnectionError("the server is gone", is_reachable=False)
@@ -119,10 +126,16 @@
                     return await self._open(customer)
                 except OpenRefusedError as exc:
                     self._refused(exc)
-            left = deadline - self._clock()
-            if left <= 0:
+            if self._clock() >= deadline:
                 raise NoConnectionError("all connections are busy", is_reachable=True)
-            await self._wait(customer, priority, left)
+            if place is None:
+                place = self._line.join(
+                    customer,
+                    priority=urgency.priority,
+                    due_at=now + urgency.due_s,
+                    deadline=deadline,
+                )
+            await self._wait(place)
 
     def release(self, conn: ServerConnection, customer: str) -> None:
         """Give a connection back; a closed one makes room for another."""
@@ -133,7 +146,7 @@
             self._count -= 1
         else:
             self._idle.append(_Idle(conn, customer, self._clock()))
-        self._wake()
+        self._wake(customer)
 
     def trim(self) -> None:
         """Close the connections that broke, or were idle for long."""
@@ -148,7 +161,7 @@
         self._is_closed = True
         for idle in list(self._idle):
             self._drop(idle)
-        while self._waiters:
+        while len(self._line):
             self._wake()
 
     def _may_open(self) -> bool:
@@ -210,21 +223,39 @@
             return
         raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
 
-    async def _wait(self, customer: str, priority: int, timeout_s: float) -> None:
+    async def _wait(self, place: Place) -> None:
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(
-            self._waiters, _Waiter(priority, next(self._numbers), customer, fut)
-        )
+        self._line.rejoin(place)
+        self._futs[place] = fut
+        self._refuse_hopeless()
+        timeout_s = place.deadline - self._clock()
         pause = self._full_until - self._clock()
         if 0 < pause < timeout_s:
             timeout_s = pause
-        await asyncio.wait((fut,), timeout=timeout_s)
-        if not fut.done():
-            fut.cancel()
-
-    def _wake(self) -> None:
-        while self._waiters:
-            waiter = heapq.heappop(self._waiters)
-            if not waiter.fut.done():
-                waiter.fut.set_result(None)
-                return
+        try:
+            await asyncio.wait((fut,), timeout=timeout_s)
+        finally:
+            self._line.leave(place)
+            self._futs.pop(place, None)
+        if fut.done():
+            fut.result()
+
+    def _wake(self, customer: str = "") -> None:
+        """Let the first in line have a connection, of this customer if it is its."""
+        self._refuse_hopeless()
+        now = self._clock()
+        place = self._line.first(now, customer)
+        if place is None:
+            return
+        self._line.leave(place)
+        self._line.moved(now)
+        self._futs.pop(place).set_result(None)
+
+    def _refuse_hopeless(self) -> None:
+        self._line.work_s = self.server.latency_s
+        for place, wait_s in self._line.hopeless(self._clock()):
+            self._line.leave(place)
+            exc = NoConnectionError(
+                "too many wait for a connection", is_reachable=True, wait_s=wait_s
+            )
+            self._futs.pop(place).set_exception(exc)
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -214,7 +214,9 @@
                 lease, op.session, commands, timeout_s=min(left, patience)
             )
         except NotSentError as exc:
-            await self._executor.pause(op, server, str(exc), READ_RETRIED)
+            await self._executor.pause(
+                op, server, str(exc), READ_RETRIED, wait_s=exc.wait_s
+            )
             return None
         except ConnectionLostError as exc:
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -244,7 +244,10 @@
             )
         except ConnectionLostError as exc:
             lease.give_back()
-            await self._executor.pause(op, server, str(exc), TRANSACTION_RETRIED)
+            wait_s = exc.wait_s if isinstance(exc, NotSentError) else 0.0
+            await self._executor.pause(
+                op, server, str(exc), TRANSACTION_RETRIED, wait_s=wait_s
+            )
             return False
         if answer.refusal is None and answer.state is SessionState.IN_TRANSACTION:
             emit(
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -68,7 +68,9 @@
                 timeout_s=max(0.0, left),
             )
         except NotSentError as exc:
-            await self._executor.pause(op, server, str(exc), WRITE_RETRIED)
+            await self._executor.pause(
+                op, server, str(exc), WRITE_RETRIED, wait_s=exc.wait_s
+            )
             return None
         except ConnectionLostError as exc:
             emit(WRITE_UNKNOWN, id=op.request_id, server=server.id, reason=str(exc))
