Keep a customer's reads at one replica; rest longer with each try of a statement

Change: policy/placement.py prefers the replica that keeps the customer's connections, by rendezvous hashing, unless the other one is faster by more than a new connection; policy/pauses.py doubles the pause between two tries, from 10 to 80 ms. Measured: tests/test_policies.py against a played load (openings under a fifth of those of reads that are spread).

--- a/mangoramp/policy/placement.py
+++ b/mangoramp/policy/placement.py
@@ -5,13 +5,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from ._rendezvous import rendezvous
 from .position import Position
 
 AWAY_S = 0.001  # a way to another failure domain and back
 OPENING_S = 0.015  # a new connection keeps a slot busy that long
+STRAY_S = 0.005  # less than a new connection, more than a way between failure domains
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +29,7 @@
         slots: Statements that it runs at the same time.
         is_near: Whether it runs in this failure domain.
         has_connection: Whether a connection of the caller's customer is free.
+        is_preferred: Whether the customer's connections are kept at this replica.
         is_suspect: Whether it failed lately.
     """
 
@@ -38,9 +41,23 @@
     slots: int
     is_near: bool
     has_connection: bool
+    is_preferred: bool
     is_suspect: bool
 
 
+def preferred_replica(customer: str, replicas: Collection[str]) -> str | None:
+    """The replica that keeps a customer's connections, None if there is none.
+
+    A server takes few connections, each for one customer; were a customer's reads
+    spread over all replicas, most of them would have to open one.
+
+    Args:
+        customer: The customer.
+        replicas: The group's replicas.
+    """
+    return rendezvous(customer, replicas)
+
+
 def choose_replica(
     replicas: Iterable[Replica], need: Position, need_age_s: float
 ) -> Replica | None:
@@ -69,5 +86,6 @@
 def _expected_s(replica: Replica) -> tuple[float, str]:
     waiting = replica.latency_s * (1 + replica.busy / replica.slots)
     opening = 0.0 if replica.has_connection else OPENING_S
+    stray = 0.0 if replica.is_preferred else STRAY_S
     away = 0.0 if replica.is_near else AWAY_S
-    return waiting + opening + away, replica.id
+    return waiting + opening + stray + away, replica.id
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -34,7 +34,6 @@
 
 WAIT_S = 0.05  # for a change of the group before its state is looked at again
 TELLING_S = 0.2  # a server that works answers within that time as a rule
-BUSY_PAUSE_S = 0.01  # a short statement ends and frees a slot
 
 
 class Executor:
@@ -61,6 +60,11 @@
         self.clock = servers.clock
         self._is_lost = is_lost
 
+    @property
+    def has_own_connections(self) -> bool:
+        """Whether this process holds the connections that its callers need."""
+        return self._homes is None or self._homes.is_direct
+
     async def take(self, op: Operation, server: Server, *, most_s: float) -> Lease:
         """Take a connection to a server, here or at its home.
 
@@ -143,7 +147,11 @@
                 retry_after_s=wait_s,
             )
         emit(retried, id=op.request_id, server=server.id, reason=reason)
-        await asyncio.sleep(BUSY_PAUSE_S)
+        await self.rest(op)
+
+    async def rest(self, op: Operation) -> None:
+        """Let a moment pass before an operation is tried again."""
+        await asyncio.sleep(op.pauses.take())
 
     def _admit(self, op: Operation) -> None:
         if op.ticket.is_taken:
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..control.deployment import Route
 from ..errors import Code, Fault, FaultError, Outcome, Step
+from ..policy.pauses import Pauses
 from ..sessions.session import Session
 
 BACK_SOON_S = 0.1  # a connection or a slot is free again within this time
@@ -36,6 +37,7 @@
         fresh_since: When the read, or its transaction, began, in seconds.
         session: The caller's session.
         ticket: Whether it was taken from its customer's limits.
+        pauses: The pauses between its tries.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     fresh_since: float
     session: Session
     ticket: Ticket
+    pauses: Pauses = field(default_factory=Pauses)
 
     @property
     def due_at(self) -> float:
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 
 from ..control.deployment import ReadRule
 from ..control.group import GroupState, Server
 from ..errors import Code
 from ..events import READ_RETRIED, READ_ROUTED, emit
-from ..policy.placement import Replica, choose_replica
+from ..policy.placement import Replica, choose_replica, preferred_replica
 from ..policy.position import Position
 from ..sessions.statement import Execute, Read
 from .command import (
@@ -21,7 +20,7 @@
     RollBack,
     RunFor,
 )
-from .executor import BUSY_PAUSE_S, Executor
+from .executor import Executor
 from .operation import Operation, unknown
 
 LEAST_PATIENCE_S = 0.25  # the longest statement of usual work
@@ -84,9 +83,14 @@
         need = self.need(op, group)
         if need is None:
             return None
-        servers = {s.id: s for s in group.replicas(now) if s.id not in passed_over}
+        replicas = group.replicas(now)
+        preferred = preferred_replica(op.customer, [s.id for s in replicas])
+        servers = {s.id: s for s in replicas if s.id not in passed_over}
         found = choose_replica(
-            (self._candidate(s, op.customer, now) for s in servers.values()),
+            (
+                self._candidate(s, op.customer, s.id == preferred, now)
+                for s in servers.values()
+            ),
             need.position,
             need.age_s,
         )
@@ -107,8 +111,13 @@
             return Need(seen, now - session.seen_at)
         return need
 
-    def _candidate(self, server: Server, customer: str, now: float) -> Replica:
+    def _candidate(
+        self, server: Server, customer: str, is_preferred: bool, now: float
+    ) -> Replica:
         pool = self._servers.pool(server)
+        # Which connections a home has is not known here.
+        is_own = self._executor.has_own_connections
+        has_connection = pool.has_idle(customer) if is_own else is_preferred
         return Replica(
             id=server.id,
             shows=server.shows,
@@ -117,7 +126,8 @@
             busy=server.busy + pool.waiting,
             slots=server.endpoint.slots,
             is_near=server.endpoint.failure_domain == self._failure_domain,
-            has_connection=pool.has_idle(customer),
+            has_connection=has_connection,
+            is_preferred=is_preferred,
             is_suspect=server.is_suspect(now),
         )
 
@@ -174,7 +184,7 @@
         if opened.refusal is not None:
             if opened.refusal is Refusal.NOT_PRIMARY:
                 server.disowned_at = self._clock()
-            await asyncio.sleep(BUSY_PAUSE_S)
+            await self._executor.rest(op)
             return None
         group.proved(asked_at, opened.position)
         if answer.refusal is Refusal.NOT_PRIMARY:
@@ -240,5 +250,5 @@
         if answer.refusal in (Refusal.FAILED, Refusal.OTHER):
             raise unknown(Code.STATEMENT_FAILED, answer.detail, peer=server.id)
         if answer.refusal is not Refusal.BEHIND:
-            await asyncio.sleep(BUSY_PAUSE_S)
+            await self._executor.rest(op)
         return None
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -14,6 +14,7 @@
     TRANSACTION_RETRIED,
     emit,
 )
+from ..policy.pauses import FIRST_S
 from ..policy.position import Position
 from ..sessions.reply import SessionState
 from ..sessions.session import Session
@@ -28,7 +29,7 @@
     RollBack,
     RunFor,
 )
-from .executor import BUSY_PAUSE_S, RETRIED_REFUSALS, Executor, writes
+from .executor import RETRIED_REFUSALS, Executor, writes
 from .lease import Lease
 from .operation import Operation, Ticket, aborted, unknown
 from .reading import CONNECTION_WAIT_S, Reader
@@ -206,7 +207,7 @@
         return answer
 
     def _may_retry(self, op: Operation, tx: Transaction, still_open: bool) -> bool:
-        if op.deadline - self._clock() < 2 * BUSY_PAUSE_S:
+        if op.deadline - self._clock() < 2 * FIRST_S:
             return False
         return still_open or tx.statements == 0
 
@@ -270,7 +271,7 @@
             server.disowned_at = self._clock()
         elif answer.refusal is Refusal.BEHIND and command.after is not None:
             server.lagged(server.lag_s)
-        await asyncio.sleep(BUSY_PAUSE_S)
+        await self._executor.rest(op)
         return False
 
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,3 +1,6 @@
+import random
+from collections import OrderedDict
+
 import pytest
 
 from mangoramp.policy.homes import (
@@ -6,7 +9,12 @@
     is_direct,
     part_of,
 )
-from mangoramp.policy.placement import Replica, choose_replica
+from mangoramp.policy.placement import (
+    Replica,
+    choose_replica,
+    preferred_replica,
+)
+from mangoramp.policy.pauses import Pauses
 from mangoramp.policy.position import Position
 from mangoramp.policy.quota import SharedBucket
 from mangoramp.policy.samples import PrimarySamples, Sample
@@ -27,6 +35,7 @@
         "slots": 2,
         "is_near": True,
         "has_connection": True,
+        "is_preferred": True,
         "is_suspect": False,
     }
     return Replica(name, **(fields | changes))
@@ -69,6 +78,7 @@
             {"busy": 4},
             {"latency_s": 0.05},
             {"has_connection": False},
+            {"is_preferred": False},
             {"is_near": False},
             {"is_suspect": True},
         ],
@@ -80,6 +90,39 @@
         assert found.id == "b"
 
 
+class TestPreferredReplica:
+    CUSTOMERS = 60
+    CONNECTIONS = 30
+
+    def opened(self, choose):
+        """Connections that are opened for reads of many customers, each its own."""
+        rng = random.Random(1)
+        weights = [1 / (n + 1) for n in range(self.CUSTOMERS)]
+        open_at = {"r1": OrderedDict(), "r2": OrderedDict()}
+        opened = 0
+        for customer in rng.choices(range(self.CUSTOMERS), weights, k=10_000):
+            server = open_at[choose(f"c{customer}", rng)]
+            if customer not in server:
+                opened += 1
+                server[customer] = True
+                if len(server) > self.CONNECTIONS:
+                    server.popitem(last=False)
+            server.move_to_end(customer)
+        return opened
+
+    def test_keeps_a_customers_connections_together(self):
+        spread = self.opened(lambda customer, rng: rng.choice(["r1", "r2"]))
+        kept = self.opened(lambda c, rng: preferred_replica(c, ["r1", "r2"]))
+        assert kept < 0.2 * spread
+
+    def test_only_the_customers_of_a_lost_replica_move(self):
+        names = [f"c{n}" for n in range(100)]
+        before = {c: preferred_replica(c, ["r1", "r2", "r3"]) for c in names}
+        for customer in names:
+            after = preferred_replica(customer, ["r1", "r3"])
+            assert after == before[customer] or before[customer] == "r2"
+
+
 class TestSuccession:
     SILENT = Evidence(is_known=True, silent_s=2.0, failures=3)
 
@@ -186,3 +229,20 @@
         customers = [f"c{n}" for n in range(100)]
         moved = sum(home_for(c, before) != home_for(c, after) for c in customers)
         assert moved <= 100 * 2 // len(before) + 15
+
+
+class TestPauses:
+    def test_an_outage_is_not_asked_through(self):
+        pauses, waited, tries = Pauses(), 0.0, 0
+        while waited < 2.0:
+            waited += pauses.take()
+            tries += 1
+        assert tries < 32
+
+    def test_a_short_wait_ends_soon(self):
+        pauses = Pauses()
+        assert pauses.take() + pauses.take() <= 0.03
+
+    def test_no_pause_is_longer_than_the_shortest_objective(self):
+        pauses = Pauses()
+        assert max(pauses.take() for _ in range(20)) <= 0.1
