Give a server no more statements than it has room for; fewer homes

Change: policy/window.py, additive increase and multiplicative decrease of the statements under way at a server, in each pool; connections pinned by a transaction that waits for its caller do not count. Not more than three homes for each slot of a server.

--- a/mangoramp/policy/homes.py
+++ b/mangoramp/policy/homes.py
@@ -15,6 +15,7 @@
 RESERVE = 0.1  # of a server's connections, for instances that are not counted yet
 LEAST_PART = 2  # connections to a server, so that a transaction does not stop the rest
 CUSTOMERS_A_CONNECTION = 4  # of which the few large ones send most of the statements
+HOMES_A_SLOT = 3  # more would not keep a statement each at a server without refusals
 HOME_PART = 5  # connections to a server with which a home rarely has to open one
 
 
@@ -30,14 +31,18 @@
     return part >= LEAST_PART and part * CUSTOMERS_A_CONNECTION >= customers
 
 
-def choose_homes(strengths: Mapping[str, int], max_connections: int) -> list[str]:
+def choose_homes(
+    strengths: Mapping[str, int], max_connections: int, slots: int
+) -> list[str]:
     """The instances that hold the connections, where not all do.
 
     Args:
         strengths: The instances in touch, and how much each can carry.
         max_connections: Connections that each server takes.
+        slots: Statements that each server runs at the same time.
     """
-    sustained = int(max_connections * (1 - RESERVE) / HOME_PART)
+    connected = int(max_connections * (1 - RESERVE) / HOME_PART)
+    sustained = min(connected, HOMES_A_SLOT * slots)
     count = max(1, min(len(strengths), sustained))
     order = ranked("homes", strengths)
     # The weakest half only where there are not enough others.
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -171,7 +171,11 @@
         now = self._clock()
         if now - self._chosen_at >= CHOICE_S:
             self._chosen_at = now
-            self._chosen = choose_homes(self._live(), self._servers.fewest_connections)
+            self._chosen = choose_homes(
+                self._live(),
+                self._servers.fewest_connections,
+                self._servers.fewest_slots,
+            )
         return self._chosen
 
     async def answer(self, message: BatchMessage) -> BatchMessage:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -29,6 +29,7 @@
     ConnectionLostError,
     NotSentError,
     PrepareAs,
+    Refusal,
     ResetSession,
     RunFor,
     ServerConnection,
@@ -94,12 +95,14 @@
         conn: The connection.
         customer: Whose it is.
         pool: Where it belongs.
+        is_parked: Whether a transaction holds it that waits for its caller.
     """
 
     server: Server
     conn: ServerConnection
     customer: str
     pool: ServerPool
+    is_parked: bool = False
 
     @property
     def held_by(self) -> str:
@@ -110,6 +113,23 @@
         self, image: Image | None, commands: tuple[Command, ...], *, timeout_s: float
     ) -> tuple[Answer, ...]:
         """Run commands, after what brings the connection into a session's state."""
+        self._resume()
+        answers = await self._run(image, commands, timeout_s)
+        was_refused = any(a.refusal is Refusal.BUSY for a in answers)
+        self.pool.answered(was_refused=was_refused)
+        if needs_pin(answers):
+            self.is_parked = True
+            self.pool.park()
+        return answers
+
+    def _resume(self) -> None:
+        if self.is_parked:
+            self.is_parked = False
+            self.pool.resume()
+
+    async def _run(
+        self, image: Image | None, commands: tuple[Command, ...], timeout_s: float
+    ) -> tuple[Answer, ...]:
         if image is None:
             return await self.conn.run(commands, timeout_s=timeout_s)
         prelude = tuple(_prelude(self.conn, image, commands))
@@ -123,6 +143,7 @@
 
     def give_back(self) -> None:
         """End the lease."""
+        self._resume()
         self.pool.release(self.conn, self.customer)
 
     def discard(self) -> None:
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -10,6 +10,7 @@
 from ..control.group import Server
 from ..events import CONNECTION_REFUSED, emit
 from ..policy.line import Line, Place
+from ..policy.window import Window
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
 
 FULL_PAUSE_S = 0.05  # another process gives a connection back within this time
@@ -81,6 +82,8 @@
         self._clock = clock
         self._idle: deque[_Idle] = deque()
         self._count = 0
+        self._window = Window()
+        self._active = 0
         self._line = Line()
         self._futs: dict[Place, asyncio.Future[None]] = {}
         self._full_until = float("-inf")
@@ -118,14 +121,9 @@
         while True:
             if self._is_closed:
                 raise NoConnectionError("the server is gone", is_reachable=False)
-            conn = self._take_idle(customer)
+            conn = await self._try_to_take(customer)
             if conn is not None:
                 return conn
-            if self._may_open() and self._has_room():
-                try:
-                    return await self._open(customer)
-                except OpenRefusedError as exc:
-                    self._refused(exc)
             if self._clock() >= deadline:
                 raise NoConnectionError("all connections are busy", is_reachable=True)
             if place is None:
@@ -137,8 +135,25 @@
                 )
             await self._wait(place)
 
+    def park(self) -> None:
+        """Note that a taken connection runs nothing for now."""
+        self._active -= 1
+        self._wake()
+
+    def resume(self) -> None:
+        """Note that a parked connection runs a statement again."""
+        self._active += 1
+
+    def answered(self, *, was_refused: bool) -> None:
+        """Note whether the server had room for what it was sent."""
+        if was_refused:
+            self._window.refused(self._active, self._clock())
+        else:
+            self._window.served(self._active)
+
     def release(self, conn: ServerConnection, customer: str) -> None:
         """Give a connection back; a closed one makes room for another."""
+        self._active -= 1
         if not conn.is_open:
             self._count -= 1
         elif self._is_closed or self._count > self.limit:
@@ -147,6 +162,9 @@
         else:
             self._idle.append(_Idle(conn, customer, self._clock()))
         self._wake(customer)
+        if self._window.has_room(self._active + 1):
+            # The window has grown meanwhile.
+            self._wake()
 
     def trim(self) -> None:
         """Close the connections that broke, or were idle for long."""
@@ -164,6 +182,22 @@
         while len(self._line):
             self._wake()
 
+    async def _try_to_take(self, customer: str) -> ServerConnection | None:
+        if not self._window.has_room(self._active):
+            return None
+        self._active += 1
+        conn: ServerConnection | None = None
+        try:
+            conn = self._take_idle(customer)
+            if conn is None and self._may_open() and self._has_room():
+                conn = await self._open(customer)
+        except OpenRefusedError as exc:
+            self._refused(exc)
+        finally:
+            if conn is None:
+                self._active -= 1
+        return conn
+
     def _may_open(self) -> bool:
         if self._clock() < self._full_until:
             return False
@@ -217,6 +251,7 @@
             connections=self._count,
             limit=self.limit,
         )
+        self.answered(was_refused=exc.refusal is Refusal.BUSY)
         if exc.refusal in (Refusal.TOO_MANY_CONNECTIONS, Refusal.BUSY):
             self._full_until = self._clock() + self._full_pause
             self._full_pause = min(MAX_FULL_PAUSE_S, 2 * self._full_pause)
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -11,6 +11,7 @@
 from .pool import ServerPool
 
 DEFAULT_CONNECTIONS = 16  # of a server whose group's configuration is not known
+DEFAULT_SLOTS = 2  # of a server that is not listed yet
 LEAST = 2  # while the number of instances is not known
 
 
@@ -107,6 +108,12 @@
         most = (group.max_connections for group in groups)
         return min(most, default=DEFAULT_CONNECTIONS)
 
+    @property
+    def fewest_slots(self) -> int:
+        """The statements that each server of the scarcest group runs at a time."""
+        servers = (s for group in self.groups.values() for s in group.servers.values())
+        return min((s.endpoint.slots for s in servers), default=DEFAULT_SLOTS)
+
     def max_connections(self, group: str) -> int:
         """The connections that each server of a group takes, from all instances."""
         known = self._deployment.groups.get(group) if self._deployment else None
