Hold no connections where an instance is no home

Right after a start an instance hears nobody, takes itself for a home and opens a connection to each server; 69 of them before a cap of 35, kept for the 20 s of an idle connection, so that the real homes were refused. Change: an instance that is no home holds none, idle connections beyond the limit are closed at the next look, and a waiter is woken when the limit rises. The first report goes out as soon as the other instances are known.

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -271,7 +271,11 @@
 
     def know(self, addresses: dict[str, Address]) -> None:
         """Take over where the instances are that the store lists."""
+        known = self._addresses
         self._addresses = {n: a for n, a in addresses.items() if n != self._name}
+        if self._addresses.keys() - known.keys():
+            # They are to hear of this instance before they share out connections.
+            self._said_at = float("-inf")
         self._standing = self._look(self._clock())
         now = self._clock()
         for name, peer in list(self.peers.items()):
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -31,7 +31,6 @@
 SILENCES = 2  # calls in a row without an answer show that the link is dead
 CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
 PINNED_S = 10.0  # longer than a transaction may idle and a statement may take
-FALLBACK = 1  # connections to a server of an instance that is no home of its group
 
 
 @dataclass(slots=True)
@@ -92,11 +91,24 @@
             servers.fewest_connections, servers.instances, servers.customers
         )
 
+    @property
+    def names(self) -> list[str]:
+        """The instances that hold connections for the others."""
+        now = self._clock()
+        if now - self._chosen_at >= CHOICE_S:
+            self._chosen_at = now
+            self._chosen = choose_homes(
+                self._live(),
+                self._servers.fewest_connections,
+                self._servers.fewest_slots,
+            )
+        return self._chosen
+
     def of(self, customer: str) -> str | None:
         """The home of a customer's connections; None for this instance itself."""
         if self.is_direct:
             return None
-        home = home_for(customer, self._homes())
+        home = home_for(customer, self.names)
         return None if home == self._name else home
 
     def limit(self, group: str) -> int | None:
@@ -111,12 +123,12 @@
         most = servers.max_connections(group)
         if self.is_direct:
             return part_of(most, servers.instances)
-        homes = self._homes()
+        homes = self.names
         if self._name not in homes:
-            return FALLBACK
+            return 0
         # Those out of touch may have homes of their own.
         in_touch = len(self._instances()) / servers.instances
-        return int(part_of(most, len(homes)) * min(1.0, in_touch))
+        return max(1, int(part_of(most, len(homes)) * min(1.0, in_touch)))
 
     async def call(
         self, home: str, message: RunBatch | DropPinned, *, timeout_s: float
@@ -167,17 +179,6 @@
             if name == self._name or self._suspects.get(name, 0.0) <= now
         }
 
-    def _homes(self) -> list[str]:
-        now = self._clock()
-        if now - self._chosen_at >= CHOICE_S:
-            self._chosen_at = now
-            self._chosen = choose_homes(
-                self._live(),
-                self._servers.fewest_connections,
-                self._servers.fewest_slots,
-            )
-        return self._chosen
-
     async def answer(self, message: BatchMessage) -> BatchMessage:
         """Answer another instance."""
         if isinstance(message, DropPinned):
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -166,13 +166,19 @@
             # The window has grown meanwhile.
             self._wake()
 
+    def resize(self, limit: int) -> None:
+        """Take over the most connections at a time."""
+        grown, self.limit = limit - self.limit, limit
+        for _ in range(grown):
+            self._wake()
+
     def trim(self) -> None:
-        """Close the connections that broke, or were idle for long."""
+        """Close the connections that broke, were idle for long, or are too many."""
         now = self._clock()
         for idle in list(self._idle):
-            if idle.conn.is_open and now - idle.since < IDLE_KEEP_S:
-                continue
-            self._drop(idle)
+            is_old = now - idle.since >= IDLE_KEEP_S
+            if not idle.conn.is_open or is_old or self._count > self.limit:
+                self._drop(idle)
 
     def close(self) -> None:
         """Close what is idle now, and the rest as it is given back."""
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -76,7 +76,7 @@
         self._deployment = deployment or self._deployment
         self.instances = instances
         for entry in self._pools.values():
-            entry.pool.limit = self._limit(entry.server.endpoint.group)
+            entry.pool.resize(self._limit(entry.server.endpoint.group))
 
     def tidy(self) -> None:
         """Forget servers that are gone, and close old connections."""
@@ -121,4 +121,4 @@
 
     def _limit(self, group: str) -> int:
         limit = self.limit(group)
-        return LEAST if limit is None else max(1, limit)
+        return LEAST if limit is None else limit
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -580,6 +580,26 @@
             pools = world.instances[other].servers.pools()
             assert sum(pool.opened for pool in pools) == 0
 
+    async def test_the_others_keep_no_connections(self):
+        async with World(instances=3) as world:
+            for number in range(3):
+                caller = await world.caller("notes", instance=number)
+                await caller.ask("READ a")
+                await caller.ask("WRITE a 1")
+            home, index, other = await self.settle(world)
+
+            def others_hold_none():
+                return all(
+                    pool.count == 0
+                    for n, instance in enumerate(world.instances)
+                    if instance.cfg.name not in instance.homes.names
+                    for pool in instance.servers.pools()
+                )
+
+            await world.until(others_hold_none)
+            caller = await world.caller("notes", instance=other)
+            assert (await caller.ask("WRITE a 2"))[0].startswith("DONE")
+
     async def test_transactions_are_pinned_at_the_home(self):
         async with World(instances=3) as world:
             home, index, other = await self.settle(world)
