Tell with each home's answer what the primaries have proved

A read of bounded age needs a proof of the primary's position that is no older than its bound; each of 69 instances made its own, and mostly had none. Change: a home notes the proofs in what it runs and sends the latest of each group with its answers. The receiver counts a proof as older by the time that its own question took, so that no clock but its own is trusted. Ruled out: proofs in the reports between instances; a datagram's age has no upper bound.

--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -5,6 +5,7 @@
 from ..proxies.messages import Envelope
 from ..sessions.statement import Shape
 from .command import Answer, Command
+from .proofs import Proof
 
 
 class RunBatch(Envelope, frozen=True):
@@ -46,10 +47,12 @@
     Attributes:
         answers: The answers to the commands.
         handle: The connection that stays pinned since a transaction is open, or 0.
+        proofs: The latest proof of each group, as the home knows them.
     """
 
     answers: tuple[Answer, ...]
     handle: int = 0
+    proofs: tuple[Proof, ...] = ()
 
 
 class BatchLost(Envelope, frozen=True):
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -11,6 +11,7 @@
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
 from ..policy.homes import choose_homes, home_for, is_direct, part_of
+from ..policy.position import Position
 from ..proxies.links import Links
 from .batches import (
     BatchLost,
@@ -25,11 +26,13 @@
 from .command import Answer, ConnectionLostError
 from .lease import LEAST_S, Image, LocalLease, needs_pin
 from .pool import NoConnectionError, Urgency
+from .proofs import Proof, note_proofs
 from .servers import Servers
 
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
 SILENCES = 2  # calls in a row without an answer show that the link is dead
 CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
+PROOF_KEEP_S = 2.0  # older ones hardly help reads of an age of seconds
 PINNED_S = 10.0  # longer than a transaction may idle and a statement may take
 
 
@@ -140,9 +143,11 @@
             message: What to do.
             timeout_s: Seconds to wait.
         """
+        asked_at = self._clock()
         result = await self._links.call(home, message, timeout_s=timeout_s)
         if isinstance(result, Success):
             self._silences.pop(home, None)
+            self._learn(result.unwrap(), asked_at)
             return result
         self._silences[home] = self._silences.get(home, 0) + 1
         if self._silences[home] >= SILENCES:
@@ -151,6 +156,28 @@
             self._silences.pop(home, None)
         return result
 
+    def _learn(self, answer: BatchMessage, asked_at: float) -> None:
+        if not isinstance(answer, BatchRun):
+            return
+        for proof in answer.proofs:
+            # The home told the age after it was asked, whatever its clock shows.
+            position = Position(proof.term, proof.offset)
+            self._servers.group(proof.group).proved(asked_at - proof.age_s, position)
+
+    def _proofs(self) -> tuple[Proof, ...]:
+        now = self._clock()
+        latest = ((g.name, g.samples.latest) for g in self._servers.groups.values())
+        return tuple(
+            Proof(
+                name,
+                now - sample.asked_at,
+                sample.position.term,
+                sample.position.offset,
+            )
+            for name, sample in latest
+            if sample is not None and now - sample.asked_at < PROOF_KEEP_S
+        )
+
     def suspect(self, home: str) -> None:
         """Pass a home over for a while."""
         self._suspects[home] = self._clock() + SUSPECT_S
@@ -216,6 +243,7 @@
         if pinned is not None:
             pinned.is_busy = True
         values = message.values
+        asked_at = self._clock()
         try:
             answers = await lease.run(
                 None if values is None else Image(values, message.shapes),
@@ -226,8 +254,12 @@
             self._pinned.pop(message.handle, None)
             lease.give_back()
             return BatchLost(reason=str(exc), answers=exc.answers)
+        group = self._servers.group(message.group)
+        note_proofs(group, asked_at, message.commands, answers, message.shapes)
         return BatchRun(
-            answers=answers, handle=self._keep(message.handle, lease, answers)
+            answers=answers,
+            handle=self._keep(message.handle, lease, answers),
+            proofs=self._proofs(),
         )
 
     async def _take(self, message: RunBatch) -> LocalLease | BatchNotSent:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -600,6 +600,27 @@
             caller = await world.caller("notes", instance=other)
             assert (await caller.ask("WRITE a 2"))[0].startswith("DONE")
 
+    async def test_a_homes_proofs_serve_the_others(self):
+        async with World(instances=3) as world:
+            home, index, other = await self.settle(world)
+            third = 3 - index - other
+            writer = await world.caller(instance=third)
+            caller = await world.caller("search", instance=other)
+
+            async def write():
+                for number in range(100):
+                    await writer.ask(f"WRITE a {number}")
+                    await asyncio.sleep(0.1)
+
+            writing = asyncio.ensure_future(write())
+            for number in range(4):
+                assert (await caller.ask("READ a", f"r{number}"))[-2].startswith("DONE")
+                await asyncio.sleep(0.9)
+            writing.cancel()
+            # Its own proof, from the first read, is then older than the bound.
+            for number in (2, 3):
+                assert world.ran(f"r{number}")[0].server != "s1"
+
     async def test_transactions_are_pinned_at_the_home(self):
         async with World(instances=3) as world:
             home, index, other = await self.settle(world)
