--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -23,7 +23,7 @@
 ASK_TIMEOUT_S = 0.5  # two ways within a region and one lost packet
 
 
-class AskNews(Envelope, frozen=True):
+class AskNews(Envelope, frozen=True, array_like=True):
     """Asks for what the asker does not know yet.
 
     Attributes:
@@ -35,7 +35,7 @@
     registry_revision: int
 
 
-class News(Envelope, frozen=True):
+class News(Envelope, frozen=True, array_like=True):
     """What is newer than what was asked with.
 
     Attributes:
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -8,7 +8,7 @@
 from .proofs import Proof
 
 
-class RunBatch(Envelope, frozen=True):
+class RunBatch(Envelope, frozen=True, array_like=True):
     """Run commands on a connection of a customer.
 
     Attributes:
@@ -41,7 +41,7 @@
     ticket: str = ""
 
 
-class BatchRun(Envelope, frozen=True):
+class BatchRun(Envelope, frozen=True, array_like=True):
     """All answers.
 
     Attributes:
@@ -55,7 +55,7 @@
     proofs: tuple[Proof, ...] = ()
 
 
-class BatchLost(Envelope, frozen=True):
+class BatchLost(Envelope, frozen=True, array_like=True):
     """The connection was lost before all answers came.
 
     Attributes:
@@ -67,7 +67,7 @@
     answers: tuple[Answer, ...] = ()
 
 
-class BatchNotSent(Envelope, frozen=True):
+class BatchNotSent(Envelope, frozen=True, array_like=True):
     """Nothing was sent to the server.
 
     Attributes:
@@ -81,7 +81,7 @@
     wait_s: float = 0.0
 
 
-class BatchOverRate(Envelope, frozen=True):
+class BatchOverRate(Envelope, frozen=True, array_like=True):
     """The operation is beyond the customer's limits; nothing was sent.
 
     Attributes:
@@ -91,13 +91,13 @@
     wait_s: float
 
 
-class DropPinned(Envelope, frozen=True):
+class DropPinned(Envelope, frozen=True, array_like=True):
     """Close a pinned connection; its transaction is rolled back."""
 
     handle: int
 
 
-class PinnedDropped(Envelope, frozen=True):
+class PinnedDropped(Envelope, frozen=True, array_like=True):
     """The pinned connection is closed."""
 
 
--- a/mangoramp/serving/command.py
+++ b/mangoramp/serving/command.py
@@ -13,25 +13,25 @@
 from ..sessions.statement import Execute, Read, Shape, Write
 
 
-class ResetSession(msgspec.Struct, frozen=True, tag=True):
+class ResetSession(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Drops the connection's values and prepared statements."""
 
 
-class AssignValue(msgspec.Struct, frozen=True, tag=True):
+class AssignValue(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Sets a value of the connection."""
 
     name: str
     value: str
 
 
-class PrepareAs(msgspec.Struct, frozen=True, tag=True):
+class PrepareAs(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Prepares a shape under a name of the connection."""
 
     alias: str
     shape: Shape
 
 
-class OpenTransaction(msgspec.Struct, frozen=True, tag=True):
+class OpenTransaction(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Opens a transaction.
 
     Attributes:
@@ -43,17 +43,17 @@
     after: Position | None = None
 
 
-class RollBack(msgspec.Struct, frozen=True, tag=True):
+class RollBack(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Ends the connection's transaction and drops its writes."""
 
 
-class CommitFor(msgspec.Struct, frozen=True, tag=True):
+class CommitFor(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A caller's commit, with the id of its request."""
 
     request_id: str
 
 
-class RunFor(msgspec.Struct, frozen=True, tag=True):
+class RunFor(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """A caller's statement.
 
     Attributes:
@@ -69,7 +69,7 @@
     after: Position | None = None
 
 
-class AskStatus(msgspec.Struct, frozen=True, tag=True):
+class AskStatus(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Asks the server for its role and position."""
 
 
@@ -107,7 +107,7 @@
 _MAY_HAVE_RUN = frozenset({Refusal.FAILED, Refusal.TIMEOUT, Refusal.OTHER})
 
 
-class Answer(msgspec.Struct, frozen=True):
+class Answer(msgspec.Struct, frozen=True, array_like=True):
     """A server's answer to one command.
 
     Attributes:
--- a/mangoramp/sessions/statement.py
+++ b/mangoramp/sessions/statement.py
@@ -24,13 +24,13 @@
     """Ends a transaction and drops its writes."""
 
 
-class Read(msgspec.Struct, frozen=True, tag=True):
+class Read(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Reads an item; ``text`` is the statement exactly as the caller sent it."""
 
     text: str
 
 
-class Write(msgspec.Struct, frozen=True, tag=True):
+class Write(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Writes an item; ``text`` is the statement exactly as the caller sent it."""
 
     text: str
@@ -65,7 +65,7 @@
     shape: Shape
 
 
-class Execute(msgspec.Struct, frozen=True, tag=True):
+class Execute(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Runs a prepared statement; ``arguments`` are exactly as the caller sent them."""
 
     name: str
