Pass over a home until it is heard again

A home that did not answer was passed over for half a second and then asked again, each time for a statement's whole time, until after 4.4 s its silence was certain. Change: it is passed over until a report of it has come since, at most ten seconds. Measured: tests/test_serving_homes.py (the first one fails on the former rule: asked again after 0.5 s).

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -216,6 +216,11 @@
         near = [n for n in fit if self._is_near(self.peers[n])]
         return rendezvous(self._name, near or fit)
 
+    def heard_at(self, name: str) -> float:
+        """When a peer was last heard, in seconds."""
+        peer = self.peers.get(name)
+        return peer.heard_at if peer is not None else float("-inf")
+
     @property
     def is_watcher(self) -> bool:
         """Whether this instance follows the store itself, not through its peers."""
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -114,6 +114,7 @@
             instances=lambda: self.peers.serving | {cfg.name: self.cfg.strength},
             admit=self._take_ticket,
             links=self._links,
+            heard_at=self.peers.heard_at,
         )
         self.servers.limit = self.homes.limit
         executor = Executor(
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -30,6 +30,7 @@
 from .servers import Servers
 
 SUSPECT_S = 0.5  # a link is opened anew meanwhile
+MOST_SUSPECT_S = 10.0  # one that is not heard for so long is out of touch anyway
 SILENCES = 2  # calls in a row without an answer show that the link is dead
 CHOICE_S = 0.1  # a home that leaves says so, or is passed over, meanwhile
 PROOF_KEEP_S = 2.0  # older ones hardly help reads of an age of seconds
@@ -54,6 +55,7 @@
         admit: Takes an operation, by its customer and its first statement's id, from
             the customer's limits; tells the seconds to wait if it is beyond them.
         links: The ways to the other instances.
+        heard_at: Tells when an instance was last heard, in seconds.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         instances: Callable[[], dict[str, int]],
         admit: Callable[[str, str], float],
         links: Links,
+        heard_at: Callable[[str], float],
     ) -> None:
         self._name = name
         self._servers = servers
@@ -71,6 +74,7 @@
         self._instances = instances
         self._admit = admit
         self._links = links
+        self._heard_at = heard_at
         self._suspects: dict[str, float] = {}
         self._silences: dict[str, int] = {}
         self._chosen: list[str] = []
@@ -179,8 +183,8 @@
         )
 
     def suspect(self, home: str) -> None:
-        """Pass a home over for a while."""
-        self._suspects[home] = self._clock() + SUSPECT_S
+        """Pass a home over for a while, and until it is heard again."""
+        self._suspects[home] = self._clock()
         self._chosen_at = float("-inf")
         emit(HOME_SUSPECTED, home=home)
 
@@ -199,13 +203,23 @@
                 self._drop(handle)
 
     def _live(self) -> dict[str, int]:
-        now = self._clock()
         return {
             name: strength
             for name, strength in self._instances().items()
-            if name == self._name or self._suspects.get(name, 0.0) <= now
+            if name == self._name or not self._is_suspect(name)
         }
 
+    def _is_suspect(self, name: str) -> bool:
+        since = self._suspects.get(name)
+        if since is None:
+            return False
+        passed_s = self._clock() - since
+        is_heard = self._heard_at(name) > since
+        if passed_s < SUSPECT_S or (not is_heard and passed_s < MOST_SUSPECT_S):
+            return True
+        del self._suspects[name]
+        return False
+
     async def answer(self, message: BatchMessage) -> BatchMessage:
         """Answer another instance."""
         if isinstance(message, DropPinned):
--- /dev/null
+++ b/tests/test_serving_homes.py
@@ -0,0 +1,53 @@
+from types import SimpleNamespace
+
+import pytest
+
+from mangoramp.serving.homes import SUSPECT_S, Homes
+
+
+class TestSuspects:
+    NAMES = ("a", "b", "c", "d", "e", "f")
+
+    @pytest.fixture
+    def world(self):
+        found = SimpleNamespace(now=0.0, heard=dict.fromkeys(self.NAMES, 0.0))
+        servers = SimpleNamespace(
+            clock=lambda: found.now,
+            instances=len(self.NAMES),
+            customers=40,
+            fewest_connections=12,
+            fewest_slots=2,
+        )
+        found.homes = Homes(
+            "a",
+            servers,
+            instances=lambda: dict.fromkeys(self.NAMES, 1),
+            admit=lambda customer, request_id: 0.0,
+            links=None,
+            heard_at=found.heard.__getitem__,
+        )
+        return found
+
+    def home_of(self, world, after_s=0.0):
+        world.now += after_s
+        return world.homes.of("customer")
+
+    def test_one_that_is_cut_off_is_not_asked_again_until_it_is_heard(self, world):
+        home = self.home_of(world)
+        world.homes.suspect(home)
+        tried_again = [self.home_of(world, 0.3) == home for _ in range(10)]
+        assert not any(tried_again)
+        world.heard[home] = world.now
+        assert self.home_of(world, 0.3) == home
+
+    def test_one_that_lost_a_message_is_back_soon(self, world):
+        home = self.home_of(world)
+        world.homes.suspect(home)
+        world.heard[home] = 0.1
+        assert self.home_of(world, SUSPECT_S / 2) != home
+        assert self.home_of(world, SUSPECT_S) == home
+
+    def test_nobody_is_passed_over_for_ever(self, world):
+        home = self.home_of(world)
+        world.homes.suspect(home)
+        assert self.home_of(world, 11.0) == home
