Fewer calls to the store at a first start and while a failure domain is cut off

In a cut failure domain each of its instances became a watcher in turn and tried twice a second. Change: one more, fresh listing half a second after an empty one; those that only stand in for the first watchers pause up to 4 s after a failure.

--- a/mangoramp/control/members.py
+++ b/mangoramp/control/members.py
@@ -16,6 +16,7 @@
 
 KIND = "mangoramp-instance"
 RELIST_S = 5.0  # new instances make themselves heard; this only finds lost records
+FIRST_RELIST_S = 0.5  # all instances of a deployment start within 0.3 s
 RETRY_S = 0.5
 FORGET_S = 20.0  # longer than any outage after which an instance comes back by itself
 GOODBYE_S = 1.0
@@ -61,6 +62,10 @@
         # Listed first: how many others there are limits what this one may use.
         await self._relist()
         await self._register()
+        if len(self._peers.everyone) == 1:
+            # What is seconds old does not show those that start at the same moment.
+            await asyncio.sleep(FIRST_RELIST_S)
+            await self._relist(allow_stale=False)
         while True:
             await asyncio.sleep(RELIST_S * self._rng.uniform(0.8, 1.2))
             is_listed = await self._relist()
@@ -99,8 +104,10 @@
                     return
             await asyncio.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
 
-    async def _relist(self) -> bool | None:
-        found = await self._client.listing(KIND, InstanceRecord, allow_stale=True)
+    async def _relist(self, *, allow_stale: bool = True) -> bool | None:
+        found = await self._client.listing(
+            KIND, InstanceRecord, allow_stale=allow_stale
+        )
         if not isinstance(found, Success):
             emit(PLATFORM_LOST, kind=KIND, reason=found.failure().message)
             return None
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -96,6 +96,7 @@
     serving: dict[str, int]
     has_majority: bool
     is_watcher: bool
+    is_first_watcher: bool
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -142,7 +143,7 @@
         self._urgent_said: dict[str, int] = {}
         self._said_at = float("-inf")
         self._gone: set[tuple[str, int]] = set()
-        self._standing = _Standing(float("-inf"), [], [], {}, True, True)
+        self._standing = _Standing(float("-inf"), [], [], {}, True, True, True)
 
     async def listen(self, address: Address, seeds: Iterable[Address]) -> None:
         """Begin to send and to receive."""
@@ -226,6 +227,11 @@
         """Whether this instance follows the store itself, not through its peers."""
         return self._current.is_watcher
 
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether it would follow the store if the store answered all instances."""
+        return self._current.is_first_watcher
+
     def _is_near(self, peer: Peer) -> bool:
         return peer.report.failure_domain == self._failure_domain
 
@@ -260,17 +266,15 @@
             for name, peer in peers.items()
             if not peer.report.is_draining
         }
-        near = [
-            name
-            for name, peer in peers.items()
-            if self._is_near(peer) and peer.report.is_current
-        ]
+        near = [name for name, peer in peers.items() if self._is_near(peer)]
+        current = [name for name in near if peers[name].report.is_current]
         return _Standing(
             now,
             heard,
             everyone,
             serving,
             has_majority(heard, everyone),
+            is_watcher(self._name, current, instances=len(everyone)),
             is_watcher(self._name, near, instances=len(everyone)),
         )
 
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -92,6 +92,7 @@
             self.beliefs,
             cfg.bounds,
             is_watcher=lambda: self.peers.is_watcher,
+            is_first_watcher=lambda: self.peers.is_first_watcher,
             rng=rng,
             clock=boot_time,
         )
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -19,6 +19,7 @@
 from .watch import Watch
 
 RETRY_MAX_S = 0.5  # entries have to be known again two seconds after an outage
+SECOND_RETRY_MAX_S = 4.0  # of those that only stand in for the first watchers
 LEAST_WAIT_S = 1.0
 
 
@@ -46,6 +47,7 @@
         receiver: What is told of changes.
         bounds: The promises; a watch that went silent is noticed in time for them.
         is_watcher: Tells whether this instance follows the store itself.
+        is_first_watcher: Tells whether it would also if the store answered all.
         rng: Source of the jitter.
         clock: Tells the time in seconds.
     """
@@ -57,6 +59,7 @@
         bounds: Bounds,
         *,
         is_watcher: Callable[[], bool],
+        is_first_watcher: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
@@ -80,7 +83,9 @@
                 clock=clock,
                 wait_s=lambda: wait_s,
                 is_wanted=is_watcher,
-                retry_max_s=RETRY_MAX_S,
+                retry_max_s=lambda: (
+                    RETRY_MAX_S if is_first_watcher() else SECOND_RETRY_MAX_S
+                ),
             )
             for kind, taker in takers.items()
         ]
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -35,7 +35,7 @@
         clock: Tells the time in seconds.
         wait_s: Tells the longest that a poll waits, in seconds.
         is_wanted: Tells whether to go on once the kind is known; a nudge asks anyway.
-        retry_max_s: The longest pause after a failure, in seconds.
+        retry_max_s: Tells the longest pause after a failure, in seconds.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         clock: Callable[[], float] = time.monotonic,
         wait_s: Callable[[], float] = lambda: WAIT_S,
         is_wanted: Callable[[], bool] = lambda: True,
-        retry_max_s: float = RETRY_MAX_S,
+        retry_max_s: Callable[[], float] = lambda: RETRY_MAX_S,
     ) -> None:
         self._client = client
         self._kind = kind
@@ -133,5 +133,5 @@
             nudged.cancel()
 
     def _backoff(self, failures: int) -> float:
-        longest = min(self._retry_max_s, RETRY_BASE_S * 2 ** min(failures, 10))
+        longest = min(self._retry_max_s(), RETRY_BASE_S * 2 ** min(failures, 10))
         return self._rng.uniform(RETRY_BASE_S, longest)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -82,3 +82,54 @@
         hearing.hear(5, is_draining=True)
         assert "b" not in hearing.peers.serving
         assert "b" in hearing.peers.heard
+
+
+class TestWatching:
+    """Forty instances of two failure domains, as one of them hears the others."""
+
+    def hear_all(self, hearing, *, is_current=lambda name: True):
+        for number in range(39):
+            name = f"i{number}"
+            report = Report(
+                name,
+                1,
+                hearing.number + 1,
+                failure_domain="near" if number < 19 else "far",
+                is_current=is_current(name),
+            )
+            address = (ADDRESS[0], ADDRESS[1] + number)
+            hearing.peers.datagram_received(msgspec.msgpack.encode(report), address)
+        hearing.number += 1
+        hearing.now += 0.1
+
+    def hearing(self, name):
+        found = Hearing()
+        found.peers = Peers(
+            name, found.report, lambda: {}, lambda: found.now, random.Random(1), "near"
+        )
+        found.number = 0
+        return found
+
+    def chosen(self, wanted):
+        """One instance that is among the first watchers, or one that is not."""
+        for letter in "abcdefghijklmnopqrstuvwxyz":
+            hearing = self.hearing(letter)
+            self.hear_all(hearing)
+            if hearing.peers.is_first_watcher is wanted:
+                return hearing
+        raise AssertionError("no such name")
+
+    def test_a_stand_in_watches_while_the_first_are_turned_away(self):
+        hearing = self.chosen(wanted=False)
+        assert not hearing.peers.is_watcher
+        self.hear_all(hearing, is_current=lambda name: False)
+        assert hearing.peers.is_watcher
+        assert not hearing.peers.is_first_watcher
+        self.hear_all(hearing)
+        assert not hearing.peers.is_watcher
+
+    def test_one_that_hears_nobody_any_more_watches(self):
+        hearing = self.chosen(wanted=False)
+        hearing.now += 60.0
+        assert hearing.peers.is_watcher
+        assert hearing.peers.is_first_watcher
