Homes note failures of servers; requests already read are answered at a stop

Causes, found by traces and tests: a home that could not reach a server told its caller but noted nothing itself, so hubs, which replace primaries, had no evidence (a crashed primary was not replaced in 3 s in a fleet with hubs). An address of a record that no datagram can go to ended the reports.

Changes: recording_outcome serves Executor and Homes; rosters of the source only with stamps; an instance asked as a home without being one takes a connection of the reserve; unread requests count as pending; a hub that ceases to be one keeps what it knows. The test of an instance without live peers steps its clock, since one step of a minute is a pause of the process itself now, in which it cannot judge others.

--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -101,6 +101,7 @@
         self._refresh_watches = refresh_watches
         self._fetch = fetch
         self.is_catching_up = True
+        self._has_fetched = False
         self._rounds = 0
         self._excluded_peers: set[str] = set()
         self._fetched_registry = NO_REVISION
@@ -108,11 +109,11 @@
 
     @property
     def has_caught_up(self) -> bool:
-        """Whether a peer with a configuration was heard, and none has a newer one."""
-        reports = [peer.report for peer in self._peers.peers.values()]
+        """Whether a peer has told what it knows, and none has a newer configuration."""
         version = self._cluster_state.version
-        is_heard = any(report.version or report.revision for report in reports)
-        return is_heard and all(report.version <= version for report in reports)
+        return self._has_fetched and all(
+            peer.report.version <= version for peer in self._peers.peers.values()
+        )
 
     def check_peers(self) -> None:
         """Compare revisions with the peers'; call this several times a second."""
@@ -130,7 +131,7 @@
     def on_report(self, report: Report) -> None:
         """Fetch at once if a peer has newer data and this instance is no watcher."""
         may_wait = self._peers.is_watcher and not self.is_catching_up
-        if not may_wait and self._known().is_behind(report):
+        if not may_wait and self._wanted().is_behind(report):
             self._start_fetch()
 
     def answer(self, message: AskNews) -> News:
@@ -168,12 +169,22 @@
             cluster_state.revision.number,
         )
 
+    def _wanted(self) -> KnownState:
+        """Return the state beyond which a peer's news are wanted.
+
+        A process that has just started wants all that a peer knows, since what it read
+        from the store may come from an old copy.
+        """
+        if self.is_catching_up and not self._has_fetched:
+            return KnownState(0, NO_REVISION)
+        return self._known()
+
     def _is_behind(self) -> bool:
         return self._peers.has_newer(self._known())
 
     async def _fetch_from_peer(self) -> None:
         cluster_state = self._cluster_state
-        peer = self._peers.choose_newer_peer(self._known(), self._excluded_peers)
+        peer = self._peers.choose_newer_peer(self._wanted(), self._excluded_peers)
         if peer is None:
             self._excluded_peers.clear()
             return
@@ -198,6 +209,7 @@
             endpoints=len(news.endpoints),
         )
         self._apply(news)
+        self._has_fetched = True
         # The revision of an entry that was deleted in between is known only from here.
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
 
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -19,6 +19,7 @@
 from ..events import (
     PEER_REACHABLE,
     PEER_SILENT,
+    REPORT_NOT_SENT,
     REPORT_TOO_LARGE,
     REPORT_UNREADABLE,
     emit,
@@ -244,8 +245,9 @@
         """Whether the instances report to each other directly, without hubs."""
         if self.is_direct():
             return True
+        known = {self._name, *self._listed, *self.peers}
         # Without a list, the reports of others show that the fleet is large.
-        return len(self._listed) <= MAX_FLAT_INSTANCES and not any(
+        return len(known) <= MAX_FLAT_INSTANCES and not any(
             peer.report.hub is not None for peer in self.peers.values()
         )
 
@@ -364,6 +366,8 @@
             members: hubs.Domains = self._flat_members(now)
             presumed = members
         else:
+            if not self._rosters.has_own:
+                self._update_own(self._report(self._incarnation, self._number))
             members = self._rosters.live_domains(now)
             presumed = self._rosters.presumed_domains(now)
         live = [self._name, *hubs.merge_members(members)]
@@ -458,7 +462,7 @@
 
     def _send_to_hubs(self, now: float, *, force: bool) -> None:
         report = self._report(self._incarnation, self._number + 1)
-        self._rosters.update_own(_member(report, self._own_address))
+        self._update_own(report)
         messages = self._rosters.tick(now, force=force or self.has_news)
         if self.has_news:
             messages += self._rosters.announce(now)
@@ -468,6 +472,9 @@
         for message in messages:
             self._send_report(report, message)
 
+    def _update_own(self, report: Report) -> None:
+        self._rosters.update_own(_member(report, self._own_address))
+
     def _send_report(self, report: Report, message: hubs.Message) -> None:
         self._number += 1
         is_from_member = not message.fields.is_hub
@@ -512,7 +519,11 @@
         if self._transport is None:
             return
         for address in addresses:
-            self._transport.sendto(data, address)
+            try:
+                self._transport.sendto(data, address)
+            except (OSError, OverflowError, ValueError) as exc:
+                # An address of another's report or record must not stop the others'.
+                emit(REPORT_NOT_SENT, address=str(address), reason=str(exc))
 
     def _former_builds(self) -> set[Address]:
         """Return the addresses of instances whose build knows no hubs."""
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -111,6 +111,7 @@
 ENTRY_OUTDATED = Event(
     334, "INFO", "registry entry from an old copy of the store ignored"
 )
+REPORT_NOT_SENT = Event(335, "WARNING", "report to a peer could not be sent")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
 PROMOTION_CLAIMED = Event(503, "WARNING", "promotion claimed")
--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -105,6 +105,7 @@
         self._open_session = open_session
         self._session: CallerSession | None = None
         self._is_busy = True
+        self._reading: asyncio.Future[bytes] | None = None
         self._holds_transaction = False
         stream.set_close_callback(self._on_close)
 
@@ -121,8 +122,12 @@
             self._stream.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no pending statement or open transaction."""
-        if not self._is_busy and not self._holds_transaction:
+        """Close the connection if it has no pending statement or open transaction.
+
+        A request that has arrived but has not been processed yet is pending, too.
+        """
+        is_idle = not self._is_busy and not self._holds_transaction
+        if is_idle and not self._has_unread_request():
             self._stream.close()
 
     def close(self) -> None:
@@ -155,11 +160,21 @@
             self._stream.write(wire.encode_reply(reply))
 
     async def _read(self) -> wire.CallerMessage:
+        reading = self._stream.read_until(wire.LINE_END, max_bytes=READ_LIMIT_BYTES)
+        self._reading = asyncio.ensure_future(reading)
         self._is_busy = False
-        line = await self._stream.read_until(wire.LINE_END, max_bytes=READ_LIMIT_BYTES)
+        line: bytes = await reading
         self._is_busy = True
         return wire.decode_caller(line)
 
+    def _has_unread_request(self) -> bool:
+        if self._reading is not None and self._reading.done():
+            return True
+        try:
+            return bool(self._stream.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False  # nothing has arrived, or the connection is broken
+
     def _write_fault(self, fault: Fault) -> None:
         if not self._stream.closed():
             self._stream.write(wire.encode_error(fault))
--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -170,6 +170,11 @@
         """The hub that this instance takes its rosters from, empty for none."""
         return self._source
 
+    @property
+    def has_own(self) -> bool:
+        """Whether it is known how this instance is listed in rosters."""
+        return self._own is not None
+
     @property
     def has_duties(self) -> bool:
         """Whether other instances rely on this one, as a hub or as their source."""
@@ -266,7 +271,7 @@
             self._followers.pop(member.name, None)
         for roster in fields.rosters:
             members = {m.name: m for m in roster.members}
-            if member.name == self._source:
+            if member.name == self._source and fields.stamps:
                 self._source_rosters[roster.domain] = members
                 self._source_stamps[roster.domain] = roster.stamp
             elif fields.is_hub and not fields.stamps and roster.domain == domain:
@@ -302,7 +307,13 @@
         self._live_at = float("-inf")  # reports arrived since
         live = self.live_domains(now)
         hubs = self._hubs(self._domain, live, now)
-        is_hub = self._is_hub = any(m.name == self._name for m in hubs)
+        is_hub = any(m.name == self._name for m in hubs)
+        if self._is_hub and not is_hub:
+            # It goes on with what it knows as a hub until a source answers.
+            self._source_rosters = {d: dict(members) for d, members in live.items()}
+            self._rosters_at = now
+            is_due = True
+        self._is_hub = is_hub
         self._choose_source(hubs, is_hub, now)
         if self.has_duties:
             self._update_rosters(live, now)
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -12,28 +12,24 @@
 from ..sessions.statement import Execute, Read, Write
 from .command import (
     Answer,
-    AnswerTimeoutError,
     Command,
-    ConnectionLostError,
     NotSentError,
     Refusal,
 )
 from .homes import Homes
 from .lease import (
     MIN_ROUND_TRIP_S,
-    HomeLostError,
     Lease,
     LocalLease,
     RemoteLease,
-    ServerUnreachableError,
     SessionContext,
 )
 from .operation import DEFAULT_RETRY_AFTER_S, Operation, over_rate_error, refused_error
 from .pool import NoConnectionError, Urgency
+from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
 
 GROUP_POLL_S = 0.05  # a server also becomes usable when its suspicion expires
-MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
 
 
 class Executor:
@@ -109,8 +105,7 @@
         try:
             conn = await pool.acquire(op.customer, urgency)
         except NoConnectionError as exc:
-            if not exc.is_reachable:
-                server.record_failure(self.clock(), str(exc))
+            record_no_connection(server, exc, self.clock())
             raise
         return LocalLease(server, conn, op.customer, pool)
 
@@ -202,31 +197,9 @@
         if timeout_s < MIN_ROUND_TRIP_S:
             raise NotSentError("no time is left")
         server = lease.server
-        started = self.clock()
-        server.busy += 1
         session_context = SessionContext(session.values, session.shapes)
-        try:
+        with recording_outcome(server, self.clock, timeout_s):
             answers = await lease.run(session_context, commands, timeout_s=timeout_s)
-        except ServerUnreachableError as exc:
-            server.record_failure(self.clock(), str(exc))
-            raise
-        except HomeLostError:
-            # A failed home is no evidence that the server failed.
-            raise
-        except NotSentError:
-            raise
-        except AnswerTimeoutError as exc:
-            # A timeout of a statement with little time left is no evidence either.
-            if timeout_s >= MIN_CONCLUSIVE_TIMEOUT_S:
-                server.record_failure(self.clock(), str(exc))
-            raise
-        except ConnectionLostError as exc:
-            server.record_failure(self.clock(), str(exc))
-            raise
-        finally:
-            server.busy -= 1
-        now = self.clock()
-        server.record_answer(now, now - started)
         for answer in answers:
             if answer.position is not None:
                 server.last_position = answer.position
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -34,6 +34,7 @@
 from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
+from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
 
 MIN_SUSPECT_S = 0.5  # long enough to reconnect a link
@@ -282,12 +283,12 @@
             pinned.is_busy = True
         values = message.values
         asked_at = self._clock()
+        context = None if values is None else SessionContext(values, message.shapes)
         try:
-            answers = await lease.run(
-                None if values is None else SessionContext(values, message.shapes),
-                message.commands,
-                timeout_s=max(0.0, left),
-            )
+            with recording_outcome(lease.server, self._clock, left):
+                answers = await lease.run(
+                    context, message.commands, timeout_s=max(0.0, left)
+                )
         except ConnectionLostError as exc:
             self._pinned.pop(message.handle, None)
             lease.release()
@@ -307,6 +308,10 @@
         if server is None:
             return BatchNotSent(reason="the home does not know the server")
         pool = self._servers.pool(server)
+        if pool.limit == 0:
+            # The caller's instance knows of other homes than this one; the reserve of
+            # the server's connections covers one until both know the same.
+            pool.resize(1)
         try:
             urgency = Urgency(
                 message.priority,
@@ -315,6 +320,7 @@
             )
             conn = await pool.acquire(message.customer, urgency)
         except NoConnectionError as exc:
+            record_no_connection(server, exc, self._clock())
             return BatchNotSent(
                 reason=str(exc), is_reachable=exc.is_reachable, wait_s=exc.wait_s
             )
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from mangoramp.policy.hubs import HubMembership, Listed, Member
+from mangoramp.policy.hubs import HubFields, HubMembership, Listed, Member, Roster
 
 TICK_S = 0.1
 LATENCY_S = 0.003
@@ -184,6 +184,16 @@
         fleet.run(8.0, check)
         assert min(least) >= 48
 
+    def test_a_member_ignores_the_roster_that_its_source_sends_to_hubs(self, fleet):
+        """It lists only whom the source hears, under a stamp of another count."""
+        member = fleet.instances["a-7"]
+        source = fleet.instances[member.rosters.source]
+        direct = Roster("a", member.rosters._source_stamps["a"], (source.member,))
+        fields = HubFields(is_hub=True, rosters=(direct,))
+        member.rosters.record_report(source.member, "a", fields, fleet.now)
+        fleet.now += TICK_S / 2
+        assert len(fleet.live("a-7")) == 49
+
 
 class TestDeath:
     """Targets: noticed within 1.5 s in its failure domain and 2.5 s elsewhere."""
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,13 +1,16 @@
 import asyncio
 from dataclasses import replace
 
+import msgspec
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
+from mangoramp.control import peers
 from mangoramp.control.settings import Bounds
 from mangoramp.policy import watchers
 from mangoramp.policy.revision import Revision
 from mangoramp.serving.command import CommitFor, Refusal, RunFor
+from mangoramp.standins._ports import free_ports
 
 from .relay import Relay
 from .wire_world import GROUP, HOST, SERVERS, World, configuration
@@ -711,3 +714,110 @@
             instance.reload(changed)
             assert instance.cfg.bounds.grace_s == 9.0
             assert (await caller.ask("WRITE a 1"))[0].startswith("DONE")
+
+
+class TestLargeFleet:
+    """Fourteen instances in two failure domains, which report through hubs."""
+
+    FEW = {"services": [{"name": GROUP, "max_connections": 12}]}
+
+    @pytest.fixture(autouse=True)
+    def _few_flat(self, monkeypatch):
+        monkeypatch.setattr(peers, "MAX_FLAT_INSTANCES", 3)
+
+    async def start(self, world):
+        world.put("config", "main", configuration(2, **self.FEW))
+        for number in range(1, 10):
+            await world.start_instance(f"i{number}", failure_domain="ab"[number % 2])
+        await world.wait_until(
+            lambda: all(
+                len(i.peers.live_instances) == 10 and (i.peers.is_hub or i.peers.source)
+                for i in world.instances
+            ),
+            10.0,
+        )
+
+    async def test_callers_are_served_at_every_instance(self):
+        async with World() as world:
+            await self.start(world)
+            homes = {tuple(i.homes.names) for i in world.instances}
+            assert len(homes) == 1
+            for number in range(10):
+                caller = await world.caller(instance=number)
+                answer = await caller.ask("WRITE a 1", f"w{number}")
+                assert answer[0] == f"DONE sig.w{number}"
+
+    async def test_changes_reach_every_instance(self):
+        async with World() as world:
+            await self.start(world)
+            before = sum(world.platform.calls.values())
+            world.put("config", "main", configuration(3, **self.FEW))
+            await world.wait_until(
+                lambda: all(i.cluster_state.version == 3 for i in world.instances)
+            )
+            world.put("servers", "s3", None)
+            await world.wait_until(
+                lambda: all(
+                    "s3" not in i.cluster_state.server_ids for i in world.instances
+                )
+            )
+            watchers = sum(i.peers.is_watcher for i in world.instances)
+            assert watchers == 6
+            # Each watcher polls again after each change; all may list the instances.
+            assert sum(world.platform.calls.values()) - before <= 4 * watchers + 10
+
+    async def test_a_primary_that_crashes_is_replaced(self):
+        async with World() as world:
+            await self.start(world)
+            caller = await world.caller(instance=9)
+            await caller.ask("WRITE a 1")
+            world.group.servers["s1"].crash()
+            started = asyncio.get_running_loop().time()
+            while world.group.primary == "s1":
+                await caller.ask("WRITE a 1")
+                assert asyncio.get_running_loop().time() - started < 3.0
+            assert len({token for _, token, _ in world.promotion_requests}) == 1
+
+    async def test_an_instance_of_the_former_build_is_seen_and_sees_all(self):
+        """It reports to all instances, and expects reports from all of them."""
+        async with World() as world:
+            await self.start(world)
+            host, port = HOST, free_ports(1)[0]
+            world.put("mangoramp-instance", "former", {"host": host, "port": port})
+            received = set()
+
+            class Former(asyncio.DatagramProtocol):
+                def datagram_received(self, data, addr):
+                    name, incarnation, number = msgspec.msgpack.decode(data)[:3]
+                    received.add(name)
+
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                Former, local_addr=(host, port)
+            )
+
+            def report():
+                fields = [
+                    "former",
+                    1,
+                    len(sent) + 1,
+                    False,
+                    False,
+                    1,
+                    1,
+                    {},
+                    {},
+                    1,
+                    "a",
+                ]
+                sent.append(fields)
+                for instance in world.instances:
+                    transport.sendto(msgspec.msgpack.encode(fields), instance.cfg.peers)
+
+            sent = []
+            for _ in range(20):
+                report()
+                await asyncio.sleep(0.1)
+            assert all("former" in i.peers.live_instances for i in world.instances)
+            await world.wait_until(lambda: len(received) == 10)
+            transport.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -135,6 +135,9 @@
 
     def test_an_instance_without_live_peers_watches(self):
         receiver = self.find_instance(wanted=False)
-        receiver.now += 60.0
+        # One step of a minute would be a pause of this process, not its peers' silence.
+        for _ in range(200):
+            receiver.now += 0.3
+            receiver.peers.send()
         assert receiver.peers.is_watcher
         assert receiver.peers.is_preferred_watcher
