Keep the HTTP interface's messages out of an instance's start

Cause: the messages between instances shared a module with those of the HTTP interface, whose imports (loans, the lexer's patterns) took 56 of 410 ms of an instance's start; 195 instances start at once, and again after a loss of power. Change: Envelope and Codec in proxies/envelope.py; links take their codec explicitly.

--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -16,7 +16,7 @@
 from ..errors import Fault
 from ..events import NEWS_APPLIED, NEWS_FAILED, emit
 from ..policy.revision import NO_REVISION, Revision
-from ..proxies.messages import Envelope
+from ..proxies.envelope import Envelope
 from .cluster_state import ClusterState, DepartedServer, VersionedEndpoint
 from .deployment import Deployment
 from .peers import KnownState, Peers, Report
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -38,7 +38,8 @@
 from .platform.promotion import PromotionClient
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
-from .proxies.link import Codec, LinkServer
+from .proxies.envelope import Codec
+from .proxies.link import LinkServer
 from .proxies.links import Links
 from .serving.batches import BatchMessage
 from .serving.executor import Executor
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -12,7 +12,6 @@
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -20,7 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Outcome, Step
-from .messages import Envelope, decode, encode
+from .envelope import Codec, Envelope
 
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
@@ -33,22 +32,6 @@
 Handler = Callable[[Any], Awaitable[Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class Codec:
-    """The encoding of a link's messages.
-
-    Attributes:
-        encode: Encodes a message.
-        decode: Decodes a message; raises ``msgspec.DecodeError``.
-    """
-
-    encode: Callable[[Any], bytes]
-    decode: Callable[[bytes], Any]
-
-
-PROXY_CODEC = Codec(encode, decode)
-
-
 class LinkServer:
     """Serves the requests of other proxies.
 
@@ -58,9 +41,7 @@
         codec: The encoding of the messages.
     """
 
-    def __init__(
-        self, address: str, handler: Handler, codec: Codec = PROXY_CODEC
-    ) -> None:
+    def __init__(self, address: str, handler: Handler, codec: Codec) -> None:
         self._handler = handler
         self._codec = codec
         self._tasks: set[asyncio.Task[None]] = set()
@@ -117,7 +98,7 @@
         codec: The encoding of the messages.
     """
 
-    def __init__(self, peer: str, address: str, codec: Codec = PROXY_CODEC) -> None:
+    def __init__(self, peer: str, address: str, codec: Codec) -> None:
         self._codec = codec
         self.peer = peer
         self.address = address
--- a/mangoramp/proxies/links.py
+++ b/mangoramp/proxies/links.py
@@ -8,8 +8,8 @@
 from returns.result import Failure, Result
 
 from ..errors import Code, Fault, Step
-from .link import PROXY_CODEC, Codec, Link
-from .messages import Envelope
+from .envelope import Codec, Envelope
+from .link import Link
 
 
 class Links:
@@ -20,9 +20,7 @@
         codec: The encoding of the messages.
     """
 
-    def __init__(
-        self, address_of: Callable[[str], str | None], codec: Codec = PROXY_CODEC
-    ) -> None:
+    def __init__(self, address_of: Callable[[str], str | None], codec: Codec) -> None:
         self._address_of = address_of
         self._codec = codec
         self._links: dict[str, Link] = {}
--- a/mangoramp/proxies/messages.py
+++ b/mangoramp/proxies/messages.py
@@ -13,20 +13,11 @@
 from ..policy.membership import Beat, Grant
 from ..policy.position import Position
 from ..policy.statement import Kind
+from .envelope import Codec, Envelope
 
 Param = str | int | float | bool | None
 
 
-class Envelope(msgspec.Struct, frozen=True, tag=True, kw_only=True):
-    """The base of all messages.
-
-    Attributes:
-        id: Id of the request; an answer has the id of its request.
-    """
-
-    id: int = 0
-
-
 class RunStatement(Envelope, frozen=True):
     """Run one statement on a group.
 
@@ -312,3 +303,6 @@
 
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
+
+
+PROXY_CODEC = Codec(encode, decode)
--- a/mangoramp/proxy.py
+++ b/mangoramp/proxy.py
@@ -31,6 +31,7 @@
 from .proxies.link import LinkServer
 from .proxies.links import Links
 from .proxies.messages import (
+    PROXY_CODEC,
     AskTokens,
     AskView,
     BeginTransaction,
@@ -73,10 +74,10 @@
         self.is_ready = False
         self._client = PlatformClient(cfg.platform)
         self.catalog = Catalog()
-        self._links = Links(self._address_of)
+        self._links = Links(self._address_of, PROXY_CODEC)
         # Separate links: heartbeats don't queue behind callers' requests, and a link
         # reset after a lost heartbeat doesn't abort those requests.
-        self._control_links = Links(self._address_of)
+        self._control_links = Links(self._address_of, PROXY_CODEC)
         self.distribution = Distribution(
             cfg.name, self.catalog, self._client, self._control_links
         )
@@ -128,7 +129,9 @@
 
     async def start(self) -> None:
         """Listen, register, read the platform's objects, then become ready."""
-        self._peer_server = LinkServer(self.cfg.peer_address, self._dispatch)
+        self._peer_server = LinkServer(
+            self.cfg.peer_address, self._dispatch, PROXY_CODEC
+        )
         self._tasks = [
             asyncio.ensure_future(self._peer_server.run()),
             asyncio.ensure_future(self.distribution.run()),
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..proxies.messages import Envelope
+from ..proxies.envelope import Envelope
 from ..sessions.statement import Shape
 from .command import Answer, Command
 from .primary_samples import PrimarySampleReport
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -18,8 +18,8 @@
     is_direct,
 )
 from ..policy.position import Position
+from ..proxies.envelope import Envelope
 from ..proxies.links import Links
-from ..proxies.messages import Envelope
 from .batches import (
     BatchLost,
     BatchMessage,
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,7 +9,7 @@
 from mangoramp.policy.position import START
 from mangoramp.proxies import link
 from mangoramp.proxies.link import Link, LinkServer
-from mangoramp.proxies.messages import Rows
+from mangoramp.proxies.messages import PROXY_CODEC, Rows
 from mangoramp.standins._ports import free_ports
 
 from .servers import write
@@ -36,9 +36,9 @@
         return await echo(req)
 
     address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
-    server = LinkServer(address, handler)
+    server = LinkServer(address, handler, PROXY_CODEC)
     serving = asyncio.ensure_future(server.run())
-    to_peer = Link("p1", address)
+    to_peer = Link("p1", address, PROXY_CODEC)
 
     async def call(number):
         timeout_s = 5.0 if number % 2 else MAX_DELAY_S / 2
@@ -86,9 +86,9 @@
             received.append(req)
             await asyncio.sleep(60)
 
-        first = LinkServer(address, never_answer)
+        first = LinkServer(address, never_answer, PROXY_CODEC)
         serving = asyncio.ensure_future(first.run())
-        to_peer = Link("p1", address)
+        to_peer = Link("p1", address, PROXY_CODEC)
         call = asyncio.ensure_future(to_peer.call(write("1"), timeout_s=20))
         while not received:
             await asyncio.sleep(0.005)
@@ -96,7 +96,7 @@
         fault = (await call).failure()
         assert fault.outcome is Outcome.UNKNOWN
         assert fault.code is Code.CONNECTION_LOST
-        second = LinkServer(address, echo)
+        second = LinkServer(address, echo, PROXY_CODEC)
         serving_again = asyncio.ensure_future(second.run())
         while not isinstance(await to_peer.call(write("2"), timeout_s=1), Success):
             await asyncio.sleep(0.005)
@@ -118,7 +118,7 @@
     async def test_an_answer_that_cannot_be_read_has_an_unknown_outcome(self):
         address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
         server = pynng.Rep0(listen=address)
-        to_peer = Link("p1", address)
+        to_peer = Link("p1", address, PROXY_CODEC)
         call = asyncio.ensure_future(to_peer.call(write("1"), timeout_s=2.0))
         await server.arecv()
         await server.asend(b"\xc1")
@@ -129,14 +129,14 @@
 
     async def test_the_wait_for_a_connection_is_part_of_the_limit(self):
         address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
-        to_peer = Link("p1", address)
+        to_peer = Link("p1", address, PROXY_CODEC)
 
         async def silent(req):
             await asyncio.sleep(5.0)
 
         calling = asyncio.ensure_future(to_peer.call(write("1"), timeout_s=0.4))
         await asyncio.sleep(0.2)
-        server = LinkServer(address, silent)
+        server = LinkServer(address, silent, PROXY_CODEC)
         serving = asyncio.ensure_future(server.run())
         started = asyncio.get_running_loop().time()
         await calling
