--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -37,7 +37,7 @@
 
 CLAIM_KIND = "mangoramp-promotion"
 CHECK_INTERVAL_S = 0.1  # a tenth of the shortest outage that triggers a failover
-FOLLOWER_CHECK_INTERVAL_S = 0.5  # to become a controller
+FOLLOWER_CHECK_INTERVAL_S = 1.0  # to become a controller
 RANK_DELAY_S = 0.2  # one round trip; lower ranks wait for claims of higher ones
 CLAIM_TTL_S = 3.0  # covers the request, its retries and the server's role change
 MAX_REQUESTS = 3  # a request is idempotent and repeated if its answer is lost
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -53,7 +53,7 @@
 from .serving.writing import Writer
 
 HOUSEKEEPING_INTERVAL_S = 0.25  # a tenth of the shortest expiry time
-FOLLOWER_HOUSEKEEPING_S = 0.5  # of an instance that holds no connections
+FOLLOWER_HOUSEKEEPING_S = 1.0  # of an instance that holds no connections
 BALANCER_REMOVAL_S = 2.3  # the load balancer needs two failed probes, 1 s apart
 EXIT_RESERVE_S = 0.8  # part of the grace period, for the exit itself
 DRAIN_POLL_S = 0.05
@@ -169,6 +169,11 @@
         )
         return known and not self._is_stopping and not self._is_cut_off
 
+    @property
+    def store_era(self) -> int:
+        """The era of the store, which rises with each restoration; 0 if unknown."""
+        return self._client.era
+
     @property
     def _is_cut_off(self) -> bool:
         return self._promoter.is_cut_off or self.homes.is_out_of_reach
@@ -189,6 +194,7 @@
             self._link_server.run,
         ):
             self._start(duty)
+        asyncio.get_running_loop().call_later(CATCH_UP_S, self._check_caught_up)
         emit(
             INSTANCE_STARTED,
             name=self.cfg.name,
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -41,6 +41,11 @@
         yield _gauge(
             "instances_in_touch", "Instances in touch", len(peers.live_instances)
         )
+        yield _gauge("hub", "Whether it is a hub of its failure domain", peers.is_hub)
+        homes = instance.homes
+        is_home = not homes.is_direct and instance.cfg.name in homes.names
+        yield _gauge("home", "Whether it holds connections for others", is_home)
+        yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
 
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -16,7 +16,7 @@
 
 T = TypeVar("T")
 POLL_WAIT_S = 20.0
-ENABLED_CHECK_INTERVAL_S = 1.0  # while the watch is disabled
+ENABLED_CHECK_INTERVAL_S = 2.0  # while the watch is disabled
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 5.0
 
--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -2,10 +2,11 @@
 
 If every instance reported to every other one, messages would grow with the square of
 the fleet, and a fixed budget of messages would slow down the detection of failures.
-Here the instances of a failure domain report to a few hubs of their domain, and the
-hubs of all domains report to each other. A hub sends the others the roster of the
-instances that it hears; each instance takes the rosters of all domains from one hub,
-its source. An instance is live as long as one hub of its domain hears it.
+Here each instance reports to one of the few hubs of its failure domain, its source, and
+the hubs of all domains report to each other. A hub sends the others the roster of the
+instances that it hears, and its followers the rosters of all domains. An instance is
+live as long as one hub of its domain hears it; if its source falls silent, it reports
+to another hub before the others have given up the source and its roster.
 
 Rosters are numbered, and only those that the receiver lacks are sent.
 """
@@ -326,7 +327,7 @@
         if is_hub:
             return messages + self._reports_to_hubs(live, now)
         fields = HubFields(source=self._source, stamps=self._source_stamps.copy())
-        return messages + [Message(m, fields) for m in hubs if m.name != self._name]
+        return messages + [Message(m, fields) for m in hubs if m.name == self._source]
 
     def _hubs(self, domain: str, live: Domains, now: float) -> list[Member]:
         known = dict(live.get(domain, {}))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,7 @@
 from mangoramp.standins._ports import HOST, free_ports
 
 from .relay import Relay
-from .wire_world import GROUP, SERVERS, Caller, World, configuration, server_entry
+from .wire_world import GROUP, SERVERS, Caller, World, configuration
 
 INSTANCES = 3
 CALLERS = 9
@@ -214,7 +214,7 @@
         relay = self.relays.get(server_id)
         if relay is not None:
             changes = {"address": f"{HOST}:{relay.port}"} | changes
-        self.put("servers", server_id, server_entry(self.group, server_id, **changes))
+        super().list_server(server_id, **changes)
 
     async def play(self, seconds):
         callers = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
@@ -477,6 +477,21 @@
     soak.platform.faults.forget = 0
 
 
+async def restore_store(soak):
+    copy = soak.platform.take_copy()
+    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+    soak.platform.faults.down = True
+    soak.platform.notify_watches()
+    await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
+    soak.platform.restore(copy)
+    soak.platform.faults.down = False
+    # The operators and the servers write again what they wrote before.
+    await asyncio.sleep(soak.rng.uniform(0.0, 1.0))
+    soak.configure()
+    for server_id in SERVERS:
+        soak.list_server(server_id)
+
+
 async def drop_store_answers(soak):
     soak.platform.faults.lose_answers += 3
 
@@ -503,6 +518,7 @@
     delay,
     stop_store,
     expire_store_history,
+    restore_store,
     drop_store_answers,
     configure,
 )
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -731,7 +731,9 @@
             await world.start_instance(f"i{number}", failure_domain="ab"[number % 2])
         await world.wait_until(
             lambda: all(
-                len(i.peers.live_instances) == 10 and (i.peers.is_hub or i.peers.source)
+                len(i.peers.live_instances) == 10
+                and (i.peers.is_hub or i.peers.source)
+                and i.is_ready
                 for i in world.instances
             ),
             10.0,
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 
 import msgspec
@@ -111,7 +112,7 @@
         self._count = instances
         self._seed = seed
         self._store_port, self._promotion_port = free_ports(2)
-        self._versions = {}
+        self._sequences = itertools.count(1)
 
     async def __aenter__(self):
         self.group.listen()
@@ -168,6 +169,7 @@
         assert self.platform.put(kind, name, current.version if exists else 0, raw)
 
     def list_server(self, server_id, **changes):
+        changes = {"sequence": next(self._sequences)} | changes
         self.put("servers", server_id, server_entry(self.group, server_id, **changes))
 
     def promote(self, server_id):
