Replace a primary that accepts connections but fails all statements

Each probe that connected cleared its failures and made peers report that it had answered, so no instance replaced it, and each refused its statements as out of reach of itself.

Change, with server_health: an accepted connection does not end the failures of a server that failed five statements in a row; peers report when a statement last succeeded; a primary whose statements have all failed, here and at the peers, for as long as silence would take is replaced.

Ruled out: a status request as the probe (a server that says it is well answers that, too); counting a share of failed statements (a promotion costs callers more than a few retries).

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -19,6 +19,7 @@
 INITIAL_LAG_S = 0.1  # assumed until a replica's lag is known
 INITIAL_LATENCY_S = 0.01  # latency of a short statement
 SMOOTHING_FACTOR = 0.1  # moving average over about 10 statements
+MIN_FAILED_STATEMENTS = 5  # in a row; fewer happen after a reset of connections
 
 
 @dataclass(slots=True, eq=False)
@@ -32,6 +33,10 @@
         unlisted_at: When its registry entry disappeared, None while it is listed.
         last_position: The log position in its latest answer, None if unknown.
         last_answer_at: Time of its last answer, in seconds.
+        last_success_at: Time of the last answer to a statement that did not fail, in
+            seconds.
+        failed_statements: Statements since then that failed or were not answered.
+        statements_failing_since: Time of the first of them, None if there is none.
         failing_since: Time of the first failure in a row, None while it answers.
         failures: Number of consecutive failures.
         retry_at: Time until which it is avoided, in seconds.
@@ -46,6 +51,9 @@
     unlisted_at: float | None = None
     last_position: Position | None = None
     last_answer_at: float = float("-inf")
+    last_success_at: float = float("-inf")
+    failed_statements: int = 0
+    statements_failing_since: float | None = None
     failing_since: float | None = None
     failures: int = 0
     retry_at: float = float("-inf")
@@ -74,6 +82,31 @@
         if latency_s is not None:
             self.latency_s += SMOOTHING_FACTOR * (latency_s - self.latency_s)
 
+    @property
+    def fails_statements(self) -> bool:
+        """Whether it failed so many statements in a row that it is of no use."""
+        return self.failed_statements >= MIN_FAILED_STATEMENTS
+
+    def record_statement(self, now: float, *, has_failed: bool) -> None:
+        """Record whether a statement that was sent to it succeeded."""
+        if not has_failed:
+            self.last_success_at = now
+            self.failed_statements = 0
+            self.statements_failing_since = None
+            return
+        self.failed_statements += 1
+        if self.statements_failing_since is None:
+            self.statements_failing_since = now
+
+    def record_accepted(self, now: float) -> None:
+        """Record that it accepted a connection.
+
+        A server that fails each statement may still accept connections, so that this is
+        no sign of recovery.
+        """
+        if not self.fails_statements:
+            self.record_answer(now)
+
     def record_failure(self, now: float, reason: str) -> None:
         """Record a failure and back off exponentially."""
         self.failures += 1
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -93,6 +93,8 @@
         client: The client of the store.
         promotion_client: The client of the promotion service.
         deployment: Returns the configuration in force.
+        judges_statements: Whether a primary that accepts connections but fails all
+            statements is replaced.
     """
 
     def __init__(
@@ -103,6 +105,8 @@
         client: PlatformClient,
         promotion_client: PromotionClient,
         deployment: Callable[[], Deployment | None],
+        *,
+        judges_statements: bool = False,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -110,6 +114,7 @@
         self._client = client
         self._promotion_client = promotion_client
         self._deployment = deployment
+        self._judges_statements = judges_statements
         self._watches: dict[str, _GroupWatch] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -132,9 +137,14 @@
         found = {}
         for group in self._servers.groups.values():
             primary = group.primary(now)
-            if primary is None or now - primary.last_answer_at > MAX_HEARD_AGE_S:
+            if primary is None:
                 continue
-            age_ms = round((now - primary.last_answer_at) * 1000)
+            heard_at = primary.last_answer_at
+            if self._judges_statements:
+                heard_at = primary.last_success_at
+            if now - heard_at > MAX_HEARD_AGE_S:
+                continue
+            age_ms = round((now - heard_at) * 1000)
             found[_checksum(group.name, primary.id)] = age_ms
         return found
 
@@ -171,7 +181,7 @@
     def _check_group(self, group: GroupState, watch: _GroupWatch) -> None:
         now = self._servers.clock()
         primary = group.primary(now)
-        if primary is not None and _is_healthy(primary):
+        if primary is not None and self._is_healthy(primary):
             watch.vacant_since = watch.reason_since = None
             return
         evidence = self._evidence(group, watch, now)
@@ -210,10 +220,22 @@
             silent_s=now - since if since is not None else 0.0,
             failures=primary.failures,
             peer_heard_s=self._peer_heard_s(group.name, primary.id, now),
+            statements_failing_s=self._statements_failing_s(primary, now),
             report_s=self._peers.report_interval_s,
             has_majority=majority,
         )
 
+    def _statements_failing_s(self, primary: Server, now: float) -> float:
+        since = primary.statements_failing_since
+        if not self._judges_statements or since is None or not primary.fails_statements:
+            return 0.0
+        return now - since
+
+    def _is_healthy(self, primary: Server) -> bool:
+        fails = self._judges_statements and primary.fails_statements
+        is_answering = primary.failing_since is None and not fails
+        return is_answering and not primary.endpoint.is_draining
+
     def _peer_heard_s(self, group: str, server_id: str, now: float) -> float:
         ages = [float("inf")]
         for name in self._peers.live_instances:
@@ -247,11 +269,17 @@
             if exc.refusal is None:
                 server.record_failure(now, str(exc))
             else:
-                server.record_answer(now)
+                self._record_accepted(server, now)
             return
-        server.record_answer(self._servers.clock())
+        self._record_accepted(server, self._servers.clock())
         conn.close()
 
+    def _record_accepted(self, server: Server, now: float) -> None:
+        if self._judges_statements:
+            server.record_accepted(now)
+        else:
+            server.record_answer(now)
+
     def _any_customer(self) -> str:
         known = self._deployment()
         return next(iter(known.customers), "-") if known is not None else "-"
@@ -408,7 +436,3 @@
 
 def _checksum(group: str, server_id: str) -> int:
     return zlib.crc32(f"{group}\0{server_id}".encode())
-
-
-def _is_healthy(primary: Server) -> bool:
-    return primary.failing_since is None and not primary.endpoint.is_draining
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -112,6 +112,7 @@
             self._client,
             self._promotion_client,
             lambda: self.cluster_state.deployment,
+            judges_statements=cfg.features.server_health,
         )
         self._links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
--- a/mangoramp/policy/succession.py
+++ b/mangoramp/policy/succession.py
@@ -26,6 +26,8 @@
         vacant_s: Seconds for which there has been no primary.
         peer_heard_s: Seconds since the primary last answered a peer, as reported by the
             reachable peers.
+        statements_failing_s: Seconds for which all statements have failed here; 0 if
+            the last one succeeded or too few have failed.
         report_s: Seconds between two reports of a peer.
         has_majority: Whether the reachable instances are a majority.
     """
@@ -37,6 +39,7 @@
     failures: int = 0
     vacant_s: float = 0.0
     peer_heard_s: float = float("inf")
+    statements_failing_s: float = 0.0
     report_s: float = 0.0
     has_majority: bool = True
 
@@ -51,9 +54,12 @@
         return "there is none" if evidence.vacant_s >= MIN_VACANCY_S else ""
     # Long enough for a report from a peer that still gets answers.
     required_s = max(MIN_SILENCE_S, REPORT_AGE_ERROR_S + 2 * evidence.report_s)
+    heard_s = evidence.peer_heard_s + REPORT_AGE_ERROR_S
+    if min(evidence.statements_failing_s, heard_s) >= required_s:
+        return "it fails all statements"
     if evidence.failures < MIN_FAILURES or evidence.silent_s < required_s:
         return ""
-    if evidence.peer_heard_s < evidence.silent_s - REPORT_AGE_ERROR_S:
+    if heard_s < evidence.silent_s:
         return ""
     return "it is silent" if evidence.is_listed else "it is silent and not listed"
 
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -198,8 +198,9 @@
             raise NotSentError("no time is left")
         server = lease.server
         session_context = SessionContext(session.values, session.shapes)
-        with recording_outcome(server, self.clock, timeout_s):
+        with recording_outcome(server, self.clock, timeout_s) as outcome:
             answers = await lease.run(session_context, commands, timeout_s=timeout_s)
+            outcome.answers = answers
         for answer in answers:
             if answer.position is not None:
                 server.last_position = answer.position
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -285,10 +285,11 @@
         asked_at = self._clock()
         context = None if values is None else SessionContext(values, message.shapes)
         try:
-            with recording_outcome(lease.server, self._clock, left):
+            with recording_outcome(lease.server, self._clock, left) as outcome:
                 answers = await lease.run(
                     context, message.commands, timeout_s=max(0.0, left)
                 )
+                outcome.answers = answers
         except ConnectionLostError as exc:
             self._pinned.pop(message.handle, None)
             lease.release()
--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -4,19 +4,37 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 from ..control.group import Server
-from .command import AnswerTimeoutError, ConnectionLostError, NotSentError
+from .command import (
+    Answer,
+    AnswerTimeoutError,
+    ConnectionLostError,
+    NotSentError,
+    Refusal,
+)
 from .lease import HomeLostError, ServerUnreachableError
 from .pool import NoConnectionError
 
 MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
 
 
+@dataclass(slots=True)
+class BatchOutcome:
+    """The outcome of a batch.
+
+    Attributes:
+        answers: The answers to its commands, set by the caller once they are known.
+    """
+
+    answers: tuple[Answer, ...] = ()
+
+
 @contextmanager
 def recording_outcome(
     server: Server, clock: Callable[[], float], timeout_s: float
-) -> Iterator[None]:
+) -> Iterator[BatchOutcome]:
     """Record whether a server answers the batch that is run inside.
 
     Args:
@@ -24,10 +42,11 @@
         clock: Returns the time in seconds.
         timeout_s: Timeout of the batch in seconds.
     """
+    outcome = BatchOutcome()
     started = clock()
     server.busy += 1
     try:
-        yield
+        yield outcome
     except ServerUnreachableError as exc:
         server.record_failure(clock(), str(exc))
         raise
@@ -38,14 +57,20 @@
         # A timeout of a statement with little time left is no evidence either.
         if timeout_s >= MIN_CONCLUSIVE_TIMEOUT_S:
             server.record_failure(clock(), str(exc))
+            server.record_statement(clock(), has_failed=True)
         raise
     except ConnectionLostError as exc:
         server.record_failure(clock(), str(exc))
+        server.record_statement(clock(), has_failed=True)
         raise
     finally:
         server.busy -= 1
     now = clock()
     server.record_answer(now, now - started)
+    if any(answer.signature for answer in outcome.answers):
+        server.record_statement(now, has_failed=False)
+    elif any(answer.refusal is Refusal.FAILED for answer in outcome.answers):
+        server.record_statement(now, has_failed=True)
 
 
 def record_no_connection(server: Server, exc: NoConnectionError, now: float) -> None:
--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -70,6 +70,8 @@
         refusals: Refusals sent for the next statements instead of running them.
         is_unresponsive: Whether the server reads requests but does not answer them.
         statement_s: Duration of each statement, in seconds.
+        resets_statements: Whether the server closes the connection when it gets a
+            statement, although it accepts connections.
         max_connections: Maximum number of open connections.
     """
 
@@ -77,6 +79,7 @@
     refusals: list[Refusal] = field(default_factory=list)
     is_unresponsive: bool = False
     statement_s: float = 0.0
+    resets_statements: bool = False
     max_connections: int = 100
 
 
@@ -255,6 +258,8 @@
         faults = self._server.faults
         if isinstance(command, RunFor | CommitFor):
             await asyncio.sleep(faults.statement_s)
+            if faults.resets_statements:
+                raise StreamClosedError
         refusal = self._find_refusal(command)
         answer = self._empty_answer()
         if refusal is not None:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -6,7 +6,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from mangoramp.control import peers
-from mangoramp.control.settings import Bounds
+from mangoramp.control.settings import Bounds, Features
 from mangoramp.policy import watchers
 from mangoramp.policy.revision import Revision
 from mangoramp.serving.command import CommitFor, Refusal, RunFor
@@ -535,6 +535,22 @@
             await world.wait_until(lambda: world.group.primary != "s1")
             assert (await caller.ask("READ a"))[0] == "ROW 1"
 
+    async def test_replaces_a_primary_that_accepts_connections_only(self):
+        """Probes that only connect kept such a primary in office."""
+        async with World(instances=3, features=Features(server_health=True)) as world:
+            callers = [await world.caller(instance=n) for n in range(3)]
+            for caller in callers:
+                await caller.ask("WRITE a 1")
+            world.group.servers["s1"].faults.resets_statements = True
+
+            async def ask_on(caller):
+                while world.group.primary == "s1":
+                    await caller.ask("READ a")
+                    await asyncio.sleep(0.02)
+
+            async with asyncio.timeout(3):
+                await asyncio.gather(*map(ask_on, callers))
+
     async def test_a_paused_connection_triggers_no_failover(self):
         async with World(instances=2) as world:
             caller = await world.caller()
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -148,6 +148,24 @@
         fields = {"is_known": True, "silent_s": 2.0, "failures": 3}
         assert not reason_to_promote(Evidence(**(fields | changes)))
 
+    def test_replaces_a_primary_that_fails_all_statements(self):
+        """A server that only accepts connections would stay the primary for good."""
+        failing = Evidence(is_known=True, statements_failing_s=2.0)
+        assert reason_to_promote(failing)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"statements_failing_s": 0.5},
+            {"peer_heard_s": 0.4},
+            {"has_majority": False},
+            {"report_s": 1.4},
+        ],
+    )
+    def test_keeps_a_primary_whose_statements_succeed_elsewhere(self, changes):
+        fields = {"is_known": True, "statements_failing_s": 2.0}
+        assert not reason_to_promote(Evidence(**(fields | changes)))
+
     def test_replaces_a_draining_primary_at_once(self):
         assert reason_to_promote(Evidence(is_known=True, is_draining=True))
 
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream
 from tornado.tcpclient import TCPClient
 
-from mangoramp.control.settings import Bounds, InstanceSettings
+from mangoramp.control.settings import Bounds, Features, InstanceSettings
 from mangoramp.instance import Instance
 from mangoramp.standins._ports import HOST, free_ports
 from mangoramp.standins.platform import Platform
@@ -103,7 +103,7 @@
 class World:
     """A deployment; use it as an asynchronous context manager."""
 
-    def __init__(self, *, instances=1, seed=1):
+    def __init__(self, *, instances=1, seed=1, features=None):
         self.platform = Platform()
         self.group = WireGroup(GROUP, SERVERS)
         self.instances = []
@@ -111,6 +111,7 @@
         self.is_promotion_enabled = True
         self._count = instances
         self._seed = seed
+        self._features = features or Features()
         self._store_port, self._promotion_port = free_ports(2)
         self._sequences = itertools.count(1)
 
@@ -155,6 +156,7 @@
             "promotion_url": f"http://{HOST}:{self._promotion_port}",
             "is_first_start": True,
             "bounds": BOUNDS,
+            "features": self._features,
         }
         cfg = InstanceSettings(**(fields | changes))
         instance = Instance(cfg, rng=random.Random(f"{self._seed}-{name}"))
