Choose homes by capacity and give them customers and connections by strength

Homes were filled up to their number with weak instances, and each customer had any home with equal probability, so an instance of 180 statements a second could get the customer with a quarter of the load.

The strong instances of the failure domains with servers come first. Weak ones are added up to two homes a domain, and while the loss of one home or domain would leave less than two strong ones; before them come strong ones of domains without servers. Customers are assigned by weighted rendezvous hashing (the logarithmic method), connections in proportion to the strength. A customer whose rate is over a quarter of a weak home's strength, or unlimited, gets a strong one. A home that is no hub now does its housekeeping every 0.25 s, like hubs, since strong instances of one domain may outnumber its hubs.

Ruled out: greedy assignment by remaining capacity (a change moves customers of homes that did not change); measured customer loads (instances would have to agree on them).

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -262,7 +262,7 @@
 
     async def _run_housekeeping(self) -> None:
         while True:
-            has_duties = self.peers.is_flat or self.peers.is_hub
+            has_duties = self.peers.is_flat or self.peers.is_hub or self.homes.is_home
             await asyncio.sleep(
                 HOUSEKEEPING_INTERVAL_S if has_duties else FOLLOWER_HOUSEKEEPING_S
             )
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -43,8 +43,7 @@
         )
         yield _gauge("hub", "Whether it is a hub of its failure domain", peers.is_hub)
         homes = instance.homes
-        is_home = not homes.is_direct and instance.cfg.name in homes.names
-        yield _gauge("home", "Whether it holds connections for others", is_home)
+        yield _gauge("home", "Whether it holds connections for others", homes.is_home)
         yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
--- a/mangoramp/policy/homes.py
+++ b/mangoramp/policy/homes.py
@@ -10,10 +10,11 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from ._rendezvous import rendezvous, rendezvous_order, weight
+from ._rendezvous import rendezvous_order, weight, weighted_rendezvous
 
 RESERVED_PART = 0.1  # of a server's connections, for instances not known yet
 MIN_CONNECTIONS_PER_INSTANCE = 2  # an open transaction would block the only one
@@ -21,7 +22,10 @@
 MAX_HOMES_PER_SLOT = 3  # with more, servers refuse even one statement from each home
 MIN_CONNECTIONS_PER_HOME = 5  # enough that a home rarely has to open a connection
 MIN_HUBS_PER_DOMAIN = 3  # one may fail while another one restarts
+MIN_HOMES_PER_DOMAIN = 2  # a domain that is cut off may lose one more
+MIN_STRONG_HOMES_LEFT = 2  # in strength, after the loss of one home or failure domain
 WEAK_PART = 0.5  # of the strength of the strongest; weaker ones are used last
+MAX_CUSTOMER_PART = 0.25  # of a weak home's strength, for the rate of one customer
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +33,7 @@
     """An instance that may become a home.
 
     Attributes:
-        strength: Its relative capacity.
+        strength: Its capacity in statements per second, as measured or configured.
         failure_domain: The failure domain it runs in.
     """
 
@@ -78,11 +82,13 @@
     server_domains: Collection[str] = (),
     *,
     has_majority: bool = True,
-) -> list[str]:
+) -> dict[str, int]:
     """Choose the instances that hold the connections for all others.
 
     The failure domains with servers take turns, so that a domain that is cut off keeps
-    homes for the servers that it reaches. In each domain the strongest come first.
+    homes for the servers that it reaches. Weak instances are added where a domain has
+    fewer than two strong ones, and where the loss of one home or of one domain would
+    leave less than the capacity of two strong ones.
 
     Args:
         candidates: The reachable instances by name.
@@ -93,17 +99,60 @@
             domains without servers are assumed to be cut off from the servers.
 
     Returns:
-        The names of the homes; none if no candidate is likely to reach a server.
+        The strengths of the homes by name, in the order in which they were chosen;
+        empty if no candidate is likely to reach a server.
     """
     near = {n: c for n, c in candidates.items() if c.failure_domain in server_domains}
+    is_near_known = bool(near)
     if not near:
         if server_domains and not has_majority:
-            return []
+            return {}
         near = dict(candidates)
-    strongest = max((c.strength for c in near.values()), default=0)
+    usable = candidates if has_majority else near
+    strongest = max((c.strength for c in usable.values()), default=0)
     order = _by_turns(near)
-    order.sort(key=lambda name: near[name].strength < WEAK_PART * strongest)
-    return order[: max_homes(max_connections, slots)]
+    strong = [n for n in order if near[n].strength >= WEAK_PART * strongest]
+    weak = [n for n in order if near[n].strength < WEAK_PART * strongest]
+    leading = _leading(order, near) if is_near_known else set()
+    chosen = [n for n in strong if n in leading]
+    chosen += [n for n in weak if n in leading]
+    chosen += [n for n in strong if n not in leading]
+    reserve = [n for n in weak if n not in leading]
+    if weak:
+        far = {n: c for n, c in usable.items() if n not in near}
+        reserve = [
+            n for n in _by_turns(far) if far[n].strength >= WEAK_PART * strongest
+        ] + reserve
+    limit = max_homes(max_connections, slots)
+    homes = [usable[n] for n in chosen[:limit]]
+    while reserve and len(homes) < limit and _lacks_reserve(homes, strongest):
+        chosen.append(reserve.pop(0))
+        homes.append(usable[chosen[-1]])
+    return {n: usable[n].strength for n in chosen[:limit]}
+
+
+def _leading(order: list[str], candidates: Mapping[str, Candidate]) -> set[str]:
+    """Return the first instances of each failure domain in an order."""
+    counts: Counter[str] = Counter()
+    leading = set()
+    for name in order:
+        domain = candidates[name].failure_domain
+        counts[domain] += 1
+        if counts[domain] <= MIN_HOMES_PER_DOMAIN:
+            leading.add(name)
+    return leading
+
+
+def _lacks_reserve(homes: list[Candidate], strongest: int) -> bool:
+    """Return whether the loss of a home or domain would leave too little capacity."""
+    by_domain: Counter[str] = Counter()
+    for home in homes:
+        by_domain[home.failure_domain] += home.strength
+    largest_loss = max((h.strength for h in homes), default=0)
+    if len(by_domain) > 1:
+        largest_loss = max(by_domain.values())
+    left = by_domain.total() - largest_loss
+    return left < MIN_STRONG_HOMES_LEFT * strongest
 
 
 def _by_turns(candidates: Mapping[str, Candidate]) -> list[str]:
@@ -121,11 +170,52 @@
     return [name for names in rounds for name in names if name is not None]
 
 
-def home_for(customer: str, homes: list[str]) -> str | None:
-    """Return the home of a customer's connections, None if there are no homes."""
-    return rendezvous(customer, homes)
+def home_for(
+    customer: str, homes: Mapping[str, int], rate: float | None = 0.0
+) -> str | None:
+    """Return the home of a customer's connections, None if there are no homes.
+
+    Homes get customers in proportion to their strength, except that a weak home gets
+    none that could use a large part of its strength alone.
+
+    Args:
+        customer: The customer.
+        homes: The strengths of the homes by name.
+        rate: The customer's limit in operations per second, None for no limit.
+    """
+    strongest = max(homes.values(), default=0)
+    needed = math.inf if rate is None else rate / MAX_CUSTOMER_PART
+    least = min(needed, WEAK_PART * strongest)
+    return weighted_rendezvous(
+        customer, {n: max(1, s) for n, s in homes.items() if s >= least}
+    )
 
 
 def connections_per_holder(max_connections: int, holders: int) -> int:
     """Return how many connections to a server each of several holders may have."""
     return int(max_connections * (1 - RESERVED_PART) / holders)
+
+
+def connections_of_home(
+    name: str, homes: Mapping[str, int], max_connections: int
+) -> int:
+    """Return how many connections to a server a home may have.
+
+    Each home gets ``MIN_CONNECTIONS_PER_INSTANCE`` and a part of the others in
+    proportion to its strength, as it gets customers in proportion to its strength.
+
+    Args:
+        name: The home.
+        homes: The strengths of the homes by name.
+        max_connections: Connections that the server accepts.
+
+    Returns:
+        The number of connections; the sum over all homes leaves the reserved part.
+    """
+    equal = connections_per_holder(max_connections, len(homes))
+    if equal < MIN_CONNECTIONS_PER_INSTANCE:
+        return equal
+    least = MIN_CONNECTIONS_PER_INSTANCE
+    shared = int(max_connections * (1 - RESERVED_PART)) - least * len(homes)
+    strengths = {n: max(1, s) for n, s in homes.items()}
+    return least + shared * strengths[name] // sum(strengths.values())
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -13,6 +13,7 @@
 from ..policy.homes import (
     Candidate,
     choose_homes,
+    connections_of_home,
     connections_per_holder,
     home_for,
     is_direct,
@@ -89,7 +90,7 @@
         self._has_majority = has_majority
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
-        self._chosen: list[str] = []
+        self._chosen: dict[str, int] = {}
         self._chosen_at = float("-inf")
         self._pinned: dict[int, _PinnedLease] = {}
         self._handles = itertools.count(1)
@@ -111,6 +112,11 @@
     @property
     def names(self) -> list[str]:
         """The names of the instances that are homes."""
+        return list(self.strengths)
+
+    @property
+    def strengths(self) -> dict[str, int]:
+        """The strengths of the homes by name."""
         now = self._clock()
         if now - self._chosen_at >= HOMES_REFRESH_S:
             self._chosen_at = now
@@ -123,16 +129,21 @@
             )
         return self._chosen
 
+    @property
+    def is_home(self) -> bool:
+        """Whether this instance holds connections for others."""
+        return not self.is_direct and self._name in self.strengths
+
     @property
     def is_out_of_reach(self) -> bool:
         """Whether no home can be reached, so that no statement can be run."""
-        return not self.is_direct and not self.names
+        return not self.is_direct and not self.strengths
 
     def home_of(self, customer: str) -> str | None:
         """Return the home of a customer's connections, None for this instance."""
         if self.is_direct:
             return None
-        home = home_for(customer, self.names)
+        home = home_for(customer, self.strengths, self._servers.rate_of(customer))
         return None if home == self._name else home
 
     def connection_limit(self, group: str) -> int | None:
@@ -147,14 +158,13 @@
         most = servers.max_connections(group)
         if self.is_direct:
             return connections_per_holder(most, servers.instances)
-        homes = self.names
+        homes = self.strengths
         if self._name not in homes:
             return 0
         # Instances out of touch may have chosen homes of their own.
         in_touch = len(self._instances()) / servers.instances
-        return max(
-            1, int(connections_per_holder(most, len(homes)) * min(1.0, in_touch))
-        )
+        part = connections_of_home(self._name, homes, most)
+        return max(1, int(part * min(1.0, in_touch)))
 
     async def call(
         self, home: str, message: RunBatch | DropPinned, *, timeout_s: float
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -101,6 +101,11 @@
         """The number of configured customers."""
         return len(self._deployment.customers) if self._deployment else 0
 
+    def rate_of(self, customer: str) -> float | None:
+        """Return a customer's rate limit per second, None for no limit."""
+        known = self._deployment.customers.get(customer) if self._deployment else None
+        return known.rate if known is not None else None
+
     @property
     def min_connections(self) -> int:
         """The lowest per-server connection limit of all groups."""
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -273,7 +273,7 @@
             for d in "abcde"
             for n in range(39)
         }
-        alike = rendezvous_order("homes", candidates)[:6]
+        alike = dict.fromkeys(rendezvous_order("homes", candidates)[:6], 1)
         strongest = choose_homes(candidates, 90, 2, "abc")
         assert share_in_time(candidates, strongest) >= 0.99
         assert share_in_time(candidates, alike) <= 0.9
@@ -306,7 +306,7 @@
     def test_few_customers_move_when_a_home_leaves(self):
         candidates = dict.fromkeys(self.NAMES, Candidate(1))
         before = choose_homes(candidates, 35, 2)
-        del candidates[before[0]]
+        del candidates[next(iter(before))]
         after = choose_homes(candidates, 35, 2)
         customers = [f"c{n}" for n in range(100)]
         moved = sum(home_for(c, before) != home_for(c, after) for c in customers)
--- a/tests/test_serving_homes.py
+++ b/tests/test_serving_homes.py
@@ -19,6 +19,7 @@
             min_connections=12,
             min_slots=2,
             failure_domains=frozenset(),
+            rate_of=lambda customer: None,
         )
         found.homes = Homes(
             "a",
