Hand over a customer's connections gradually when its home changes

A lost home's customers arrived at the other homes with all statements that had waited, and each statement opened a connection, which occupies a server's slot for 12 ms.

A home now knows its customers and since when. For those that came within the last second, or that should use another home, it opens one connection at a time to each server. Idle connections of customers that have left are closed one at a time at each housekeeping, and first when room is needed; above the limit they are closed at once, as before, so that the sum of the homes' parts holds. Event 319 and the gauges mangoramp_homes and mangoramp_home_customers tell who is home.

--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -44,6 +44,11 @@
         yield _gauge("hub", "Whether it is a hub of its failure domain", peers.is_hub)
         homes = instance.homes
         yield _gauge("home", "Whether it holds connections for others", homes.is_home)
+        count = 0 if homes.is_direct else len(homes.names)
+        yield _gauge("homes", "Homes of connections, 0 if each holds its own", count)
+        yield _gauge(
+            "home_customers", "Customers whose home it is", len(homes.customers)
+        )
         yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from returns.result import Result, Success
 
 from ..errors import Fault
-from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
+from ..events import HOME_SUSPECTED, HOMES_CHANGED, PINNED_EXPIRED, emit
 from ..policy.homes import (
     Candidate,
     choose_homes,
@@ -91,6 +91,8 @@
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: dict[str, int] = {}
+        self._rates: Mapping[str, float | None] = {}
+        self._home_by_customer: dict[str, str | None] = {}
         self._chosen_at = float("-inf")
         self._pinned: dict[int, _PinnedLease] = {}
         self._handles = itertools.count(1)
@@ -120,15 +122,41 @@
         now = self._clock()
         if now - self._chosen_at >= HOMES_REFRESH_S:
             self._chosen_at = now
-            self._chosen = choose_homes(
-                self._candidates(),
-                self._servers.min_connections,
-                self._servers.min_slots,
-                self._servers.failure_domains,
-                has_majority=self._has_majority(),
+            self._update(
+                choose_homes(
+                    self._candidates(),
+                    self._servers.min_connections,
+                    self._servers.min_slots,
+                    self._servers.failure_domains,
+                    has_majority=self._has_majority(),
+                )
             )
         return self._chosen
 
+    @property
+    def customers(self) -> frozenset[str]:
+        """The customers whose connections this instance holds for all others."""
+        return self._servers.handover.customers
+
+    def _update(self, chosen: dict[str, int]) -> None:
+        rates = self._servers.rates
+        if chosen == self._chosen and rates is self._rates:
+            return
+        if chosen != self._chosen:
+            emit(HOMES_CHANGED, homes=chosen, before=list(self._chosen))
+        was_home = self._name in self._chosen
+        self._chosen, self._rates = chosen, rates
+        self._home_by_customer.clear()
+        if was_home or self._name in chosen:
+            is_own = {c: self._assign(c) == self._name for c in rates}
+            self._servers.handover.apply(is_own, self._clock())
+
+    def _assign(self, customer: str) -> str | None:
+        if customer not in self._home_by_customer:
+            home = home_for(customer, self._chosen, self._rates.get(customer))
+            self._home_by_customer[customer] = home
+        return self._home_by_customer[customer]
+
     @property
     def is_home(self) -> bool:
         """Whether this instance holds connections for others."""
@@ -143,7 +171,9 @@
         """Return the home of a customer's connections, None for this instance."""
         if self.is_direct:
             return None
-        home = home_for(customer, self.strengths, self._servers.rate_of(customer))
+        if not self.strengths:
+            return None
+        home = self._assign(customer)
         return None if home == self._name else home
 
     def connection_limit(self, group: str) -> int | None:
@@ -157,6 +187,8 @@
             return None
         most = servers.max_connections(group)
         if self.is_direct:
+            self._chosen = {}
+            servers.handover.apply({}, self._clock())
             return connections_per_holder(most, servers.instances)
         homes = self.strengths
         if self._name not in homes:
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -9,6 +9,7 @@
 
 from ..control.group import Server
 from ..events import CONNECTION_REFUSED, emit
+from ..policy.handover import Handover
 from ..policy.wait_queue import Waiter, WaitQueue
 from ..policy.window import ConcurrencyWindow
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
@@ -65,6 +66,7 @@
         connector: Opens connections.
         clock: Returns the time in seconds.
         limit: Maximum number of open connections.
+        handover: The customers whose connections move to or from this process.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         clock: Callable[[], float],
         *,
         limit: int,
+        handover: Handover | None = None,
     ) -> None:
         self.server = server
         self.limit = limit
@@ -89,6 +92,8 @@
         self._open_blocked_until = float("-inf")
         self._full_delay_s = SERVER_FULL_DELAY_S
         self._opening = 0
+        self._handover = handover or Handover()
+        self._opening_new = 0
         self._is_closed = False
 
     @property
@@ -177,12 +182,18 @@
             self._wake_next()
 
     def evict_idle(self) -> None:
-        """Close idle connections that are broken, expired or above the limit."""
+        """Close idle connections that are broken, expired or above the limit.
+
+        Of the customers that have another home now, one connection is closed.
+        """
         now = self._clock()
-        for idle in list(self._idle):
+        for idle in self._in_order_of_eviction():
             is_old = now - idle.since >= MAX_IDLE_S
             if not idle.conn.is_open or is_old or self._count > self.limit:
                 self._evict(idle)
+        for idle in self._in_order_of_eviction()[:1]:
+            if self._handover.has_left(idle.customer):
+                self._evict(idle)
 
     def close(self) -> None:
         """Close idle connections now and acquired ones on release."""
@@ -199,7 +210,7 @@
         conn: ServerConnection | None = None
         try:
             conn = self._pop_idle(customer)
-            if conn is None and self._may_open() and self._make_room():
+            if conn is None and self._may_open(customer) and self._make_room():
                 conn = await self._open(customer)
         except OpenRefusedError as exc:
             self._handle_open_refused(exc)
@@ -208,8 +219,11 @@
                 self._active -= 1
         return conn
 
-    def _may_open(self) -> bool:
-        if self._clock() < self._open_blocked_until:
+    def _may_open(self, customer: str) -> bool:
+        now = self._clock()
+        if now < self._open_blocked_until:
+            return False
+        if self._opening_new and self._handover.is_new(customer, now):
             return False
         # While the server is full, a single attempt at a time probes for free capacity.
         return self._full_delay_s == SERVER_FULL_DELAY_S or not self._opening
@@ -227,9 +241,14 @@
             return True
         if not self._idle:
             return False
-        self._evict(self._idle[0])
+        self._evict(self._in_order_of_eviction()[0])
         return True
 
+    def _in_order_of_eviction(self) -> list[_IdleConnection]:
+        """Return the idle connections: of customers that have left, then by age."""
+        has_left = self._handover.has_left
+        return sorted(self._idle, key=lambda idle: not has_left(idle.customer))
+
     def _evict(self, idle: _IdleConnection) -> None:
         self._idle.remove(idle)
         idle.conn.close()
@@ -238,6 +257,8 @@
     async def _open(self, customer: str) -> ServerConnection:
         self._count += 1
         self._opening += 1
+        is_new = self._handover.is_new(customer, self._clock())
+        self._opening_new += is_new
         self.opened += 1
         endpoint = self.server.endpoint
         try:
@@ -250,6 +271,10 @@
             raise
         finally:
             self._opening -= 1
+            self._opening_new -= is_new
+        if is_new:
+            # Statements of other new customers wait until they may open one.
+            self._wake_next()
         self._full_delay_s = SERVER_FULL_DELAY_S
         return conn
 
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from ..control.deployment import Deployment
 from ..control.group import GroupState, Server
+from ..policy.handover import Handover
 from .command import Connector
 from .pool import ServerPool
 
@@ -32,6 +33,9 @@
         instances: The number of instances, 0 while unknown.
         connection_limit: Returns how many connections this process may hold to each
             server of a group, None while unknown.
+        rates: The customers' rate limits per second, None for no limit. It is replaced
+            when the configuration changes.
+        handover: The customers whose connections this process holds as their home.
     """
 
     def __init__(self, connector: Connector, clock: Callable[[], float]) -> None:
@@ -40,6 +44,8 @@
         self.groups: dict[str, GroupState] = {}
         self.instances = 0
         self.connection_limit: Callable[[str], int | None] = lambda group: None
+        self.rates: Mapping[str, float | None] = {}
+        self.handover = Handover()
         self._deployment: Deployment | None = None
         self._pools: dict[str, _PoolEntry] = {}
 
@@ -58,7 +64,9 @@
         if entry is not None:
             entry.pool.close()
         limit = self._limit(server.endpoint.group)
-        pool = ServerPool(server, self.connector, self.clock, limit=limit)
+        pool = ServerPool(
+            server, self.connector, self.clock, limit=limit, handover=self.handover
+        )
         self._pools[server.id] = _PoolEntry(server, pool)
         return pool
 
@@ -73,7 +81,9 @@
             deployment: The new configuration, None to keep the current one.
             instances: The number of instances, 0 while unknown.
         """
-        self._deployment = deployment or self._deployment
+        if deployment is not None:
+            self._deployment = deployment
+            self.rates = {n: c.rate for n, c in deployment.customers.items()}
         self.instances = instances
         for entry in self._pools.values():
             entry.pool.resize(self._limit(entry.server.endpoint.group))
@@ -101,11 +111,6 @@
         """The number of configured customers."""
         return len(self._deployment.customers) if self._deployment else 0
 
-    def rate_of(self, customer: str) -> float | None:
-        """Return a customer's rate limit per second, None for no limit."""
-        known = self._deployment.customers.get(customer) if self._deployment else None
-        return known.rate if known is not None else None
-
     @property
     def min_connections(self) -> int:
         """The lowest per-server connection limit of all groups."""
--- a/tests/test_serving_homes.py
+++ b/tests/test_serving_homes.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from mangoramp.policy.handover import Handover
 from mangoramp.policy.homes import Candidate
+from mangoramp.serving import homes
 from mangoramp.serving.homes import MIN_SUSPECT_S, Homes
 
 
@@ -19,7 +21,8 @@
             min_connections=12,
             min_slots=2,
             failure_domains=frozenset(),
-            rate_of=lambda customer: None,
+            rates={},
+            handover=Handover(),
         )
         found.homes = Homes(
             "a",
@@ -54,3 +57,80 @@
         home = self.home_of(world)
         world.homes.suspect(home)
         assert self.home_of(world, 11.0) == home
+
+
+class TestChangeOfHomes:
+    RATES = {f"c{n}": 10.0 for n in range(40)}
+
+    @pytest.fixture
+    def world(self, monkeypatch):
+        found = SimpleNamespace(
+            now=0.0, lines=[], candidates={n: Candidate(100) for n in "abcdef"}
+        )
+        monkeypatch.setattr(
+            homes, "emit", lambda event, **facts: found.lines.append((event, facts))
+        )
+        found.servers = SimpleNamespace(
+            clock=lambda: found.now,
+            instances=6,
+            customers=40,
+            min_connections=12,
+            min_slots=2,
+            failure_domains=frozenset(),
+            rates=self.RATES,
+            handover=Handover(),
+            max_connections=lambda group: 12,
+        )
+        found.homes = Homes(
+            "a",
+            found.servers,
+            instances=lambda: found.candidates,
+            admit=lambda customer, request_id: 0.0,
+            links=None,
+            heard_at=lambda name: found.now,
+        )
+        found.candidates = {n: Candidate(100) for n in "ab"}
+        assert found.homes.names
+        return found
+
+    def refresh(self, world, **strengths):
+        world.now += 1.0
+        world.candidates = {n: Candidate(s) for n, s in strengths.items()}
+        return world.homes.strengths
+
+    def test_a_home_knows_which_customers_come_and_go(self, world):
+        """Guards against connections that are kept for customers of other homes."""
+        before = world.homes.customers
+        assert 0 < len(before) < len(self.RATES)
+        self.refresh(world, a=100)
+        assert world.homes.customers == self.RATES.keys()
+        gained = self.RATES.keys() - before
+        assert all(world.servers.handover.is_new(c, world.now) for c in gained)
+        assert not any(world.servers.handover.is_new(c, world.now) for c in before)
+        self.refresh(world, b=100)
+        assert all(world.servers.handover.has_left(c) for c in self.RATES)
+
+    def test_a_change_is_logged_once_with_the_strengths(self, world):
+        """Guards against operators who cannot tell which instances are homes."""
+        world.lines.clear()
+        self.refresh(world, a=100, b=70)
+        self.refresh(world, a=100, b=70)
+        assert [(e.number, facts["homes"]) for e, facts in world.lines] == [
+            (319, {"a": 100, "b": 70})
+        ]
+
+    def test_a_changed_rate_moves_a_customer_to_a_strong_home(self, world):
+        """Guards against a customer that outgrew a weak home and stays there."""
+        self.refresh(world, a=100, b=20)
+        at_weak = [c for c in self.RATES if world.homes.home_of(c) == "b"]
+        world.servers.rates = dict.fromkeys(self.RATES, 1.0)
+        world.now += 1.0
+        small = [c for c in self.RATES if world.homes.home_of(c) == "b"]
+        assert (at_weak, bool(small)) == ([], True)
+
+    def test_without_homes_no_customer_has_left(self, world):
+        """Guards against a former home that limits itself for ever."""
+        self.refresh(world, b=100)
+        world.servers.min_connections = 400
+        assert world.homes.connection_limit("orders") == 1
+        assert not any(world.servers.handover.has_left(c) for c in self.RATES)
