Evacuation of a failure domain

Operators had no way to empty a failure domain: its servers got requests until they failed.

Ruled out: removing a missing evacuation by a timer, since an instance that loses the store right after a list would go back to an older state; a further list has to confirm it.

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..events import PRIMARY_CHANGED, SERVER_LOST, SERVER_RECOVERED, emit
+from ..policy.evacuation import EvacuationTimes
 from ..policy.position import Position
 from ..policy.revision import NO_REVISION, Revision
 from ..policy.samples import PrimarySamples, Sample
@@ -39,6 +41,9 @@
         latency_s: Moving average of the statement latency, in seconds.
         lag_s: Estimated replication lag, in seconds.
         busy: Statements of this process in flight at the server.
+        evacuation: When requests to it end because its failure domain is evacuated,
+            None if it is not.
+        returned_at: When the last evacuation of its failure domain was withdrawn.
     """
 
     endpoint: Endpoint
@@ -53,12 +58,47 @@
     latency_s: float = INITIAL_LATENCY_S
     lag_s: float = INITIAL_LAG_S
     busy: int = 0
+    evacuation: EvacuationTimes | None = None
+    returned_at: float = float("-inf")
 
     @property
     def id(self) -> str:
         """The server's id."""
         return self.endpoint.id
 
+    @property
+    def is_primary(self) -> bool:
+        """Whether it is listed as primary or has just been promoted."""
+        return self.primary_since != NO_REVISION
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether its failure domain is evacuated."""
+        return self.evacuation is not None
+
+    @property
+    def evacuated_at(self) -> float | None:
+        """When this instance learned of the evacuation, None without one."""
+        return self.evacuation.since if self.evacuation is not None else None
+
+    def may_send(self, now: float, *, in_transaction: bool = False) -> bool:
+        """Return whether an evacuation, if any, still allows a request to it.
+
+        Args:
+            now: The time in seconds.
+            in_transaction: Whether the request belongs to a transaction that is open
+                at the server.
+        """
+        return self.evacuation is None or self.evacuation.may_send(
+            now, is_primary=self.is_primary, in_transaction=in_transaction
+        )
+
+    def update_evacuation(self, times: EvacuationTimes | None, now: float) -> None:
+        """Set when requests to it end, None if it is not evacuated any more."""
+        if self.evacuation is not None and times is None:
+            self.returned_at = now
+        self.evacuation = times
+
     def is_suspect(self, now: float) -> bool:
         """Whether it failed recently, so that other servers are preferred."""
         return now < self.retry_at
@@ -101,10 +141,14 @@
 
     Args:
         name: The group's name.
+        evacuations: The evacuated failure domains.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, evacuations: Mapping[str, EvacuationTimes] | None = None
+    ) -> None:
         self.name = name
+        self._evacuations = evacuations if evacuations is not None else {}
         self.servers: dict[str, Server] = {}
         self.samples = PrimarySamples()
         self._changed = asyncio.Event()
@@ -124,6 +168,7 @@
         elif endpoint.is_primary and not known.endpoint.is_primary:
             known.primary_since = NO_REVISION
         known.endpoint = endpoint
+        known.evacuation = self._evacuations.get(endpoint.failure_domain)
         known.unlisted_at = None
         if not endpoint.is_primary:
             known.primary_since = NO_REVISION
@@ -156,6 +201,13 @@
             self.notify_changed()
         return expired
 
+    def update_evacuated(self, now: float) -> None:
+        """Mark the servers whose failure domains are evacuated, and no others."""
+        for server in self.servers.values():
+            domain = server.endpoint.failure_domain
+            server.update_evacuation(self._evacuations.get(domain), now)
+        self.notify_changed()
+
     def record_promotion(self, server_id: str, revision: Revision) -> None:
         """Treat a server as the primary before the registry lists it as such."""
         server = self.servers.get(server_id)
@@ -189,7 +241,10 @@
         return [
             s
             for s in self.servers.values()
-            if s is not primary and not s.endpoint.is_draining and s.unlisted_at is None
+            if s is not primary
+            and not s.endpoint.is_draining
+            and not s.is_evacuated
+            and s.unlisted_at is None
         ]
 
     def record_position(self, asked_at: float, position: Position | None) -> None:
--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from returns.result import Result, Success
 
@@ -19,10 +20,12 @@
 from ..proxies.envelope import Envelope
 from .cluster_state import ClusterState, DepartedServer, VersionedEndpoint
 from .deployment import Deployment
+from .evacuations import Evacuations
 from .peers import KnownState, Peers, Report
 
 WATCH_REFRESH_ROUNDS = 2  # watches of all instances get a change within milliseconds
 PEER_FETCH_ROUNDS = 4  # the store answers a refreshed watch within two rounds
+EVACUATIONS_REFRESH_S = 2.5  # repeats what a lost or reordered update left out
 FETCH_TIMEOUT_S = 0.5  # two round trips within a region and one lost packet
 
 
@@ -34,12 +37,15 @@
         registry_revision: The latest registry revision that the sender knows.
         version: The version of the configuration that the sender has in force.
         era: The era of the registry revision.
+        evacuations_at: Era and number of the newest revision of the evacuations that
+            the sender knows, None if it knows none.
     """
 
     revision: int
     registry_revision: int
     version: int = 0
     era: int = 0
+    evacuations_at: tuple[int, int] | None = None
 
 
 class News(Envelope, frozen=True, array_like=True):
@@ -54,6 +60,10 @@
         is_registered: Whether the sender has the full registry.
         era: The era of the registry revision.
         departed: The servers that left lately.
+        evacuations: Each failure domain with the era and number of its newest revision
+            and whether it is evacuated.
+        evacuations_at: Era and number of the newest revision of the evacuations that
+            the sender knows, None if it knows none.
     """
 
     revision: int
@@ -64,6 +74,8 @@
     is_registered: bool
     era: int = 0
     departed: dict[str, DepartedServer] = {}
+    evacuations: tuple[tuple[str, int, int, bool], ...] = ()
+    evacuations_at: tuple[int, int] | None = None
 
     @property
     def registry_at(self) -> Revision:
@@ -83,6 +95,7 @@
         peers: The other instances.
         refresh_watches: Restarts the current polls of the store.
         fetch: Sends a request to a peer, with a timeout in seconds.
+        evacuations: The evacuations that updates are applied to.
 
     Attributes:
         is_catching_up: Whether this process has just started, so that a watcher does
@@ -95,11 +108,14 @@
         peers: Peers,
         refresh_watches: Callable[[], None],
         fetch: FetchNews,
+        evacuations: Evacuations,
     ) -> None:
         self._cluster_state = cluster_state
         self._peers = peers
         self._refresh_watches = refresh_watches
         self._fetch = fetch
+        self._evacuations = evacuations
+        self._fetched_at = float("-inf")
         self.is_catching_up = True
         self._has_fetched = False
         self._rounds = 0
@@ -117,6 +133,8 @@
 
     def check_peers(self) -> None:
         """Compare revisions with the peers'; call this several times a second."""
+        if self._must_refresh_evacuations():
+            self._start_fetch()
         if not self._is_behind():
             self._rounds = 0
             self._excluded_peers.clear()
@@ -149,8 +167,21 @@
             is_registered=cluster_state.has_registry.is_set(),
             era=registry.era,
             departed=dict(cluster_state.departed),
+            evacuations=tuple(
+                (domain, revision.era, revision.number, is_evacuated)
+                for domain, (revision, is_evacuated) in (
+                    self._evacuations.table.entries.items()
+                )
+            ),
+            evacuations_at=self.evacuations_at,
         )
 
+    @property
+    def evacuations_at(self) -> tuple[int, int] | None:
+        """Era and number of the newest known revision of the evacuations."""
+        latest = self._evacuations.latest
+        return None if latest is None else (latest.era, latest.number)
+
     def close(self) -> None:
         """Cancel a fetch in progress."""
         if self._fetch_task is not None:
@@ -167,8 +198,20 @@
             cluster_state.version,
             max(self._fetched_registry, cluster_state.registry_revision),
             cluster_state.revision.number,
+            self._evacuations.latest,
+            self._evacuations.is_enabled,
         )
 
+    def _must_refresh_evacuations(self) -> bool:
+        """Return whether a peer has to confirm the evacuations in force.
+
+        An evacuation that is missing from a restored store is removed later than the
+        revision that shows it is reported, so the revision alone does not tell.
+        """
+        if not self._evacuations.table.evacuated or self._peers.is_watcher:
+            return False
+        return self._peers.now - self._fetched_at >= EVACUATIONS_REFRESH_S
+
     def _wanted(self) -> KnownState:
         """Return the state beyond which a peer's news are wanted.
 
@@ -176,8 +219,13 @@
         from the store may come from an old copy.
         """
         if self.is_catching_up and not self._has_fetched:
-            return KnownState(0, NO_REVISION)
-        return self._known()
+            return KnownState(
+                0, NO_REVISION, follows_evacuations=self._evacuations.is_enabled
+            )
+        known = self._known()
+        if self._must_refresh_evacuations():
+            return replace(known, evacuations=None)
+        return known
 
     def _is_behind(self) -> bool:
         return self._peers.has_newer(self._known())
@@ -194,6 +242,7 @@
             registry_revision=registry.number,
             version=cluster_state.version,
             era=registry.era,
+            evacuations_at=self.evacuations_at,
         )
         result = await self._fetch(peer, req, FETCH_TIMEOUT_S)
         if not isinstance(result, Success):
@@ -210,6 +259,7 @@
         )
         self._apply(news)
         self._has_fetched = True
+        self._fetched_at = self._peers.now
         # The revision of an entry that was deleted in between is known only from here.
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
 
@@ -223,6 +273,14 @@
             self._cluster_state.apply_deployment(
                 news.deployment, Revision(news.era, news.revision)
             )
+        if self._evacuations.is_enabled and news.evacuations_at is not None:
+            self._evacuations.apply_news(
+                {
+                    domain: (Revision(era, number), is_evacuated)
+                    for domain, era, number, is_evacuated in news.evacuations
+                },
+                Revision(*news.evacuations_at),
+            )
 
     def _on_fetch_done(self, task: asyncio.Task[None]) -> None:
         self._fetch_task = None
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -63,6 +63,8 @@
         version: The version of the configuration that it has in force.
         era: The era of ``registry_revision``.
         hub: What the membership of a large fleet needs, None between few instances.
+        evacuations_at: Era and number of the newest revision of the evacuations that it
+            knows, None if it knows none.
     """
 
     name: str
@@ -80,6 +82,7 @@
     version: int = 0
     era: int = 0
     hub: HubFields | None = None
+    evacuations_at: tuple[int, int] | None = None
 
     @property
     def registry_at(self) -> Revision:
@@ -95,11 +98,15 @@
         version: The version of the configuration in force.
         registry: The latest registry revision.
         revision: The number of the configuration's revision in the store.
+        evacuations: The newest revision of the evacuations, None if unknown.
+        follows_evacuations: Whether the instance uses evacuations.
     """
 
     version: int
     registry: Revision
     revision: int = 0
+    evacuations: Revision | None = None
+    follows_evacuations: bool = False
 
     def is_behind(self, report: Report) -> bool:
         """Return whether the sender of a report knows more."""
@@ -107,7 +114,17 @@
             has_newer_version = report.version > self.version
         else:  # a former build, which reports no version
             has_newer_version = report.revision > self.revision
-        return has_newer_version or report.registry_at > self.registry
+        return (
+            has_newer_version
+            or report.registry_at > self.registry
+            or self._is_behind_on_evacuations(report)
+        )
+
+    def _is_behind_on_evacuations(self, report: Report) -> bool:
+        if not self.follows_evacuations or report.evacuations_at is None:
+            return False
+        known = self.evacuations
+        return known is None or Revision(*report.evacuations_at) > known
 
 
 @dataclass(slots=True)
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -43,6 +43,7 @@
 MAX_REQUESTS = 3  # a request is idempotent and repeated if its answer is lost
 SETTLE_S = 1.0  # after a request, until the server reports its new role
 MAX_HEARD_AGE_S = 30.0  # peers have no use for an older answer
+EVACUATED_SUCCESSOR = "the successor's failure domain is being evacuated"
 PROBE_INTERVAL_S = 0.4  # for a failing primary without traffic from callers
 
 
@@ -147,7 +148,7 @@
         """Whether a group's primary is unreachable from here but not from elsewhere."""
         now = self._servers.clock()
         primary = self._servers.group(group).primary(now)
-        if primary is None or primary.failing_since is None:
+        if primary is None or primary.failing_since is None or primary.is_evacuated:
             return False
         reach = Reachability(
             silent_s=now - primary.failing_since,
@@ -186,6 +187,10 @@
         wait_s = RANK_DELAY_S * self._rank(group.name)
         if now < watch.hold_until or now - watch.reason_since < wait_s:
             return
+        if primary is not None and primary.is_evacuated and not group.replicas(now):
+            # All servers are evacuated; the claim in the store need not be read.
+            watch.hold_until = now + SETTLE_S
+            return
         watch.is_replacing = True
         self._spawn(self._replace(group, watch, primary, reason), watch)
 
@@ -206,6 +211,7 @@
         return Evidence(
             is_known=True,
             is_draining=primary.endpoint.is_draining,
+            is_evacuated=primary.is_evacuated,
             is_listed=primary.unlisted_at is None,
             silent_s=now - since if since is not None else 0.0,
             failures=primary.failures,
@@ -273,8 +279,12 @@
         since = former.primary_since if former is not None else NO_REVISION
         former_id = former.id if former is not None else ""
         claim = known.value
-        if claim is not None and self._is_claim_active(
-            claim, known.revision, watch, former_id, since, now
+        if (
+            claim is not None
+            and self._is_claim_active(
+                claim, known.revision, watch, former_id, since, now
+            )
+            and not self._is_evacuated(group, claim.successor)
         ):
             emit(PROMOTION_SKIPPED, group=group.name, holder=claim.holder)
             return
@@ -321,8 +331,15 @@
             received=f"{successor.received.term}.{successor.received.offset}",
             token=own_claim.token,
         )
+        if self._is_evacuated(group, successor.id):
+            emit(PROMOTION_SKIPPED, group=group.name, reason=EVACUATED_SUCCESSOR)
+            return
         await self._request_promotion(group, watch, own_claim)
 
+    def _is_evacuated(self, group: GroupState, server_id: str) -> bool:
+        server = group.servers.get(server_id)
+        return server is not None and server.is_evacuated
+
     def _is_claim_active(
         self,
         claim: Claim,
@@ -344,6 +361,9 @@
     ) -> None:
         outcome = PromotionOutcome.UNKNOWN
         for _ in range(MAX_REQUESTS):
+            if self._is_evacuated(group, claim.successor):
+                emit(PROMOTION_SKIPPED, group=group.name, reason=EVACUATED_SUCCESSOR)
+                return
             outcome = await self._promotion_client.promote(
                 group.name, claim.successor, holder=self._name, token=claim.token
             )
@@ -369,7 +389,9 @@
         found = await asyncio.gather(
             *(self._query_candidate(s, former) for s in servers)
         )
-        return choose_successor(s for s in found if s is not None)
+        return choose_successor(
+            s for s in found if s is not None and not self._is_evacuated(group, s.id)
+        )
 
     async def _query_candidate(
         self, server: Server, former: Server | None
@@ -382,6 +404,9 @@
         except OpenRefusedError as exc:
             emit(CONNECTION_REFUSED, server=server.id, reason=str(exc))
             return None
+        if server.is_evacuated:
+            conn.close()
+            return None
         try:
             status = await self._servers.connector.fetch_status(conn)
         finally:
@@ -411,4 +436,5 @@
 
 
 def _is_healthy(primary: Server) -> bool:
-    return primary.failing_since is None and not primary.endpoint.is_draining
+    is_leaving = primary.endpoint.is_draining or primary.is_evacuated
+    return primary.failing_since is None and not is_leaving
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -112,6 +112,11 @@
     334, "INFO", "registry entry from an old copy of the store ignored"
 )
 REPORT_NOT_SENT = Event(335, "WARNING", "report to a peer could not be sent")
+EVACUATION_STARTED = Event(336, "WARNING", "evacuation of a failure domain in force")
+EVACUATION_ENDED = Event(337, "INFO", "evacuation of a failure domain withdrawn")
+EVACUATION_DRAINED = Event(
+    338, "INFO", "last statement in an evacuated failure domain ended"
+)
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
 PROMOTION_CLAIMED = Event(503, "WARNING", "promotion claimed")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -15,6 +15,7 @@
 
 from .clock import boot_time
 from .control.cluster_state import ClusterState
+from .control.evacuations import Evacuations
 from .control.instance_list import InstanceList
 from .control.limits import CustomerLimits
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
@@ -82,6 +83,11 @@
         self.registry = CollectorRegistry()
         self.servers = Servers(WireConnector(), boot_time)
         self.cluster_state = ClusterState(self.servers)
+        self.evacuations = Evacuations(
+            self.servers,
+            lambda: self.cfg.bounds.evacuation_s,
+            is_enabled=cfg.features.evacuation,
+        )
         self.peers = Peers(
             cfg.name,
             self._build_report,
@@ -104,6 +110,7 @@
             is_preferred_watcher=lambda: self.peers.is_preferred_watcher,
             rng=rng,
             clock=boot_time,
+            evacuations=self.evacuations if cfg.features.evacuation else None,
         )
         self._promoter = Promoter(
             cfg.name,
@@ -116,7 +123,11 @@
         self._links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
         self._news_fetcher = NewsFetcher(
-            self.cluster_state, self.peers, self._feed.poll_now, self._request_news
+            self.cluster_state,
+            self.peers,
+            self._feed.poll_now,
+            self._request_news,
+            self.evacuations,
         )
         self.homes = Homes(
             cfg.name,
@@ -155,6 +166,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.cluster_state.on_deployment = self._apply_deployment
         self.cluster_state.on_change = self._announce_news
+        self.evacuations.on_change = self._announce_news
         self.peers.on_report = self._on_report
         self.peers.on_spent = self._on_peer_spent
         self._has_instance_list = False
@@ -268,6 +280,7 @@
             )
             self.gateway.abort_idle_transactions()
             self.servers.evict_expired()
+            self.evacuations.log_drained()
             self.homes.evict_expired_pins()
             self._share_connections()
             self._news_fetcher.check_peers()
@@ -283,10 +296,13 @@
     def _check_caught_up(self) -> None:
         """Open to callers once no peer is known to have a newer configuration.
 
+        The evacuations must be known too, or callers' statements could be sent there.
+
         The store may hold an older one after it was restored from a copy.
         """
         state = self.cluster_state
-        if self._has_caught_up.is_set() or not state.has_deployment.is_set():
+        is_known = state.has_deployment.is_set() and self.evacuations.is_known.is_set()
+        if self._has_caught_up.is_set() or not is_known:
             return
         waited_s = boot_time() - self._started_at
         if (
@@ -387,6 +403,7 @@
             is_current=not self._feed.is_failing,
             version=self.cluster_state.version,
             era=self.cluster_state.registry_revision.era,
+            evacuations_at=self._news_fetcher.evacuations_at,
         )
 
 
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -48,6 +48,8 @@
         yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
+        if instance.evacuations.is_enabled:
+            yield from self._evacuations()
 
     def _groups(self) -> Iterator[Metric]:
         now = boot_time()
@@ -69,6 +71,22 @@
                 lag.add_metric((group.name, server.id), server.lag_s)
         yield from (age, lag)
 
+    def _evacuations(self) -> Iterator[Metric]:
+        evacuations = self._instance.evacuations
+        evacuated = GaugeMetricFamily(
+            "mangoramp_evacuated",
+            "Whether a failure domain is evacuated",
+            labels=("failure_domain",),
+        )
+        for domain, (_, is_evacuated) in evacuations.table.entries.items():
+            evacuated.add_metric((domain,), float(is_evacuated))
+        yield evacuated
+        yield _gauge(
+            "evacuated_statements",
+            "Statements and open transactions at evacuated servers",
+            evacuations.statements,
+        )
+
     def _connections(self) -> Iterator[Metric]:
         labels = ("server",)
         held = GaugeMetricFamily(
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -1,10 +1,10 @@
-"""Follows the configuration and the server registry in the platform's store."""
+"""Follows the configuration, the server registry and evacuations in the store."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -14,6 +14,7 @@
 from ..control.endpoint import Endpoint
 from ..control.settings import Bounds
 from ..events import ENTRY_UNREADABLE, emit
+from ..policy.evacuation import Entry
 from ..policy.revision import Revision
 from .client import Changes, PlatformClient, Versioned
 from .configuration import CONFIGURATION_KIND, CONFIGURATION_NAME, decode_deployment
@@ -25,6 +26,10 @@
 MIN_POLL_WAIT_S = 1.0
 PEERS_FIRST_S = 1.0  # peers usually answer a new instance within half of this time
 RECHECK_INTERVAL_S = 1.5  # a live server reports within this time after an outage
+EVACUATION_KIND = "evacuations"
+EVACUATION_WAIT_PART = 0.4  # of the bound; a hung poll ends 1 s later and is repeated
+EVACUATION_RECHECK_S = 0.5
+MAX_POLL_GAP_S = 1.0  # between polls that succeed one after the other
 
 
 class FeedReceiver(Protocol):
@@ -50,8 +55,24 @@
         """Remove all servers but these, as of a revision."""
 
 
+class EvacuationReceiver(Protocol):
+    """Receives changes of the evacuations."""
+
+    is_known: asyncio.Event
+
+    @property
+    def has_doubtful_evacuations(self) -> bool:
+        """Whether the evacuations have to be listed again soon."""
+
+    def apply_changes(self, changes: Mapping[str, Entry], *, is_late: bool) -> None:
+        """Apply changes, which may have been made seconds ago if ``is_late``."""
+
+    def apply_list(self, listed: Mapping[str, Revision], revision: Revision) -> None:
+        """Apply the complete list as of a revision."""
+
+
 class Feed:
-    """Watches the configuration and the server registry and reports changes.
+    """Watches the store and reports changes.
 
     Args:
         client: Client for the store.
@@ -63,6 +84,7 @@
             even if the store answered all instances.
         rng: Source of the retry jitter.
         clock: Returns the current time in seconds.
+        evacuations: Receives the changes of the evacuations, None to watch none.
     """
 
     def __init__(
@@ -75,12 +97,15 @@
         is_preferred_watcher: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float],
+        evacuations: EvacuationReceiver | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._started_at = clock()
         self._is_watcher = is_watcher
         self._receiver = receiver
+        self._evacuations = evacuations
+        self._evacuations_at = float("-inf")
         self._revisions: dict[str, Revision | None] = {
             CONFIGURATION_KIND: None,
             REGISTRY_KIND: None,
@@ -93,6 +118,13 @@
             CONFIGURATION_KIND: self._apply_configuration,
             REGISTRY_KIND: self._apply_registry,
         }
+        waits = dict.fromkeys(handlers, wait_s)
+        if evacuations is not None:
+            self._revisions[EVACUATION_KIND] = None
+            handlers[EVACUATION_KIND] = self._apply_evacuations
+            waits[EVACUATION_KIND] = min(
+                wait_s, max(MIN_POLL_WAIT_S, EVACUATION_WAIT_PART * bounds.evacuation_s)
+            )
         self._watches = [
             Watch(
                 client,
@@ -103,7 +135,7 @@
                 on_changes=handler,
                 rng=rng,
                 clock=clock,
-                wait_s=lambda: wait_s,
+                wait_s=lambda kind=kind: waits[kind],  # type: ignore[misc]
                 is_enabled=is_watcher,
                 is_needed=self._is_needed,
                 retry_max_s=lambda: (
@@ -126,7 +158,9 @@
     async def run(self) -> None:
         """Run the watches until cancelled."""
         await asyncio.gather(
-            self._recheck_registry(), *(watch.run() for watch in self._watches)
+            self._recheck_registry(),
+            self._recheck_evacuations(),
+            *(watch.run() for watch in self._watches),
         )
 
     def on_store_restored(self) -> None:
@@ -143,10 +177,23 @@
             if isinstance(listed, Success):
                 self._apply_registry(listed.unwrap(), 0, 0.0)
 
+    async def _recheck_evacuations(self) -> None:
+        receiver = self._evacuations
+        while receiver is not None:
+            await asyncio.sleep(EVACUATION_RECHECK_S)
+            if not receiver.has_doubtful_evacuations or not self._is_watcher():
+                continue
+            asked_at = self._clock()
+            listed = await self._client.list_objects(EVACUATION_KIND, msgspec.Raw)
+            if isinstance(listed, Success):
+                self._apply_evacuations(listed.unwrap(), 0, asked_at)
+
     def _is_needed(self) -> bool:
         """Return whether peers have not told this instance what the store holds."""
         receiver = self._receiver
         is_known = receiver.has_deployment.is_set() and receiver.has_registry.is_set()
+        if self._evacuations is not None:
+            is_known = is_known and self._evacuations.is_known.is_set()
         return not is_known and self._clock() - self._started_at >= PEERS_FIRST_S
 
     def _since(self, kind: str) -> int:
@@ -186,6 +233,27 @@
         if changes.is_complete:
             self._receiver.retain_endpoints(frozenset(listed), changes.revision)
 
+    def _apply_evacuations(
+        self, changes: Changes[msgspec.Raw], since: int, asked_at: float
+    ) -> None:
+        assert self._evacuations is not None
+        self._revisions[EVACUATION_KIND] = changes.revision
+        # After failed polls, a change may have been made long before the answer.
+        is_late = asked_at - self._evacuations_at > MAX_POLL_GAP_S
+        self._evacuations_at = self._clock()
+        if changes.is_complete:
+            listed = {found.name: found.revision for found in changes.objects}
+            self._evacuations.apply_list(listed, changes.revision)
+            return
+        # The event of a removal may name the revision of the object before it.
+        newest = {
+            found.name: (found.revision, True)
+            if found.value is not None
+            else (changes.revision, False)
+            for found in changes.objects
+        }
+        self._evacuations.apply_changes(newest, is_late=is_late)
+
 
 def _decode_entry(found: Versioned[msgspec.Raw]) -> Endpoint | None:
     if found.value is None:
--- a/mangoramp/policy/succession.py
+++ b/mangoramp/policy/succession.py
@@ -20,6 +20,7 @@
     Attributes:
         is_known: Whether the group has a known primary.
         is_draining: Whether the primary is about to leave.
+        is_evacuated: Whether the primary's failure domain is being evacuated.
         is_listed: Whether the registry lists the primary.
         silent_s: Seconds since the primary stopped answering here; 0 while it answers.
         failures: The number of consecutive failed attempts.
@@ -39,10 +40,13 @@
     peer_heard_s: float = float("inf")
     report_s: float = 0.0
     has_majority: bool = True
+    is_evacuated: bool = False
 
 
 def reason_to_promote(evidence: Evidence) -> str:
     """Return the reason to replace a primary, empty if there is none."""
+    if evidence.is_known and evidence.is_evacuated:
+        return "its failure domain is being evacuated"
     if evidence.is_known and evidence.is_draining:
         return "it is about to leave"
     if not evidence.has_majority:
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -25,10 +25,11 @@
     SessionContext,
 )
 from .operation import DEFAULT_RETRY_AFTER_S, Operation, over_rate_error, refused_error
-from .pool import NoConnectionError, Urgency
+from .pool import EVACUATED_REASON, NoConnectionError, Urgency
 from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
 
+EVACUATED_RETRY_AFTER_S = 0.5  # a replacement that is late normally ends within this
 GROUP_POLL_S = 0.05  # a server also becomes usable when its suspicion expires
 
 
@@ -197,6 +198,9 @@
         if timeout_s < MIN_ROUND_TRIP_S:
             raise NotSentError("no time is left")
         server = lease.server
+        if not self.may_send(lease):
+            lease.discard()
+            raise NotSentError(EVACUATED_REASON)
         session_context = SessionContext(session.values, session.shapes)
         with recording_outcome(server, self.clock, timeout_s):
             answers = await lease.run(session_context, commands, timeout_s=timeout_s)
@@ -205,6 +209,13 @@
                 server.last_position = answer.position
         return answers
 
+    def may_send(self, lease: Lease) -> bool:
+        """Return whether an evacuation, if any, still allows to use a connection."""
+        server = lease.server
+        return not server.is_evacuated or server.may_send(
+            self.clock(), in_transaction=lease.in_transaction
+        )
+
     async def primary(self, op: Operation) -> Server:
         """Wait until a group's primary is usable and return it.
 
@@ -216,6 +227,14 @@
             now = self.clock()
             self.check_time(op, group)
             server = group.primary(now)
+            if server is not None and not server.may_send(now):
+                raise refused_error(
+                    Code.NO_SERVER,
+                    "the primary's failure domain is being evacuated",
+                    Step.ROUTE,
+                    peer=server.id,
+                    retry_after_s=EVACUATED_RETRY_AFTER_S,
+                )
             if server is not None and self._is_usable(server, op.customer, now):
                 return server
             if self._is_primary_unreachable(group.name):
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -30,7 +30,7 @@
     PinnedDropped,
     RunBatch,
 )
-from .command import Answer, ConnectionLostError
+from .command import Answer, ConnectionLostError, NotSentError
 from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
@@ -289,6 +289,11 @@
                 answers = await lease.run(
                     context, message.commands, timeout_s=max(0.0, left)
                 )
+        except NotSentError as exc:
+            # The server has been evacuated meanwhile; an open transaction is over.
+            self._pinned.pop(message.handle, None)
+            lease.release()
+            return BatchNotSent(reason=str(exc))
         except ConnectionLostError as exc:
             self._pinned.pop(message.handle, None)
             lease.release()
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -35,7 +35,7 @@
     ServerConnection,
 )
 from .operation import Ticket, over_rate_error
-from .pool import ServerPool, Urgency
+from .pool import EVACUATED_REASON, ServerPool, Urgency
 
 MIN_ROUND_TRIP_S = 0.002  # to a server; with less time left nothing is sent
 HOME_ROUND_TRIP_S = 0.1  # allowance in addition to the batch timeout
@@ -65,6 +65,10 @@
     def home_name(self) -> str:
         """The name of the home that holds the connection, empty for this instance."""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the connection."""
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -80,6 +84,7 @@
             timeout_s: Timeout for all answers in seconds.
 
         Raises:
+            NotSentError: Nothing was sent.
             ConnectionLostError: The connection is closed and the outcome is unknown.
         """
 
@@ -113,6 +118,11 @@
         """The name of the home that holds the connection, empty for this instance."""
         return ""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the connection."""
+        return self.is_parked
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -121,6 +131,7 @@
         timeout_s: float,
     ) -> tuple[Answer, ...]:
         """Apply a session's context to the connection and run commands."""
+        self._check_evacuation()
         self._resume()
         answers = await self._run(session_context, commands, timeout_s)
         was_refused = any(a.refusal is Refusal.BUSY for a in answers)
@@ -130,6 +141,17 @@
             self.pool.park()
         return answers
 
+    def _check_evacuation(self) -> None:
+        """Raise an error if the server's evacuation forbids to send anything.
+
+        No other check follows before the commands are written to the connection.
+        """
+        if self.pool.may_send(in_transaction=self.in_transaction):
+            return
+        if self.in_transaction:
+            self.conn.close()  # the server rolls the transaction back
+        raise NotSentError(EVACUATED_REASON)
+
     def _resume(self) -> None:
         if self.is_parked:
             self.is_parked = False
@@ -214,6 +236,11 @@
         """The name of the home that holds the connection."""
         return self.home
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the home's connection."""
+        return bool(self.handle)
+
     async def run(
         self,
         session_context: SessionContext | None,
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -15,6 +15,8 @@
 
 SERVER_FULL_DELAY_S = 0.05  # other processes usually release connections sooner
 MAX_SERVER_FULL_DELAY_S = 0.4  # servers drop crashed hosts' connections in seconds
+EVACUATED_WAIT_S = 0.1  # then the successor of an evacuated primary may lead
+EVACUATED_REASON = "its failure domain is being evacuated"
 MAX_IDLE_S = 20.0  # servers close connections that are idle for longer
 
 
@@ -101,6 +103,15 @@
         """The number of requests that wait for a connection."""
         return len(self._wait_queue)
 
+    @property
+    def leased(self) -> int:
+        """The number of connections that run a statement or hold a transaction."""
+        return self._count - len(self._idle)
+
+    def may_send(self, *, in_transaction: bool = False) -> bool:
+        """Return whether the server's evacuation, if any, still allows a request."""
+        return self.server.may_send(self._clock(), in_transaction=in_transaction)
+
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
         return any(i.customer == customer and i.conn.is_open for i in self._idle)
@@ -121,6 +132,10 @@
         while True:
             if self._is_closed:
                 raise NoConnectionError("the server is gone", is_reachable=False)
+            if not self.may_send():
+                raise NoConnectionError(EVACUATED_REASON, is_reachable=True)
+            if self.server.is_evacuated:
+                deadline = min(deadline, now + EVACUATED_WAIT_S)
             conn = await self._try_acquire(customer)
             if conn is not None:
                 return conn
@@ -176,11 +191,19 @@
         for _ in range(grown):
             self._wake_next()
 
+    def reject_waiters(self, reason: str) -> None:
+        """Reject all requests that wait for a connection."""
+        for waiter, fut in list(self._futs.items()):
+            self._wait_queue.remove(waiter)
+            del self._futs[waiter]
+            if not fut.done():
+                fut.set_exception(NoConnectionError(reason, is_reachable=True))
+
     def evict_idle(self) -> None:
-        """Close idle connections that are broken, expired or above the limit."""
+        """Close idle connections that are unusable, expired or above the limit."""
         now = self._clock()
         for idle in list(self._idle):
-            is_old = now - idle.since >= MAX_IDLE_S
+            is_old = now - idle.since >= MAX_IDLE_S or not self.may_send()
             if not idle.conn.is_open or is_old or self._count > self.limit:
                 self._evict(idle)
 
@@ -209,6 +232,8 @@
         return conn
 
     def _may_open(self) -> bool:
+        if self.server.is_evacuated:
+            return False
         if self._clock() < self._open_blocked_until:
             return False
         # While the server is full, a single attempt at a time probes for free capacity.
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -7,8 +7,9 @@
 
 from ..control.deployment import Deployment
 from ..control.group import GroupState, Server
+from ..policy.evacuation import EvacuationTimes
 from .command import Connector
-from .pool import ServerPool
+from .pool import EVACUATED_REASON, ServerPool
 
 DEFAULT_MAX_CONNECTIONS = 16  # per server, while the group's configuration is unknown
 DEFAULT_SLOTS = 2  # while no server is listed
@@ -32,12 +33,15 @@
         instances: The number of instances, 0 while unknown.
         connection_limit: Returns how many connections this process may hold to each
             server of a group, None while unknown.
+        evacuations: The evacuated failure domains; call :meth:`update_evacuated` after
+            a change.
     """
 
     def __init__(self, connector: Connector, clock: Callable[[], float]) -> None:
         self.connector = connector
         self.clock = clock
         self.groups: dict[str, GroupState] = {}
+        self.evacuations: dict[str, EvacuationTimes] = {}
         self.instances = 0
         self.connection_limit: Callable[[str], int | None] = lambda group: None
         self._deployment: Deployment | None = None
@@ -47,7 +51,7 @@
         """Return the state of a group, creating it if needed."""
         found = self.groups.get(name)
         if found is None:
-            found = self.groups[name] = GroupState(name)
+            found = self.groups[name] = GroupState(name, self.evacuations)
         return found
 
     def pool(self, server: Server) -> ServerPool:
@@ -66,6 +70,15 @@
         """Return all connection pools."""
         return [entry.pool for entry in self._pools.values()]
 
+    def update_evacuated(self) -> None:
+        """Mark the servers of the evacuated failure domains, and no others."""
+        now = self.clock()
+        for group in self.groups.values():
+            group.update_evacuated(now)
+        for entry in self._pools.values():
+            if entry.server.is_evacuated:
+                entry.pool.reject_waiters(EVACUATED_REASON)
+
     def resize(self, deployment: Deployment | None, instances: int) -> None:
         """Update the pool limits for a new configuration or number of instances.
 
@@ -110,12 +123,16 @@
 
     @property
     def failure_domains(self) -> frozenset[str]:
-        """The failure domains in which servers run."""
-        return frozenset(
+        """The failure domains in which servers run that may be used.
+
+        If all are evacuated, all count: no other choice of homes would be better.
+        """
+        found = frozenset(
             server.endpoint.failure_domain
             for group in self.groups.values()
             for server in group.servers.values()
         )
+        return found - self.evacuations.keys() or found
 
     @property
     def min_slots(self) -> int:
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -160,6 +160,10 @@
         self._executor.servers.group(op.route.group).record_position(asked_at, position)
 
     async def _roll_back(self, lease: Lease) -> None:
+        if not self._executor.may_send(lease):
+            lease.discard()
+            lease.release()
+            return
         try:
             (answer,) = await lease.run(
                 None, (RollBack(),), timeout_s=ROLLBACK_TIMEOUT_S
--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -144,6 +145,8 @@
         applied: Number of log entries that the server has applied.
         is_replication_paused: Whether replication to this server is paused.
         accepted_connections: Number of connections accepted since the start.
+        last_request_at: When the last message from an instance arrived, on the
+            monotonic clock; an evacuated server must get none.
     """
 
     def __init__(self, group: WireGroup, server_id: str) -> None:
@@ -154,6 +157,7 @@
         self.applied = 0
         self.is_replication_paused = False
         self.accepted_connections = 0
+        self.last_request_at = float("-inf")
         self._last_port = 0
         self._streams: set[IOStream] = set()
 
@@ -247,6 +251,7 @@
 
     async def _read(self) -> bytes:
         line: bytes = await self._stream.read_until(wire.LINE_END)
+        self._server.last_request_at = time.monotonic()
         while self._server.faults.is_unresponsive:
             await asyncio.sleep(0.01)
         return line
