--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -7,9 +7,10 @@
 
 from ..control.deployment import Deployment
 from ..control.group import GroupState, Server
+from ..policy.evacuation import EvacuationTimes
 from ..policy.handover import Handover
 from .command import Connector
-from .pool import ServerPool
+from .pool import EVACUATED_REASON, ServerPool
 
 DEFAULT_MAX_CONNECTIONS = 16  # per server, while the group's configuration is unknown
 DEFAULT_SLOTS = 2  # while no server is listed
@@ -36,12 +37,15 @@
         rates: The customers' rate limits per second, None for no limit. It is replaced
             when the configuration changes.
         handover: The customers whose connections this process holds as their home.
+        evacuations: The evacuated failure domains; call :meth:`update_evacuated` after
+            a change.
     """
 
     def __init__(self, connector: Connector, clock: Callable[[], float]) -> None:
         self.connector = connector
         self.clock = clock
         self.groups: dict[str, GroupState] = {}
+        self.evacuations: dict[str, EvacuationTimes] = {}
         self.instances = 0
         self.connection_limit: Callable[[str], int | None] = lambda group: None
         self.rates: Mapping[str, float | None] = {}
@@ -53,7 +57,7 @@
         """Return the state of a group, creating it if needed."""
         found = self.groups.get(name)
         if found is None:
-            found = self.groups[name] = GroupState(name)
+            found = self.groups[name] = GroupState(name, self.evacuations)
         return found
 
     def pool(self, server: Server) -> ServerPool:
@@ -74,6 +78,15 @@
         """Return all connection pools."""
         return [entry.pool for entry in self._pools.values()]
 
+    def update_evacuated(self) -> None:
+        """Mark the servers of the evacuated failure domains, and no others."""
+        now = self.clock()
+        for group in self.groups.values():
+            group.update_evacuated(now)
+        for entry in self._pools.values():
+            if entry.server.is_evacuated:
+                entry.pool.reject_waiters(EVACUATED_REASON)
+
     def resize(self, deployment: Deployment | None, instances: int) -> None:
         """Update the pool limits for a new configuration or number of instances.
 
@@ -120,12 +133,16 @@
 
     @property
     def failure_domains(self) -> frozenset[str]:
-        """The failure domains in which servers run."""
-        return frozenset(
+        """The failure domains in which servers run that may be used.
+
+        If all are evacuated, all count: no other choice of homes would be better.
+        """
+        found = frozenset(
             server.endpoint.failure_domain
             for group in self.groups.values()
             for server in group.servers.values()
         )
+        return found - self.evacuations.keys() or found
 
     @property
     def min_slots(self) -> int:
