--- a/tests/test_home_choice.py
+++ b/tests/test_home_choice.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections import Counter
 
 import pytest
 
@@ -155,6 +156,41 @@
         assert home_for("c", {"unknown": 0}) == "unknown"
 
 
+def shares_in_time(homes, home_of, *, per_s, objective_s=0.105, seconds=10.0, seed=0):
+    """Play statements at homes that run one at a time; return shares by customer."""
+    rng = random.Random(seed)
+    weights = [1 / (1 + n) ** 1.2 for n in range(len(home_of))]
+    free_at = dict.fromkeys(homes, 0.0)
+    counts, in_time, now = Counter(), Counter(), 0.0
+    while now < seconds:
+        now += rng.expovariate(per_s)
+        customer = rng.choices(list(home_of), weights)[0]
+        home = home_of[customer]
+        free_at[home] = max(now, free_at[home]) + 1 / homes[home]
+        counts[customer] += 1
+        in_time[customer] += free_at[home] - now <= objective_s
+    return {c: in_time[c] / n for c, n in counts.items()}
+
+
+class TestUnevenFleet:
+    @pytest.mark.parametrize("strong", [(2, 2, 2), (1, 1, 1), (4, 0, 0), (1, 0, 0)])
+    def test_every_customer_is_served_in_time(self, strong):
+        """Guards against large customers at weak homes, and homes without capacity.
+
+        87 customers (Zipf 1.2) send 1,200 statements a second, the largest a quarter.
+        """
+        candidates = fleet(**{d: (n, 22) for d, n in zip("abc", strong, strict=True)})
+        homes = choose_homes(candidates, 56, 4, "abc")
+        weights = [1 / (1 + n) ** 1.2 for n in range(87)]
+        for seed in range(3):
+            rates = {
+                f"c{seed}-{n}": 3600 * w / sum(weights) for n, w in enumerate(weights)
+            }
+            home_of = {c: home_for(c, homes, rate) for c, rate in rates.items()}
+            shares = shares_in_time(homes, home_of, per_s=1200, seed=seed)
+            assert min(shares.values()) >= 0.99
+
+
 class TestPartsOfHomes:
     def test_the_parts_fit_a_server(self):
         """Guards against connections that a server refuses."""
