Keep large customers from weak homes by their part of the rates, in proportion

A customer with a rate above a quarter of a weak home's strength went to a strong one. Rates may be far above the load: then nearly all customers went to the strong homes, and a single strong one was overloaded beside idle weak ones.

A customer is now large for a weak home if its part of all rates is over half of the home's part of all strength, and strong homes get fewer small customers in return. This needs no unit.

--- a/mangoramp/policy/homes.py
+++ b/mangoramp/policy/homes.py
@@ -25,7 +25,7 @@
 MIN_HOMES_PER_DOMAIN = 2  # a domain that is cut off may lose one more
 MIN_STRONG_HOMES_LEFT = 2  # in strength, after the loss of one home or failure domain
 WEAK_PART = 0.5  # of the strength of the strongest; weaker ones are used last
-MAX_CUSTOMER_PART = 0.25  # of a weak home's strength, for the rate of one customer
+MAX_CUSTOMER_PART = 0.5  # of a weak home's part of the strength; more overload it
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,25 +170,81 @@
     return [name for names in rounds for name in names if name is not None]
 
 
-def home_for(
-    customer: str, homes: Mapping[str, int], rate: float | None = 0.0
-) -> str | None:
+def home_for(customer: str, weights: Mapping[str, float]) -> str | None:
     """Return the home of a customer's connections, None if there are no homes.
 
-    Homes get customers in proportion to their strength, except that a weak home gets
-    none that could use a large part of its strength alone.
-
     Args:
         customer: The customer.
+        weights: The homes, with weights in proportion to the customers that they get.
+    """
+    return weighted_rendezvous(customer, weights)
+
+
+class CustomerHomes:
+    """Assignment of customers to homes, in proportion to the homes' strengths.
+
+    A weak home gets only customers whose part of the load it can run beside others. To
+    make up for the large ones, strong homes then get fewer of the small ones. Rates
+    stand for loads, since all instances know the same rates.
+
+    Args:
         homes: The strengths of the homes by name.
-        rate: The customer's limit in operations per second, None for no limit.
+        rates: The customers' limits in operations per second, None for no limit.
     """
-    strongest = max(homes.values(), default=0)
-    needed = math.inf if rate is None else rate / MAX_CUSTOMER_PART
-    least = min(needed, WEAK_PART * strongest)
-    return weighted_rendezvous(
-        customer, {n: max(1, s) for n, s in homes.items() if s >= least}
-    )
+
+    def __init__(
+        self, homes: Mapping[str, int], rates: Mapping[str, float | None]
+    ) -> None:
+        strengths = {name: max(1, s) for name, s in homes.items()}
+        total = sum(strengths.values())
+        least = WEAK_PART * max(strengths.values(), default=0)
+        self._shares = _rate_shares(rates)
+        self._strong = {n: s for n, s in strengths.items() if s >= least}
+        weak = {n: s for n, s in strengths.items() if s < least}
+        self._max_shares = {n: MAX_CUSTOMER_PART * s / total for n, s in weak.items()}
+        self._max_share = max(self._max_shares.values(), default=math.inf)
+        large = math.fsum(s for s in self._shares.values() if s > self._max_share)
+        factor = _strong_factor(sum(self._strong.values()), sum(weak.values()), large)
+        self._weights = {n: factor * s for n, s in self._strong.items()} | weak
+
+    def home_of(self, customer: str) -> str | None:
+        """Return the home of a customer's connections, None if there are no homes."""
+        share = self._shares.get(customer, 0.0)
+        if share > self._max_share:
+            return home_for(customer, self._strong)
+        weights = {
+            name: weight
+            for name, weight in self._weights.items()
+            if share <= self._max_shares.get(name, math.inf)
+        }
+        return home_for(customer, weights)
+
+
+def _rate_shares(rates: Mapping[str, float | None]) -> dict[str, float]:
+    """Return each customer's part of all rates; one without limit counts as largest."""
+    largest = max((r for r in rates.values() if r is not None), default=1.0)
+    known = {n: largest if rate is None else rate for n, rate in rates.items()}
+    total = math.fsum(known.values())
+    return {n: rate / total for n, rate in known.items()} if total > 0 else {}
+
+
+def _strong_factor(strong: float, weak: float, large: float) -> float:
+    """Return the factor for the weights of strong homes for small customers.
+
+    Args:
+        strong: The strength of all strong homes.
+        weak: The strength of all weak homes, 0 for none.
+        large: The part of the load that only strong homes get.
+
+    Returns:
+        The factor with which strong homes get as much of the whole load as their part
+        of the strength; 0 if the large customers alone are as much.
+    """
+    if not weak or not large:
+        return 1.0
+    small_at_strong = strong / (strong + weak) - large
+    small_at_weak = weak / (strong + weak)
+    return max(0.0, small_at_strong / small_at_weak * weak / strong)
 
 
 def connections_per_holder(max_connections: int, holders: int) -> int:
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -12,10 +12,10 @@
 from ..events import HOME_SUSPECTED, HOMES_CHANGED, PINNED_EXPIRED, emit
 from ..policy.homes import (
     Candidate,
+    CustomerHomes,
     choose_homes,
     connections_of_home,
     connections_per_holder,
-    home_for,
     is_direct,
 )
 from ..policy.position import Position
@@ -92,6 +92,7 @@
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: dict[str, int] = {}
         self._rates: Mapping[str, float | None] = {}
+        self._customer_homes = CustomerHomes({}, {})
         self._home_by_customer: dict[str, str | None] = {}
         self._chosen_at = float("-inf")
         self._pinned: dict[int, _PinnedLease] = {}
@@ -146,6 +147,7 @@
             emit(HOMES_CHANGED, homes=chosen, before=list(self._chosen))
         was_home = self._name in self._chosen
         self._chosen, self._rates = chosen, rates
+        self._customer_homes = CustomerHomes(chosen, rates)
         self._home_by_customer.clear()
         if was_home or self._name in chosen:
             is_own = {c: self._assign(c) == self._name for c in rates}
@@ -153,7 +155,7 @@
 
     def _assign(self, customer: str) -> str | None:
         if customer not in self._home_by_customer:
-            home = home_for(customer, self._chosen, self._rates.get(customer))
+            home = self._customer_homes.home_of(customer)
             self._home_by_customer[customer] = home
         return self._home_by_customer[customer]
 
