--- a/mangoramp/control/evacuations.py
+++ b/mangoramp/control/evacuations.py
@@ -86,11 +86,10 @@
         self._update(before, is_late=True)
         self._set_known()
 
-    def apply_news(self, entries: Mapping[str, Entry], latest: Revision) -> None:
-        """Apply the entries of a peer that knows the evacuations up to a revision."""
+    def apply_news(self, entries: Mapping[str, Entry]) -> None:
+        """Apply all entries of a peer that knows the evacuations."""
         before = self.table.entries
         self.table.merge(entries)
-        self.table.record_latest(latest)
         self._update(before, is_late=not self.is_known.is_set())
         self._set_known()
 
--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -116,6 +116,7 @@
         self._fetch = fetch
         self._evacuations = evacuations
         self._fetched_at = float("-inf")
+        self._refreshed_from: set[str] = set()
         self.is_catching_up = True
         self._has_fetched = False
         self._rounds = 0
@@ -205,8 +206,8 @@
     def _must_refresh_evacuations(self) -> bool:
         """Return whether a peer has to confirm the evacuations in force.
 
-        An evacuation that is missing from a restored store is removed later than the
-        revision that shows it is reported, so the revision alone does not tell.
+        One that is missing from a restored store is removed with the revision of a
+        list, which may equal the revision of another entry that was reported before.
         """
         if not self._evacuations.table.evacuated or self._peers.is_watcher:
             return False
@@ -232,9 +233,14 @@
 
     async def _fetch_from_peer(self) -> None:
         cluster_state = self._cluster_state
-        peer = self._peers.choose_newer_peer(self._wanted(), self._excluded_peers)
+        excluded = self._excluded_peers
+        if self._must_refresh_evacuations():
+            # In turn, because the peer asked last may not know of a removal either.
+            excluded = excluded | self._refreshed_from
+        peer = self._peers.choose_newer_peer(self._wanted(), excluded)
         if peer is None:
             self._excluded_peers.clear()
+            self._refreshed_from.clear()
             return
         registry = cluster_state.registry_revision
         req = AskNews(
@@ -260,6 +266,7 @@
         self._apply(news)
         self._has_fetched = True
         self._fetched_at = self._peers.now
+        self._refreshed_from.add(peer)
         # The revision of an entry that was deleted in between is known only from here.
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
 
@@ -278,8 +285,7 @@
                 {
                     domain: (Revision(era, number), is_evacuated)
                     for domain, era, number, is_evacuated in news.evacuations
-                },
-                Revision(*news.evacuations_at),
+                }
             )
 
     def _on_fetch_done(self, task: asyncio.Task[None]) -> None:
--- a/mangoramp/policy/evacuation.py
+++ b/mangoramp/policy/evacuation.py
@@ -90,7 +90,11 @@
 
     @property
     def latest(self) -> Revision:
-        """The newest revision of the store that the table reflects."""
+        """The newest revision of any entry.
+
+        The revision of a list does not count: peers that had heard of it would not see
+        that an evacuation was removed as of that revision later.
+        """
         return self._latest
 
     @property
@@ -123,7 +127,6 @@
         if revision < self._listed_at:
             return
         self._listed_at, self._listed = revision, frozenset(domains)
-        self._latest = max(self._latest, revision)
         for domain in self.evacuated:
             known = self._missing.get(domain)
             if not self._is_missing(domain):
@@ -136,10 +139,6 @@
         for domain, (revision, is_evacuated) in entries.items():
             self.apply(domain, revision, is_evacuated)
 
-    def record_latest(self, revision: Revision) -> None:
-        """Note that all changes up to a revision have been merged."""
-        self._latest = max(self._latest, revision)
-
     def expire(self, now: float) -> None:
         """Remove the evacuations that have been missing for ``MISSING_GRACE_S``.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -30,6 +30,8 @@
 MAX_STALE_S = 1.5
 ANSWER_TIMEOUT_S = 6.0  # longer than any statement timeout
 FEW_CONNECTIONS = 6  # too few to be split among three instances
+EVACUATION_S = 2.0  # from an evacuation until the servers get no more requests
+ZONES = {server_id: f"zone-i{n}" for n, server_id in enumerate(SERVERS)}
 RECOVERY_S = 4.0  # from the last fault until callers must be served again
 NOT_RUN_CODES = frozenset(
     {"BUSY", "ABORTED", "BEHIND", "READONLY", "MISDIRECT", "TOOMANY"}
@@ -52,6 +54,7 @@
 grace_s = 3
 stable_window_ms = 1000
 config_apply_ms = 2000
+evacuate_ms = 2000
 """
 
 
@@ -174,6 +177,7 @@
         self.checker = AnswerChecker(self.group)
         self.relays = {}
         self.store_relay = Relay(lambda: self._store_port)
+        self.evacuated = set()
         self._clock = 0
         self._version = 0
         self._is_over = False
@@ -214,8 +218,16 @@
         relay = self.relays.get(server_id)
         if relay is not None:
             changes = {"address": f"{HOST}:{relay.port}"} | changes
+        changes = {"zone": ZONES[server_id]} | changes
         super().list_server(server_id, **changes)
 
+    def set_evacuated(self, zone, is_evacuated):
+        if is_evacuated:
+            self.evacuated.add(zone)
+        else:
+            self.evacuated.discard(zone)
+        self.put("evacuations", zone, {} if is_evacuated else None)
+
     async def play(self, seconds):
         callers = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
         await asyncio.sleep(1.5)
@@ -233,8 +245,7 @@
         await asyncio.gather(*unfinished, return_exceptions=True)
         self._clear_faults()
         await asyncio.sleep(RECOVERY_S)
-        recovered_at = time.monotonic()
-        await asyncio.sleep(1.0)
+        recovered_at = await self._evacuate_primary()
         self._is_over = True
         for caller in callers:
             caller.cancel()
@@ -245,11 +256,24 @@
             self.checker.violations.append("no caller was served after the last fault")
         return self.checker.violations
 
+    async def _evacuate_primary(self):
+        """Check an evacuation without other faults; return when its bound was over."""
+        server = self.group.servers[self.group.primary]
+        self.set_evacuated(ZONES[server.id], True)
+        await asyncio.sleep(EVACUATION_S)
+        bound_at = time.monotonic()
+        await asyncio.sleep(1.0)
+        if server.last_request_at > bound_at:
+            self.checker.violations.append(f"{server.id} got requests though evacuated")
+        return bound_at
+
     def _clear_faults(self):
         for relay in (self.store_relay, *self.relays.values()):
             relay.clear_faults()
             relay.reset_connections()
         self.platform.faults.down = False
+        for zone in ZONES.values():
+            self.set_evacuated(zone, False)
         for server in self.group.servers.values():
             server.restart()
             server.is_replication_paused = False
@@ -490,6 +514,17 @@
     soak.configure()
     for server_id in SERVERS:
         soak.list_server(server_id)
+    for zone in ZONES.values():
+        soak.set_evacuated(zone, zone in soak.evacuated)
+
+
+async def evacuate(soak):
+    zone = ZONES[soak.rng.choice(SERVERS)]
+    if zone in soak.evacuated:
+        return
+    soak.set_evacuated(zone, True)
+    await asyncio.sleep(soak.rng.uniform(0.1, 4.0))
+    soak.set_evacuated(zone, False)
 
 
 async def drop_store_answers(soak):
@@ -521,6 +556,7 @@
     restore_store,
     drop_store_answers,
     configure,
+    evacuate,
 )
 
 
