Slow start, cold limit and pin limit of servers' pools

A server that had just started or recovered was flooded by all instances at once. A cold server got any number of requests. Idle transactions could pin all connections of a pool.

policy/pace.py limits statements in flight after a start, recovery, promotion or change of homes; it starts at the instance's share of the slots and doubles per round trip of good answers. policy/cold_limit.py counts requests over a sliding second; each home has a fixed part by the greatest number of homes, scaled by the part of the fleet in touch, and a larger part is usable after a second. policy/pin_limit.py keeps a quarter of a pool's connections free of transactions. serving/capacity.py and serving/pins.py apply them to a pool; the waiting requests and the idle connections of serving/pool.py are now in serving/waiting.py and serving/idle.py.

--- a/mangoramp/control/cluster_state.py
+++ b/mangoramp/control/cluster_state.py
@@ -154,7 +154,9 @@
         self._departed.pop(endpoint.id, None)
         self._doubtful.discard(endpoint.id)
         self._store_entry(endpoint, revision)
-        self._servers.group(endpoint.group).update_endpoint(endpoint, revision)
+        self._servers.group(endpoint.group).update_endpoint(
+            endpoint, revision, self._servers.clock()
+        )
         emit(
             ENDPOINT_CHANGED,
             server=endpoint.id,
--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
 
 from ..events import PRIMARY_CHANGED, SERVER_LOST, SERVER_RECOVERED, emit
 from ..policy.position import Position
@@ -21,6 +23,49 @@
 SMOOTHING_FACTOR = 0.1  # moving average over about 10 statements
 
 
+class SlowStart(StrEnum):
+    """Why a server gets its load gradually."""
+
+    STARTED = "started"
+    RECOVERED = "recovered"
+    PROMOTED = "promoted"
+    EVACUATION_ENDED = "evacuation ended"
+    NEW_HOLDER = "this instance newly holds connections"
+
+
+class Limit(StrEnum):
+    """A limit on the statements that this instance sends to a server."""
+
+    NONE = "none"
+    DRAINING = "draining"
+    COLD = "cold"
+    PACE = "pace"
+    WINDOW = "window"
+    CONNECTIONS = "connections"
+    PINNED = "pinned"
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityState:
+    """Which limit holds statements back from a server, and why.
+
+    Attributes:
+        limit: The binding limit.
+        reason: The figures of the limit, empty for none.
+    """
+
+    limit: Limit
+    reason: str = ""
+
+
+class CapacityReporter(Protocol):
+    """Reports the limits of this instance's connections to one server."""
+
+    @property
+    def capacity_state(self) -> CapacityState:
+        """Which limit is binding and why."""
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """A server with its recent latency, lag and failures.
@@ -39,6 +84,13 @@
         latency_s: Moving average of the statement latency, in seconds.
         lag_s: Estimated replication lag, in seconds.
         busy: Statements of this process in flight at the server.
+        cold_until: Time until which it is cold, in seconds.
+        full_until: Time until which its limits leave no room, in seconds, so that reads
+            go to other servers.
+        slow_starts: How often it started, recovered or was promoted.
+        slow_start: The reason of the latest of these.
+        reporter: Reports the limits of this instance's connections to it, None while
+            there are none.
     """
 
     endpoint: Endpoint
@@ -53,6 +105,11 @@
     latency_s: float = INITIAL_LATENCY_S
     lag_s: float = INITIAL_LAG_S
     busy: int = 0
+    cold_until: float = float("-inf")
+    full_until: float = float("-inf")
+    slow_starts: int = 0
+    slow_start: SlowStart = SlowStart.STARTED
+    reporter: CapacityReporter | None = field(default=None, repr=False)
 
     @property
     def id(self) -> str:
@@ -63,10 +120,35 @@
         """Whether it failed recently, so that other servers are preferred."""
         return now < self.retry_at
 
+    @property
+    def capacity_state(self) -> CapacityState:
+        """Which limit holds statements back from the server, and why."""
+        if self.endpoint.is_draining:
+            return CapacityState(Limit.DRAINING, "it is being drained")
+        if self.reporter is None:
+            return CapacityState(Limit.NONE)
+        return self.reporter.capacity_state
+
+    def begin_slow_start(self, reason: SlowStart) -> None:
+        """Have the server's load increased gradually from now on."""
+        self.slow_starts += 1
+        self.slow_start = reason
+
+    def apply_entry(self, endpoint: Endpoint, now: float) -> None:
+        """Apply a registry entry of the same process."""
+        remaining_s = endpoint.cold_remaining_s
+        cold_until = now + remaining_s if remaining_s > 0 else float("-inf")
+        if endpoint.age_key == self.endpoint.age_key and self.cold_until > now:
+            # A copy of the same entry that arrives later shows no later end.
+            cold_until = min(cold_until, self.cold_until)
+        self.cold_until = cold_until
+        self.endpoint = endpoint
+
     def record_answer(self, now: float, latency_s: float | None = None) -> None:
         """Record an answer, and the statement latency if given."""
         if self.failures > 1:
             emit(SERVER_RECOVERED, server=self.id, failures=self.failures)
+            self.begin_slow_start(SlowStart.RECOVERED)
         self.last_answer_at = now
         self.failing_since = None
         self.failures = 0
@@ -110,26 +192,32 @@
         self._changed = asyncio.Event()
         self._primary_id = ""
 
-    def update_endpoint(self, endpoint: Endpoint, revision: Revision) -> None:
+    def update_endpoint(
+        self, endpoint: Endpoint, revision: Revision, now: float = float("-inf")
+    ) -> None:
         """Apply a server's registry entry.
 
         Args:
             endpoint: The entry.
             revision: The registry's revision of it.
+            now: The current time, in seconds.
         """
         known = self.servers.get(endpoint.id)
+        was_primary = known is not None and known.primary_since != NO_REVISION
         if known is None or known.endpoint.started_ms != endpoint.started_ms:
             # What was recorded of the previous process says nothing of the new one.
             known = self.servers[endpoint.id] = Server(endpoint)
         elif endpoint.is_primary and not known.endpoint.is_primary:
             known.primary_since = NO_REVISION
-        known.endpoint = endpoint
+        known.apply_entry(endpoint, now)
         known.unlisted_at = None
         if not endpoint.is_primary:
             known.primary_since = NO_REVISION
         elif known.primary_since == NO_REVISION:
             known.primary_since = revision
             known.not_primary_at = float("-inf")
+            if not was_primary:
+                known.begin_slow_start(SlowStart.PROMOTED)
         self.notify_changed()
 
     def unlist_endpoint(self, server_id: str, now: float) -> None:
@@ -162,6 +250,7 @@
         if server is not None:
             server.primary_since = revision
             server.not_primary_at = float("-inf")
+            server.begin_slow_start(SlowStart.PROMOTED)
             self.notify_changed()
 
     def primary(self, now: float) -> Server | None:
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -80,7 +80,13 @@
         rng = rng or random.Random()
         self.cfg = cfg
         self.registry = CollectorRegistry()
-        self.servers = Servers(WireConnector(), boot_time)
+        self.servers = Servers(
+            WireConnector(),
+            boot_time,
+            name=cfg.name,
+            bounds=cfg.bounds,
+            features=cfg.features,
+        )
         self.cluster_state = ClusterState(self.servers)
         self.peers = Peers(
             cfg.name,
@@ -129,6 +135,7 @@
         )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
+        self.servers.holders = lambda: self.homes.holders
         executor = Executor(
             self.servers,
             self._promoter.is_primary_unreachable,
@@ -232,6 +239,7 @@
             if getattr(cfg, field.name) != getattr(self.cfg, field.name)
         ]
         self.cfg = replace(self.cfg, bounds=cfg.bounds, strength=cfg.strength)
+        self.servers.limits.bounds = cfg.bounds
         emit(SETTINGS_RELOADED, changed=changed)
 
     def close(self) -> None:
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -83,13 +83,25 @@
         failing = GaugeMetricFamily(
             "mangoramp_server_failures", "Failed attempts in a row", labels=labels
         )
+        pace = GaugeMetricFamily(
+            "mangoramp_server_pace",
+            "Statements that may be in flight; absent without this limit",
+            labels=labels,
+        )
+        cold = GaugeMetricFamily(
+            "mangoramp_server_cold_seconds", "Seconds that it stays cold", labels=labels
+        )
+        now = boot_time()
         for pool in self._instance.servers.pools():
             name = (pool.server.id,)
+            if pool.capacity is not None and pool.capacity.pace is not None:
+                pace.add_metric(name, pool.capacity.pace.limit)
+            cold.add_metric(name, max(0.0, pool.server.cold_until - now))
             held.add_metric(name, pool.connection_count)
             waiting.add_metric(name, pool.waiting)
             opened.add_metric(name, pool.opened)
             failing.add_metric(name, pool.server.failures)
-        yield from (held, waiting, opened, failing)
+        yield from (held, waiting, opened, failing, pace, cold)
 
 
 def _gauge(name: str, help_text: str, value: float) -> Metric:
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -43,10 +43,12 @@
         statement_s: Seconds for which a statement usually occupies a connection.
         handover_interval_s: Average seconds between two handovers of a connection
             while requests are waiting.
+        min_interval_s: Seconds between two handovers that a limit imposes, 0 for none.
     """
 
     def __init__(self) -> None:
         self.statement_s = 0.0
+        self.min_interval_s = 0.0
         self.handover_interval_s = START_HANDOVER_INTERVAL_S
         self._waiters: list[Waiter] = []
         self._last_number = 0
@@ -60,6 +62,11 @@
     def __iter__(self) -> Iterator[Waiter]:
         return iter(self._waiters)
 
+    @property
+    def interval_s(self) -> float:
+        """The expected seconds between two handovers."""
+        return max(self.handover_interval_s, self.min_interval_s)
+
     def enqueue(
         self, customer: str, *, priority: int, due_at: float, deadline: float
     ) -> Waiter:
@@ -114,12 +121,12 @@
         Returns:
             Each such request, with the seconds that it would have to wait.
         """
-        total_s = len(self._waiters) * self.handover_interval_s
+        total_s = len(self._waiters) * self.interval_s
         if now + total_s <= min((p.deadline for p in self._waiters), default=math.inf):
             return []
         # The first request is never refused, so that an outdated rate is remeasured.
         ordered = sorted(self._waiters, key=self._sort_key(now, ""))
-        waits = ((p, n * self.handover_interval_s) for n, p in enumerate(ordered))
+        waits = ((p, n * self.interval_s) for n, p in enumerate(ordered))
         return [
             (waiter, wait_s)
             for waiter, wait_s in waits
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -28,6 +28,7 @@
 from .pool import NoConnectionError, Urgency
 from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
+from .workload import ONE_REQUEST, Workload
 
 GROUP_POLL_S = 0.05  # a server also becomes usable when its suspicion expires
 
@@ -64,7 +65,12 @@
         return self._homes is None or self._homes.is_direct
 
     async def acquire(
-        self, op: Operation, server: Server, *, max_wait_s: float
+        self,
+        op: Operation,
+        server: Server,
+        *,
+        max_wait_s: float,
+        work: Workload = ONE_REQUEST,
     ) -> Lease:
         """Acquire a connection to a server, from the local pool or from its home.
 
@@ -74,6 +80,7 @@
             op: The operation that needs the connection.
             server: The server.
             max_wait_s: Maximum wait for a connection in seconds.
+            work: What the first batch asks of the server's capacity.
 
         Raises:
             NoConnectionError: No connection became available in time; nothing was sent.
@@ -103,14 +110,20 @@
         self._admit(op)
         pool = self.servers.pool(server)
         try:
-            conn = await pool.acquire(op.customer, urgency)
+            conn = await pool.acquire(op.customer, urgency, work)
         except NoConnectionError as exc:
             record_no_connection(server, exc, self.clock())
             raise
         return LocalLease(server, conn, op.customer, pool)
 
     async def try_acquire(
-        self, op: Operation, server: Server, *, max_wait_s: float, retry_event: Event
+        self,
+        op: Operation,
+        server: Server,
+        *,
+        max_wait_s: float,
+        retry_event: Event,
+        work: Workload = ONE_REQUEST,
     ) -> Lease | None:
         """Acquire a connection; if none is available, delay the retry and return None.
 
@@ -119,9 +132,10 @@
             server: The server.
             max_wait_s: Maximum wait for a connection in seconds.
             retry_event: The event to log for the retry.
+            work: What the first batch asks of the server's capacity.
         """
         try:
-            return await self.acquire(op, server, max_wait_s=max_wait_s)
+            return await self.acquire(op, server, max_wait_s=max_wait_s, work=work)
         except NoConnectionError as exc:
             await self.delay_retry(op, server, str(exc), retry_event, wait_s=exc.wait_s)
             return None
@@ -197,6 +211,7 @@
         if timeout_s < MIN_ROUND_TRIP_S:
             raise NotSentError("no time is left")
         server = lease.server
+        timeout_s = await lease.admit(commands, timeout_s=timeout_s)
         session_context = SessionContext(session.values, session.shapes)
         with recording_outcome(server, self.clock, timeout_s):
             answers = await lease.run(session_context, commands, timeout_s=timeout_s)
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -10,12 +10,14 @@
 
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, PINNED_EXPIRED, emit
+from ..policy.cold_limit import Holders
 from ..policy.homes import (
     Candidate,
     choose_homes,
     connections_per_holder,
     home_for,
     is_direct,
+    max_homes,
 )
 from ..policy.position import Position
 from ..proxies.envelope import Envelope
@@ -30,18 +32,20 @@
     PinnedDropped,
     RunBatch,
 )
-from .command import Answer, ConnectionLostError
+from .command import Answer, ConnectionLostError, NotSentError
 from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
 from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
+from .workload import workload_of
 
 MIN_SUSPECT_S = 0.5  # long enough to reconnect a link
 MAX_SUSPECT_S = 10.0  # an instance silent for longer counts as out of touch anyway
 MAX_UNANSWERED_CALLS = 2  # in a row, before the link is reconnected
 HOMES_REFRESH_S = 0.1  # a leaving home announces it or becomes suspect in the meantime
 MAX_SAMPLE_AGE_S = 2.0  # older samples rarely serve reads of data seconds old
+COLD_RETRY_S = 0.25  # a cold server has room for a few requests in each second
 PIN_TIMEOUT_S = 10.0  # exceeds the limits on transaction idle time and statement time
 
 
@@ -156,6 +160,18 @@
             1, int(connections_per_holder(most, len(homes)) * min(1.0, in_touch))
         )
 
+    @property
+    def holders(self) -> Holders:
+        """The instances that hold connections, as known here."""
+        servers = self._servers
+        live = self._instances()
+        in_touch = len(live) / servers.instances if servers.instances else 0.0
+        if self.is_direct:
+            known = max(1, servers.instances)
+            return Holders(tuple(live), known, in_touch, are_chosen=False)
+        most = max_homes(servers.min_connections, servers.min_slots)
+        return Holders(tuple(self.names), most, in_touch)
+
     async def call(
         self, home: str, message: RunBatch | DropPinned, *, timeout_s: float
     ) -> Result[BatchMessage, Fault]:
@@ -171,6 +187,7 @@
         if isinstance(result, Success):
             self._unanswered_calls.pop(home, None)
             self._record_samples(result.unwrap(), asked_at)
+            self._record_full(result.unwrap(), message)
             return result
         self._unanswered_calls[home] = self._unanswered_calls.get(home, 0) + 1
         if self._unanswered_calls[home] >= MAX_UNANSWERED_CALLS:
@@ -190,6 +207,16 @@
                 asked_at - sample.age_s, position
             )
 
+    def _record_full(
+        self, answer: BatchMessage, message: RunBatch | DropPinned
+    ) -> None:
+        if not isinstance(answer, BatchNotSent) or not isinstance(message, RunBatch):
+            return
+        server = self._servers.group(message.group).servers.get(message.server)
+        now = self._clock()
+        if server is not None and now < server.cold_until:
+            server.full_until = now + COLD_RETRY_S
+
     def _latest_samples(self) -> tuple[PrimarySampleReport, ...]:
         now = self._clock()
         latest = ((g.name, g.samples.latest) for g in self._servers.groups.values())
@@ -276,11 +303,10 @@
             lease = acquired
             pinned = None
         left = message.timeout_s - (self._clock() - started)
-        if left < MIN_ROUND_TRIP_S and pinned is None:
-            lease.release()
-            return BatchNotSent(reason="the time was over before a connection was free")
-        if pinned is not None:
-            pinned.is_busy = True
+        admitted = await self._admit_batch(message, lease, pinned, left)
+        if isinstance(admitted, BatchNotSent):
+            return admitted
+        left = admitted
         values = message.values
         asked_at = self._clock()
         context = None if values is None else SessionContext(values, message.shapes)
@@ -303,6 +329,28 @@
             samples=self._latest_samples(),
         )
 
+    async def _admit_batch(
+        self,
+        message: RunBatch,
+        lease: LocalLease,
+        pinned: _PinnedLease | None,
+        left: float,
+    ) -> float | BatchNotSent:
+        """Wait until a batch may be sent, and return the seconds that are left then."""
+        if pinned is not None:
+            pinned.is_busy = True
+        elif left < MIN_ROUND_TRIP_S:
+            lease.release()
+            return BatchNotSent(reason="the time was over before a connection was free")
+        try:
+            return await lease.admit(message.commands, timeout_s=left)
+        except NotSentError as exc:
+            if pinned is None:
+                lease.release()
+            else:
+                pinned.is_busy, pinned.used_at = False, self._clock()
+            return BatchNotSent(reason=str(exc), wait_s=exc.wait_s)
+
     async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
         server = self._servers.group(message.group).servers.get(message.server)
         if server is None:
@@ -318,7 +366,8 @@
                 message.due_s,
                 min(message.wait_s, message.timeout_s),
             )
-            conn = await pool.acquire(message.customer, urgency)
+            work = workload_of(message.commands)
+            conn = await pool.acquire(message.customer, urgency, work)
         except NoConnectionError as exc:
             record_no_connection(server, exc, self._clock())
             return BatchNotSent(
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -24,6 +24,7 @@
 )
 from .command import (
     Answer,
+    AnswerTimeoutError,
     AssignValue,
     Command,
     ConnectionLostError,
@@ -36,9 +37,12 @@
 )
 from .operation import Ticket, over_rate_error
 from .pool import ServerPool, Urgency
+from .workload import count_requests
 
 MIN_ROUND_TRIP_S = 0.002  # to a server; with less time left nothing is sent
+MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
 HOME_ROUND_TRIP_S = 0.1  # allowance in addition to the batch timeout
+SERVER_FAILURES = frozenset({Refusal.FAILED, Refusal.TIMEOUT})
 DROP_TIMEOUT_S = 0.5  # on timeout, the home closes the connection at its expiry
 
 
@@ -65,6 +69,20 @@
     def home_name(self) -> str:
         """The name of the home that holds the connection, empty for this instance."""
 
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Wait until the server's limits allow commands.
+
+        Args:
+            commands: The commands, which must be run immediately afterwards.
+            timeout_s: Timeout for all answers in seconds.
+
+        Returns:
+            The part of the timeout that is left.
+
+        Raises:
+            NotSentError: The limits do not allow the commands in time.
+        """
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -122,14 +140,34 @@
     ) -> tuple[Answer, ...]:
         """Apply a session's context to the connection and run commands."""
         self._resume()
-        answers = await self._run(session_context, commands, timeout_s)
-        was_refused = any(a.refusal is Refusal.BUSY for a in answers)
-        self.pool.record_answer(was_refused=was_refused)
+        sent_at = self.pool.clock()
+        try:
+            answers = await self._run(session_context, commands, timeout_s)
+        except ConnectionLostError as exc:
+            is_timeout = isinstance(exc, AnswerTimeoutError)
+            if not is_timeout or timeout_s >= MIN_CONCLUSIVE_TIMEOUT_S:
+                self.pool.record_failure(sent_at, str(exc))
+            raise
+        refusals = [a.refusal for a in answers if a.refusal is not None]
+        self.pool.record_answer(
+            was_refused=Refusal.BUSY in refusals,
+            sent_at=sent_at,
+            has_failed=any(r in SERVER_FAILURES for r in refusals),
+        )
         if needs_pin(answers):
             self.is_parked = True
             self.pool.park()
         return answers
 
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Wait until the server's limits allow commands."""
+        capacity = self.pool.capacity
+        if capacity is None or not capacity.refresh() or capacity.cold is None:
+            return timeout_s
+        started = self.pool.clock()
+        await capacity.admit(self.conn, count_requests(commands), timeout_s=timeout_s)
+        return timeout_s - (self.pool.clock() - started)
+
     def _resume(self) -> None:
         if self.is_parked:
             self.is_parked = False
@@ -214,6 +252,10 @@
         """The name of the home that holds the connection."""
         return self.home
 
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Return the timeout, since the home applies the server's limits."""
+        return timeout_s
+
     async def run(
         self,
         session_context: SessionContext | None,
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -3,57 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from ..control.group import Server
+from ..control.group import CapacityState, Limit, Server
 from ..events import CONNECTION_REFUSED, emit
-from ..policy.wait_queue import Waiter, WaitQueue
+from ..policy.wait_queue import Waiter
 from ..policy.window import ConcurrencyWindow
+from .capacity import Capacity
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
+from .idle import IdleConnection, IdleConnections
+from .pins import Pins
+from .urgency import NoConnectionError as NoConnectionError
+from .urgency import Urgency as Urgency
+from .waiting import WaitingRequests
+from .workload import ONE_REQUEST, Workload
 
 SERVER_FULL_DELAY_S = 0.05  # other processes usually release connections sooner
 MAX_SERVER_FULL_DELAY_S = 0.4  # servers drop crashed hosts' connections in seconds
+MIN_WAKE_DELAY_S = 0.002  # a request that was woken has been handled by then
 MAX_IDLE_S = 20.0  # servers close connections that are idle for longer
 
 
-class NoConnectionError(Exception):
-    """No connection was available; nothing was sent.
-
-    Attributes:
-        is_reachable: Whether the server responded to the connection attempt.
-        wait_s: Estimated seconds until a connection is available, 0 if unknown.
-    """
-
-    def __init__(self, reason: str, *, is_reachable: bool, wait_s: float = 0.0) -> None:
-        super().__init__(reason)
-        self.is_reachable = is_reachable
-        self.wait_s = wait_s
-
-
-@dataclass(frozen=True, slots=True)
-class Urgency:
-    """How urgently a request needs a connection.
-
-    Attributes:
-        priority: The priority class; 0 is the most urgent.
-        due_s: Seconds until the request misses its latency objective.
-        timeout_s: Maximum wait for a connection in seconds.
-    """
-
-    priority: int
-    due_s: float
-    timeout_s: float
-
-
-@dataclass(slots=True)
-class _IdleConnection:
-    conn: ServerConnection
-    customer: str
-    since: float
-
-
 class ServerPool:
     """Pools connections to one server; each connection serves a single customer.
 
@@ -65,6 +36,8 @@
         connector: Opens connections.
         clock: Returns the time in seconds.
         limit: Maximum number of open connections.
+        capacity: The server's cold limit and pace, None for neither.
+        pins: Bounds the connections that transactions hold, None for no bound.
     """
 
     def __init__(
@@ -74,18 +47,24 @@
         clock: Callable[[], float],
         *,
         limit: int,
+        capacity: Capacity | None = None,
+        pins: Pins | None = None,
     ) -> None:
         self.server = server
         self.limit = limit
         self.opened = 0
         self._connector = connector
-        self._clock = clock
-        self._idle: deque[_IdleConnection] = deque()
+        self.clock = clock
+        self._idle = IdleConnections()
         self._count = 0
         self._window = ConcurrencyWindow()
         self._active = 0
-        self._wait_queue = WaitQueue()
-        self._futs: dict[Waiter, asyncio.Future[None]] = {}
+        self._waiting = WaitingRequests(clock, "a connection")
+        self._timer: asyncio.TimerHandle | None = None
+        self.capacity = capacity
+        self._pins = pins
+        self._pinned: set[ServerConnection] = set()
+        server.reporter = self
         self._open_blocked_until = float("-inf")
         self._full_delay_s = SERVER_FULL_DELAY_S
         self._opening = 0
@@ -99,41 +78,53 @@
     @property
     def waiting(self) -> int:
         """The number of requests that wait for a connection."""
-        return len(self._wait_queue)
+        pinned = len(self._pins) if self._pins is not None else 0
+        return len(self._waiting) + pinned
+
+    @property
+    def capacity_state(self) -> CapacityState:
+        """Which limit is binding and why."""
+        state = self.capacity.state(self._active) if self.capacity is not None else None
+        if state is not None:
+            return state
+        if not self._window.has_room(self._active):
+            return CapacityState(Limit.WINDOW, f"{self._active} statements in flight")
+        if self._pins is not None and len(self._pins):
+            reason = f"transactions hold {self._pins.count} of {self.limit} connections"
+            return CapacityState(Limit.PINNED, reason)
+        if self._count >= self.limit and not self._idle:
+            return CapacityState(Limit.CONNECTIONS, f"all {self.limit} are in use")
+        return CapacityState(Limit.NONE)
 
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
-        return any(i.customer == customer and i.conn.is_open for i in self._idle)
+        return self._idle.has(customer)
 
-    async def acquire(self, customer: str, urgency: Urgency) -> ServerConnection:
+    async def acquire(
+        self, customer: str, urgency: Urgency, work: Workload = ONE_REQUEST
+    ) -> ServerConnection:
         """Acquire a connection; return it with :meth:`release`.
 
         Args:
             customer: The customer whose statements the connection will run.
             urgency: How urgently the connection is needed.
+            work: What the first batch asks of the server's capacity.
 
         Raises:
             NoConnectionError: No connection became available in time.
         """
-        now = self._clock()
-        deadline = now + urgency.timeout_s
-        waiter: Waiter | None = None
-        while True:
-            if self._is_closed:
-                raise NoConnectionError("the server is gone", is_reachable=False)
-            conn = await self._try_acquire(customer)
-            if conn is not None:
-                return conn
-            if self._clock() >= deadline:
-                raise NoConnectionError("all connections are busy", is_reachable=True)
-            if waiter is None:
-                waiter = self._wait_queue.enqueue(
-                    customer,
-                    priority=urgency.priority,
-                    due_at=now + urgency.due_s,
-                    deadline=deadline,
-                )
-            await self._wait(waiter)
+        now = self.clock()
+        pins = self._pins if work.opens_transaction else None
+        if pins is None:
+            return await self._acquire(customer, urgency, work, now)
+        await pins.acquire(customer, urgency)
+        try:
+            conn = await self._acquire(customer, urgency, work, now)
+        except BaseException:
+            pins.release()
+            raise
+        self._pinned.add(conn)
+        return conn
 
     def park(self) -> None:
         """Record that an acquired connection is idle inside a transaction."""
@@ -144,42 +135,76 @@
         """Record that a parked connection is about to run a statement."""
         self._active += 1
 
-    def record_answer(self, *, was_refused: bool) -> None:
-        """Adjust the concurrency window to a server's answer.
+    def record_answer(
+        self,
+        *,
+        was_refused: bool,
+        sent_at: float | None = None,
+        has_failed: bool = False,
+    ) -> None:
+        """Adjust the concurrency window and the pace to a server's answer.
 
         Args:
             was_refused: Whether the server refused a statement for lack of capacity.
+            sent_at: When the statement was sent, in seconds; None if the answer is not
+                that of a statement.
+            has_failed: Whether the server failed to run a statement.
         """
         if was_refused:
-            self._window.record_refusal(self._active, self._clock())
+            self._window.record_refusal(self._active, self.clock())
         else:
             self._window.record_success(self._active)
+        capacity = self.capacity
+        if capacity is None or capacity.pace is None:
+            return
+        if was_refused or has_failed:
+            self.record_failure(sent_at, "busy" if was_refused else "failed")
+        elif sent_at is not None:
+            capacity.record_answer(sent_at, self._active)
+            pace = capacity.pace
+            if pace and not self._window.has_room(int(pace.limit) - 1):
+                capacity.end_pace("the window is smaller")
+
+    def record_failure(self, sent_at: float | None, reason: str) -> None:
+        """Adjust the pace to a failure of the server."""
+        if self.capacity is not None:
+            now = self.clock()
+            self.capacity.record_failure(now if sent_at is None else sent_at, reason)
 
     def release(self, conn: ServerConnection, customer: str) -> None:
         """Return a connection to the pool; a closed one makes room for another."""
         self._active -= 1
+        if self.capacity is not None:
+            self.capacity.release(conn)
+        if conn in self._pinned and self._pins is not None:
+            self._pinned.remove(conn)
+            self._pins.release()
         if not conn.is_open:
             self._count -= 1
         elif self._is_closed or self._count > self.limit:
             conn.close()
             self._count -= 1
         else:
-            self._idle.append(_IdleConnection(conn, customer, self._clock()))
+            self._idle.add(conn, customer, self.clock())
         self._wake_next(customer)
         if self._window.has_room(self._active + 1):
             # The window has grown: a second waiter can be served.
-            self._wake_next()
+            self._wake_next(in_flight=self._active + 1)
 
     def resize(self, limit: int) -> None:
         """Set the maximum number of open connections."""
         grown, self.limit = limit - self.limit, limit
+        if self.capacity is not None:
+            self.capacity.resize(limit)
+        if self._pins is not None:
+            self._pins.resize(limit)
         for _ in range(grown):
             self._wake_next()
 
     def evict_idle(self) -> None:
         """Close idle connections that are broken, expired or above the limit."""
-        now = self._clock()
-        for idle in list(self._idle):
+        now = self.clock()
+        for idle in self._idle:
             is_old = now - idle.since >= MAX_IDLE_S
             if not idle.conn.is_open or is_old or self._count > self.limit:
                 self._evict(idle)
@@ -187,18 +212,61 @@
     def close(self) -> None:
         """Close idle connections now and acquired ones on release."""
         self._is_closed = True
-        for idle in list(self._idle):
+        if self._timer is not None:
+            self._timer.cancel()
+        for idle in self._idle:
             self._evict(idle)
-        while len(self._wait_queue):
-            self._wake_next()
+        if self._pins is not None:
+            self._pins.close()
+        self._waiting.wake_all()
+
+    async def _acquire(
+        self, customer: str, urgency: Urgency, work: Workload, now: float
+    ) -> ServerConnection:
+        deadline = now + urgency.timeout_s
+        waiter: Waiter | None = None
+        while True:
+            if self._is_closed:
+                raise NoConnectionError("the server is gone", is_reachable=False)
+            if waiter is not None or self._may_overtake():
+                conn = await self._try_acquire(customer, work.requests)
+                if conn is not None:
+                    if len(self._waiting) and self._is_limited():
+                        self._wake_next()  # the limits may allow several at once
+                    return conn
+            if self.clock() >= deadline:
+                raise NoConnectionError("all connections are busy", is_reachable=True)
+            self._check_cold(work.requests, deadline)
+            if waiter is None:
+                waiter = self._waiting.enqueue(customer, urgency, now)
+            await self._wait(waiter, work.requests)
 
-    async def _try_acquire(self, customer: str) -> ServerConnection | None:
+    def _may_overtake(self) -> bool:
+        """Whether a request that has just arrived may go before those that wait.
+
+        While the server's capacity is limited, nobody does, so that the most urgent
+        request gets what becomes free.
+        """
+        return not len(self._waiting) or not self._is_limited()
+
+    def _is_limited(self) -> bool:
+        return self.capacity is not None and self.capacity.refresh()
+
+    async def _try_acquire(
+        self, customer: str, requests: int
+    ) -> ServerConnection | None:
         if not self._window.has_room(self._active):
             return None
+        capacity = self.capacity if self._is_limited() else None
+        reservation = None
+        if capacity is not None:
+            if not capacity.has_room(self._active, requests):
+                return None
+            reservation = capacity.reserve(requests)
         self._active += 1
         conn: ServerConnection | None = None
         try:
-            conn = self._pop_idle(customer)
+            conn = self._idle.pop(customer)
             if conn is None and self._may_open() and self._make_room():
                 conn = await self._open(customer)
         except OpenRefusedError as exc:
@@ -206,31 +274,35 @@
         finally:
             if conn is None:
                 self._active -= 1
+                if reservation is not None:
+                    reservation.cancel()
+        if conn is not None and capacity is not None and reservation is not None:
+            capacity.hold(conn, reservation)
         return conn
 
+    def _check_cold(self, requests: int, deadline: float) -> None:
+        capacity = self.capacity
+        if capacity is not None and capacity.cold is not None:
+            part = capacity.cold.part
+            self._waiting.queue.min_interval_s = 1 / part if part else 0.0
+            capacity.check_cold(requests, deadline)
+
     def _may_open(self) -> bool:
-        if self._clock() < self._open_blocked_until:
+        if self.clock() < self._open_blocked_until:
             return False
         # While the server is full, a single attempt at a time probes for free capacity.
         return self._full_delay_s == SERVER_FULL_DELAY_S or not self._opening
 
-    def _pop_idle(self, customer: str) -> ServerConnection | None:
-        # Most recently used first, so that surplus connections expire.
-        for idle in reversed(self._idle):
-            if idle.customer == customer and idle.conn.is_open:
-                self._idle.remove(idle)
-                return idle.conn
-        return None
-
     def _make_room(self) -> bool:
         if self._count < self.limit:
             return True
-        if not self._idle:
+        oldest = next(iter(self._idle), None)
+        if oldest is None:
             return False
-        self._evict(self._idle[0])
+        self._evict(oldest)
         return True
 
-    def _evict(self, idle: _IdleConnection) -> None:
+    def _evict(self, idle: IdleConnection) -> None:
         self._idle.remove(idle)
         idle.conn.close()
         self._count -= 1
@@ -247,10 +319,15 @@
         except BaseException:
             self._count -= 1
             self._wake_next()
+            if self._is_limited():
+                # Once this attempt is no longer in flight.
+                asyncio.get_running_loop().call_soon(self._wake_next)
             raise
         finally:
             self._opening -= 1
         self._full_delay_s = SERVER_FULL_DELAY_S
+        if self.capacity is not None:
+            self.capacity.record_opened()
         return conn
 
     def _handle_open_refused(self, exc: OpenRefusedError) -> None:
@@ -262,53 +339,61 @@
             limit=self.limit,
         )
         self.record_answer(was_refused=exc.refusal is Refusal.BUSY)
+        if exc.refusal is None:
+            self.record_failure(None, "not reached")
+            if self.capacity is not None:
+                self.capacity.record_unreached()
         if exc.refusal in (Refusal.TOO_MANY_CONNECTIONS, Refusal.BUSY):
-            self._open_blocked_until = self._clock() + self._full_delay_s
+            self._open_blocked_until = self.clock() + self._full_delay_s
             self._full_delay_s = min(MAX_SERVER_FULL_DELAY_S, 2 * self._full_delay_s)
             return
         raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
 
-    async def _wait(self, waiter: Waiter) -> None:
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._wait_queue.requeue(waiter)
-        self._futs[waiter] = fut
-        self._reject_late_waiters()
-        timeout_s = waiter.deadline - self._clock()
-        delay_s = self._open_blocked_until - self._clock()
+    async def _wait(self, waiter: Waiter, requests: int) -> None:
+        timeout_s = waiter.deadline - self.clock()
+        delay_s = self._open_blocked_until - self.clock()
         if 0 < delay_s < timeout_s:
             timeout_s = delay_s
-        try:
-            await asyncio.wait((fut,), timeout=timeout_s)
-        finally:
-            self._wait_queue.remove(waiter)
-            self._futs.pop(waiter, None)
-        if fut.done():
-            fut.result()
+        self._waiting.queue.statement_s = self.server.latency_s
+        # Armed first: the request itself may be all that waits.
+        self._arm_timer(requests)
+        await self._waiting.wait(waiter, timeout_s=timeout_s)
 
-    def _wake_next(self, customer: str = "") -> None:
-        """Wake the next waiter to acquire a connection.
+    def _wake_next(self, customer: str = "", in_flight: int | None = None) -> None:
+        """Wake the next waiter to acquire a connection, if the limits allow a request.
 
         Args:
             customer: The customer whose connection became idle, empty for none; a
                 waiter of this customer is preferred.
+            in_flight: Statements in flight if they are not those of now.
         """
-        self._reject_late_waiters()
-        now = self._clock()
-        waiter = self._wait_queue.next_waiter(now, customer)
-        if waiter is None:
+        if not len(self._waiting):
             return
-        self._wait_queue.remove(waiter)
-        self._wait_queue.record_handover(now)
-        self._futs.pop(waiter).set_result(None)
-
-    def _reject_late_waiters(self) -> None:
-        queue = self._wait_queue
-        queue.statement_s = self.server.latency_s
-        for waiter, wait_s in queue.find_unservable(self._clock()):
-            reason = (
-                f"{len(queue)} wait for a connection, "
-                f"one is handed over every {queue.handover_interval_s * 1000:.1f} ms"
-            )
-            queue.remove(waiter)
-            exc = NoConnectionError(reason, is_reachable=True, wait_s=wait_s)
-            self._futs.pop(waiter).set_exception(exc)
+        if self._is_limited():
+            assert self.capacity is not None
+            in_flight = self._active if in_flight is None else in_flight
+            if not self.capacity.has_room(in_flight, 1):
+                self._arm_timer(1)
+                return
+        self._waiting.queue.statement_s = self.server.latency_s
+        self._waiting.wake_next(customer)
+
+    def _arm_timer(self, requests: int) -> None:
+        """Have the next waiter woken when the limits allow a batch."""
+        if self._timer is not None or not self._is_limited():
+            return
+        assert self.capacity is not None
+        delay_s = self.capacity.wait_s(self._active, requests)
+        if math.isinf(delay_s):
+            return  # the next answer wakes a waiter
+        delay_s = max(MIN_WAKE_DELAY_S, delay_s)
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._is_limited():
+            self._wake_next()
+            return
+        self._waiting.queue.min_interval_s = 0.0
+        for _ in range(self.limit):
+            self._wake_next()
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -22,6 +22,7 @@
 )
 from .executor import Executor
 from .operation import Operation, outcome_unknown_error
+from .workload import workload_of
 
 MIN_ATTEMPT_TIMEOUT_S = 0.25  # the longest statement under normal load
 ATTEMPT_TIMEOUT_FACTOR = 8.0  # multiple of the server's usual latency
@@ -131,7 +132,7 @@
             is_near=server.endpoint.failure_domain == self._failure_domain,
             has_connection=has_connection,
             is_preferred=is_preferred,
-            is_suspect=server.is_suspect(now),
+            is_suspect=server.is_suspect(now) or now < server.full_until,
         )
 
     async def _try_next(
@@ -202,7 +203,11 @@
         connection_s: float,
     ) -> tuple[Answer, ...] | None:
         lease = await self._executor.try_acquire(
-            op, server, max_wait_s=connection_s, retry_event=READ_RETRIED
+            op,
+            server,
+            max_wait_s=connection_s,
+            retry_event=READ_RETRIED,
+            work=workload_of(commands),
         )
         if lease is None:
             return None
--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -7,11 +7,13 @@
 
 from ..control.group import Server
 from .command import AnswerTimeoutError, ConnectionLostError, NotSentError
-from .lease import HomeLostError, ServerUnreachableError
+from .lease import (
+    MIN_CONCLUSIVE_TIMEOUT_S,
+    HomeLostError,
+    ServerUnreachableError,
+)
 from .pool import NoConnectionError
 
-MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
-
 
 @contextmanager
 def recording_outcome(
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -7,13 +7,21 @@
 
 from ..control.deployment import Deployment
 from ..control.group import GroupState, Server
+from ..control.settings import Bounds, Features
+from ..policy.cold_limit import Holders
+from .capacity import Capacity
 from .command import Connector
+from .limits import ServerLimits
+from .pins import Pins
 from .pool import ServerPool
 
 DEFAULT_MAX_CONNECTIONS = 16  # per server, while the group's configuration is unknown
 DEFAULT_SLOTS = 2  # while no server is listed
 DEFAULT_POOL_LIMIT = 2  # while the number of instances is unknown
 
+_DEFAULT_BOUNDS = Bounds()
+_NO_FEATURES = Features()
+
 
 @dataclass(slots=True)
 class _PoolEntry:
@@ -27,19 +35,35 @@
     Args:
         connector: Opens connections.
         clock: Returns the time in seconds.
+        name: The name of this instance.
+        bounds: The limits that the deployment requires.
+        features: The parts that are switched on.
 
     Attributes:
         instances: The number of instances, 0 while unknown.
         connection_limit: Returns how many connections this process may hold to each
             server of a group, None while unknown.
+        holders: Returns the instances that hold connections.
+        limits: What limits the load of cold, new and recovering servers.
     """
 
-    def __init__(self, connector: Connector, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        connector: Connector,
+        clock: Callable[[], float],
+        *,
+        name: str = "",
+        bounds: Bounds = _DEFAULT_BOUNDS,
+        features: Features = _NO_FEATURES,
+    ) -> None:
         self.connector = connector
         self.clock = clock
         self.groups: dict[str, GroupState] = {}
         self.instances = 0
         self.connection_limit: Callable[[str], int | None] = lambda group: None
+        self.holders: Callable[[], Holders] = lambda: Holders((), 1)
+        self.limits = ServerLimits(self, name, bounds, features)
+        self._features = features
         self._deployment: Deployment | None = None
         self._pools: dict[str, _PoolEntry] = {}
 
@@ -57,11 +81,22 @@
             return entry.pool
         if entry is not None:
             entry.pool.close()
-        limit = self._limit(server.endpoint.group)
-        pool = ServerPool(server, self.connector, self.clock, limit=limit)
+        pool = self._create_pool(server)
         self._pools[server.id] = _PoolEntry(server, pool)
         return pool
 
+    def _create_pool(self, server: Server) -> ServerPool:
+        limit = self._limit(server.endpoint.group)
+        has_pins = self._features.load_control
+        return ServerPool(
+            server,
+            self.connector,
+            self.clock,
+            limit=limit,
+            capacity=Capacity(server, self.clock, self.limits, limit=limit),
+            pins=Pins(self.clock, limit) if has_pins else None,
+        )
+
     def pools(self) -> list[ServerPool]:
         """Return all connection pools."""
         return [entry.pool for entry in self._pools.values()]
@@ -75,6 +110,7 @@
         """
         self._deployment = deployment or self._deployment
         self.instances = instances
+        self.limits.update_holders()
         for entry in self._pools.values():
             entry.pool.resize(self._limit(entry.server.endpoint.group))
 
@@ -96,6 +132,11 @@
         for entry in self._pools.values():
             entry.pool.close()
 
+    @property
+    def deployment(self) -> Deployment | None:
+        """The configuration in force, None before the first one."""
+        return self._deployment
+
     @property
     def customers(self) -> int:
         """The number of configured customers."""
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -33,6 +33,7 @@
 from .lease import Lease
 from .operation import Operation, Ticket, aborted_error, outcome_unknown_error
 from .reading import REPLICA_CONNECTION_WAIT_S, Reader
+from .workload import workload_of
 
 ROLLBACK_TIMEOUT_S = 0.5  # on timeout the connection is closed, which also rolls back
 
@@ -240,7 +241,11 @@
                 command = OpenTransaction(read_only=False)
                 max_wait_s = op.deadline - self._clock()
             lease = await self._executor.try_acquire(
-                op, server, max_wait_s=max_wait_s, retry_event=TRANSACTION_RETRIED
+                op,
+                server,
+                max_wait_s=max_wait_s,
+                retry_event=TRANSACTION_RETRIED,
+                work=workload_of((command,)),
             )
             if lease is not None and await self._begin(op, lease, command):
                 tx.lease = lease
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -34,6 +34,9 @@
         self.outcome = outcome
         self.sent = 0
 
+    async def admit(self, commands, *, timeout_s):
+        return timeout_s
+
     async def run(self, session_context, commands, *, timeout_s):
         self.sent += 1
         raise self.outcome
