--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -14,11 +14,13 @@
     NotSentError,
     Refusal,
 )
-from .lease import HomeLostError, ServerUnreachableError
+from .lease import (
+    MIN_CONCLUSIVE_TIMEOUT_S,
+    HomeLostError,
+    ServerUnreachableError,
+)
 from .pool import NoConnectionError
 
-MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
-
 
 @dataclass(slots=True)
 class BatchOutcome:
