Reject at the door, reserve primaries

Cause: while a primary was lost, a statement that needs it was held until its deadline, and reads that a replica could serve queued on the primary in front of the writes that have nowhere else to go.

Change (with load_control only): policy/admission.py estimates the end of a primary's outage from the earlier ones, and the least wait that is possible at a home from its last report; serving/admission.py rejects what certainly cannot be served, with a retry time spread over what is ahead. A home's answers carry its waits by class and server and the age of the primary's silence. policy/primary_reserve.py keeps the last quarter of a primary's concurrency from reads that a replica can serve; these go back to the replicas, also while the primary is lost.

Envelope.id is the last field of a message on the wire, so a field that is appended to a message class would move it and the former build could not decode the message. The new fields are in keyword-only subclasses, which places them after the id.

Ruled out: the mean duration as the estimate (many short interruptions hide the replacements; the quarter of the outages that lasted longer does not); probes during an outage (nothing can be sent, and the expiry of the suspicion probes by itself); counting a primary that declined its role as an outage (its successor leads already).

--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -95,6 +95,9 @@
 TRANSACTION_RETRIED = Event(249, "INFO", "statement of a transaction retried")
 TRANSACTION_LOST = Event(250, "INFO", "transaction lost with its connection")
 COMMIT_OUTCOME_UNKNOWN = Event(251, "WARNING", "commit outcome unknown, no answer")
+ADMISSION_REJECTED = Event(
+    260, "INFO", "statement rejected, it cannot be served in time"
+)
 DEPLOYMENT_CHANGED = Event(320, "INFO", "configuration in force")
 ENTRY_UNREADABLE = Event(321, "WARNING", "object of the store cannot be decoded")
 ENDPOINT_CHANGED = Event(322, "INFO", "registry entry of a server changed")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -41,6 +41,7 @@
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
 from .proxies.links import Links
+from .serving.admission import AdmissionControl
 from .serving.batches import BatchMessage
 from .serving.executor import Executor
 from .serving.gateway import Gateway
@@ -118,6 +119,12 @@
         self._news_fetcher = NewsFetcher(
             self.cluster_state, self.peers, self._feed.poll_now, self._request_news
         )
+        self._admission = AdmissionControl(
+            self.servers,
+            is_enabled=cfg.features.load_control,
+            rng=rng,
+            registry=self.registry,
+        )
         self.homes = Homes(
             cfg.name,
             self.servers,
@@ -126,6 +133,7 @@
             links=self._links,
             heard_at=self.peers.last_report_at,
             has_majority=lambda: self.peers.has_majority,
+            admission=self._admission,
         )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
@@ -134,6 +142,7 @@
             self._promoter.is_primary_unreachable,
             self.homes,
             self._acquire_ticket,
+            self._admission,
         )
         reader = Reader(executor, cfg.failure_domain)
         self._has_caught_up = asyncio.Event()
@@ -269,6 +278,7 @@
             self.gateway.abort_idle_transactions()
             self.servers.evict_expired()
             self.homes.evict_expired_pins()
+            self._admission.observe_groups()
             self._share_connections()
             self._news_fetcher.check_peers()
             self._check_caught_up()
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -126,6 +126,22 @@
             if now + wait_s > waiter.deadline
         ]
 
+    def waits_by_class(self, now: float) -> tuple[float, ...]:
+        """Return the seconds until a new request is served, by its priority class.
+
+        The last entry also holds for less urgent classes. Requests that will miss their
+        objective are left out, since a new one that can still meet it is served first.
+
+        Args:
+            now: The current time, in seconds.
+        """
+        done_at = now + STATEMENT_TIME_MARGIN * self.statement_s
+        classes = [w.priority for w in self._waiters if done_at <= w.due_at]
+        return tuple(
+            sum(other <= priority for other in classes) * self.handover_interval_s
+            for priority in range(max(classes, default=-1) + 1)
+        )
+
     def _sort_key(
         self, now: float, customer: str
     ) -> Callable[[Waiter], tuple[bool, int, bool, float, int]]:
--- a/mangoramp/policy/window.py
+++ b/mangoramp/policy/window.py
@@ -21,6 +21,11 @@
         self._size = math.inf
         self._decreased_at = -math.inf
 
+    @property
+    def size(self) -> float:
+        """Statements that may be in flight, infinite before the first refusal."""
+        return self._size
+
     def has_room(self, in_flight: int) -> bool:
         """Return whether one more statement may be sent.
 
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..proxies.envelope import Envelope
 from ..sessions.statement import Shape
 from .command import Answer, Command
 from .primary_samples import PrimarySampleReport
 
 
-class RunBatch(Envelope, frozen=True, array_like=True):
+class LoadHint(msgspec.Struct, frozen=True, array_like=True):
+    """A home's load at the servers of one group.
+
+    Attributes:
+        waits: By server, the seconds until a new statement is served by priority class;
+            servers without waiting statements are left out.
+        silent_s: Seconds since the group's primary fell silent, None if it answers.
+    """
+
+    waits: dict[str, tuple[float, ...]] = {}
+    silent_s: float | None = None
+
+
+class _RunBatchFields(Envelope, frozen=True, array_like=True):
     """Run commands on one of a customer's connections.
 
     Attributes:
@@ -41,7 +56,21 @@
     ticket: str = ""
 
 
-class BatchRun(Envelope, frozen=True, array_like=True):
+class RunBatch(_RunBatchFields, frozen=True, array_like=True, kw_only=True):
+    """Run commands on one of a customer's connections.
+
+    The former build expects the message's id after ``ticket``, so newer fields are in a
+    class of their own, which places them after the id.
+
+    Attributes:
+        is_deferrable: Whether the commands are a read at the primary that a replica can
+            serve.
+    """
+
+    is_deferrable: bool = False
+
+
+class _BatchRunFields(Envelope, frozen=True, array_like=True):
     """All commands were answered.
 
     Attributes:
@@ -55,6 +84,16 @@
     samples: tuple[PrimarySampleReport, ...] = ()
 
 
+class BatchRun(_BatchRunFields, frozen=True, array_like=True, kw_only=True):
+    """All commands were answered.
+
+    Attributes:
+        load: The home's load at the group's servers, None if it does not report it.
+    """
+
+    load: LoadHint | None = None
+
+
 class BatchLost(Envelope, frozen=True, array_like=True):
     """The connection was lost before all commands were answered.
 
@@ -67,7 +106,7 @@
     answers: tuple[Answer, ...] = ()
 
 
-class BatchNotSent(Envelope, frozen=True, array_like=True):
+class _BatchNotSentFields(Envelope, frozen=True, array_like=True):
     """Nothing was sent to the server.
 
     Attributes:
@@ -81,6 +120,16 @@
     wait_s: float = 0.0
 
 
+class BatchNotSent(_BatchNotSentFields, frozen=True, array_like=True, kw_only=True):
+    """Nothing was sent to the server.
+
+    Attributes:
+        load: The home's load at the group's servers, None if it does not report it.
+    """
+
+    load: LoadHint | None = None
+
+
 class BatchOverRate(Envelope, frozen=True, array_like=True):
     """The operation exceeds the customer's limits; nothing was sent.
 
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -10,6 +10,7 @@
 from ..events import Event, emit
 from ..sessions.session import Session
 from ..sessions.statement import Execute, Read, Write
+from .admission import AdmissionControl
 from .command import (
     Answer,
     Command,
@@ -43,6 +44,7 @@
         admit: Charges an operation, given its customer and the id of its first
             statement, to the customer's limits; returns the seconds to wait if the
             operation exceeds them, else 0.
+        admission: Rejects what cannot be served in time, None for no such control.
     """
 
     def __init__(
@@ -51,20 +53,32 @@
         is_primary_unreachable: Callable[[str], bool] = lambda group: False,
         homes: Homes | None = None,
         admit: Callable[[str, str], float] = lambda customer, request_id: 0.0,
+        admission: AdmissionControl | None = None,
     ) -> None:
         self.servers = servers
+        self._admission = admission or AdmissionControl(servers)
         self._charge = admit
         self._homes = homes
         self.clock = servers.clock
         self._is_primary_unreachable = is_primary_unreachable
 
+    @property
+    def reserves_primaries(self) -> bool:
+        """Whether reads that replicas can serve leave the primary to other work."""
+        return self._admission.is_enabled
+
     @property
     def has_own_connections(self) -> bool:
         """Whether this process holds its callers' connections itself."""
         return self._homes is None or self._homes.is_direct
 
     async def acquire(
-        self, op: Operation, server: Server, *, max_wait_s: float
+        self,
+        op: Operation,
+        server: Server,
+        *,
+        max_wait_s: float,
+        is_deferrable: bool = False,
     ) -> Lease:
         """Acquire a connection to a server, from the local pool or from its home.
 
@@ -74,14 +88,22 @@
             op: The operation that needs the connection.
             server: The server.
             max_wait_s: Maximum wait for a connection in seconds.
+            is_deferrable: Whether this is a read at the primary that a replica can
+                serve.
 
         Raises:
             NoConnectionError: No connection became available in time; nothing was sent.
+            FaultError: No connection can become available in time.
         """
         now = self.clock()
         # Leaves the server's usual latency for the answer.
         left = min(max_wait_s, op.deadline - now - server.latency_s)
-        urgency = Urgency(op.route.priority, op.due_at - now, left)
+        urgency = Urgency(
+            op.route.priority,
+            op.due_at - now,
+            left,
+            is_deferrable,
+        )
         if self._homes is not None and self._homes.is_out_of_reach:
             raise refused_error(
                 Code.NO_SERVER,
@@ -92,6 +114,7 @@
             )
         home = self._homes.home_of(op.customer) if self._homes else None
         if home is not None and self._homes is not None:
+            self._admission.check_backlog(op, server, home)
             return RemoteLease(
                 server,
                 home,
@@ -110,7 +133,13 @@
         return LocalLease(server, conn, op.customer, pool)
 
     async def try_acquire(
-        self, op: Operation, server: Server, *, max_wait_s: float, retry_event: Event
+        self,
+        op: Operation,
+        server: Server,
+        *,
+        max_wait_s: float,
+        retry_event: Event,
+        is_deferrable: bool = False,
     ) -> Lease | None:
         """Acquire a connection; if none is available, delay the retry and return None.
 
@@ -119,9 +148,13 @@
             server: The server.
             max_wait_s: Maximum wait for a connection in seconds.
             retry_event: The event to log for the retry.
+            is_deferrable: Whether this is a read at the primary that a replica can
+                serve.
         """
         try:
-            return await self.acquire(op, server, max_wait_s=max_wait_s)
+            return await self.acquire(
+                op, server, max_wait_s=max_wait_s, is_deferrable=is_deferrable
+            )
         except NoConnectionError as exc:
             await self.delay_retry(op, server, str(exc), retry_event, wait_s=exc.wait_s)
             return None
@@ -154,7 +187,7 @@
                 reason,
                 Step.QUEUE,
                 peer=server.id,
-                retry_after_s=wait_s,
+                retry_after_s=self._admission.record_late(op, server, wait_s),
             )
         emit(retry_event, id=op.request_id, server=server.id, reason=reason)
         await self.back_off(op)
@@ -226,8 +259,33 @@
                     peer=server.id if server is not None else group.name,
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
+            self._admission.check_outage(op, group)
             await group.wait_for_change(min(GROUP_POLL_S, op.deadline - now))
 
+    async def primary_for_read(
+        self, op: Operation, *, is_deferrable: bool
+    ) -> Server | None:
+        """Wait until a group's primary is usable for a read and return it.
+
+        Args:
+            op: The operation.
+            is_deferrable: Whether a replica can serve the read, so that it does not
+                wait for the primary.
+
+        Returns:
+            None, after a pause, if the replicas should be tried again instead.
+
+        Raises:
+            FaultError: No primary became usable in time; nothing was sent.
+        """
+        if is_deferrable:
+            now = self.clock()
+            server = self.servers.group(op.route.group).primary(now)
+            if server is None or not self._is_usable(server, op.customer, now):
+                await self.back_off(op)
+                return None
+        return await self.primary(op)
+
     def check_time(self, op: Operation, group: GroupState) -> None:
         """Abort an operation that has timed out or whose caller has disconnected.
 
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -20,6 +20,7 @@
 from ..policy.position import Position
 from ..proxies.envelope import Envelope
 from ..proxies.links import Links
+from .admission import AdmissionControl
 from .batches import (
     BatchLost,
     BatchMessage,
@@ -66,6 +67,7 @@
         links: The links to other instances.
         heard_at: Returns when a message from an instance was last received, in seconds.
         has_majority: Returns whether most of the instances are in touch.
+        admission: Rejects what cannot be served in time, None for no such control.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         links: Links,
         heard_at: Callable[[str], float],
         has_majority: Callable[[], bool] = lambda: True,
+        admission: AdmissionControl | None = None,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -87,6 +90,7 @@
         self._links = links
         self._heard_at = heard_at
         self._has_majority = has_majority
+        self._admission = admission or AdmissionControl(servers)
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: list[str] = []
@@ -171,6 +175,7 @@
         if isinstance(result, Success):
             self._unanswered_calls.pop(home, None)
             self._record_samples(result.unwrap(), asked_at)
+            self._admission.record_hint(home, message, result.unwrap(), asked_at)
             return result
         self._unanswered_calls[home] = self._unanswered_calls.get(home, 0) + 1
         if self._unanswered_calls[home] >= MAX_UNANSWERED_CALLS:
@@ -301,6 +306,7 @@
             answers=answers,
             handle=self._pin_or_release(message.handle, lease, answers),
             samples=self._latest_samples(),
+            load=self._admission.hint(message.group),
         )
 
     async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
@@ -317,12 +323,16 @@
                 message.priority,
                 message.due_s,
                 min(message.wait_s, message.timeout_s),
+                message.is_deferrable,
             )
             conn = await pool.acquire(message.customer, urgency)
         except NoConnectionError as exc:
             record_no_connection(server, exc, self._clock())
             return BatchNotSent(
-                reason=str(exc), is_reachable=exc.is_reachable, wait_s=exc.wait_s
+                reason=str(exc),
+                is_reachable=exc.is_reachable,
+                wait_s=exc.wait_s,
+                load=self._admission.hint(message.group),
             )
         return LocalLease(server, conn, message.customer, pool)
 
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -238,6 +238,7 @@
             priority=self.urgency.priority,
             handle=self.handle,
             ticket="" if self.ticket.is_admitted else self.ticket.request_id,
+            is_deferrable=self.urgency.is_deferrable,
         )
         result = await self.home_client.call(
             self.home, message, timeout_s=timeout_s + HOME_ROUND_TRIP_S
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -9,6 +9,7 @@
 
 from ..control.group import Server
 from ..events import CONNECTION_REFUSED, emit
+from ..policy.primary_reserve import PrimaryReserve
 from ..policy.wait_queue import Waiter, WaitQueue
 from ..policy.window import ConcurrencyWindow
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
@@ -40,11 +41,14 @@
         priority: The priority class; 0 is the most urgent.
         due_s: Seconds until the request misses its latency objective.
         timeout_s: Maximum wait for a connection in seconds.
+        is_deferrable: Whether the request is a read at the primary that a replica can
+            serve.
     """
 
     priority: int
     due_s: float
     timeout_s: float
+    is_deferrable: bool = False
 
 
 @dataclass(slots=True)
@@ -85,6 +89,7 @@
         self._window = ConcurrencyWindow()
         self._active = 0
         self._wait_queue = WaitQueue()
+        self._reserve = PrimaryReserve()
         self._futs: dict[Waiter, asyncio.Future[None]] = {}
         self._open_blocked_until = float("-inf")
         self._full_delay_s = SERVER_FULL_DELAY_S
@@ -118,22 +123,36 @@
         now = self._clock()
         deadline = now + urgency.timeout_s
         waiter: Waiter | None = None
-        while True:
-            if self._is_closed:
-                raise NoConnectionError("the server is gone", is_reachable=False)
-            conn = await self._try_acquire(customer)
-            if conn is not None:
-                return conn
-            if self._clock() >= deadline:
-                raise NoConnectionError("all connections are busy", is_reachable=True)
-            if waiter is None:
-                waiter = self._wait_queue.enqueue(
-                    customer,
-                    priority=urgency.priority,
-                    due_at=now + urgency.due_s,
-                    deadline=deadline,
-                )
-            await self._wait(waiter)
+        try:
+            while True:
+                self._check_open_to(urgency, waiter)
+                conn = await self._try_acquire(customer)
+                if conn is not None:
+                    return conn
+                if self._clock() >= deadline:
+                    raise NoConnectionError(
+                        "all connections are busy", is_reachable=True
+                    )
+                if waiter is None:
+                    waiter = self._wait_queue.enqueue(
+                        customer,
+                        priority=urgency.priority,
+                        due_at=now + urgency.due_s,
+                        deadline=deadline,
+                    )
+                    if not urgency.is_deferrable:
+                        self._reserve.start_wait(urgency.priority)
+                await self._wait(waiter)
+        finally:
+            if waiter is not None and not urgency.is_deferrable:
+                self._reserve.end_wait(urgency.priority, self._clock())
+
+    def waits_by_class(self) -> tuple[float, ...]:
+        """Return the seconds until a new request is served, by priority class.
+
+        The last entry also holds for less urgent classes; empty if nothing waits.
+        """
+        return self._wait_queue.waits_by_class(self._clock())
 
     def park(self) -> None:
         """Record that an acquired connection is idle inside a transaction."""
@@ -192,6 +211,21 @@
         while len(self._wait_queue):
             self._wake_next()
 
+    def _check_open_to(self, urgency: Urgency, waiter: Waiter | None) -> None:
+        if self._is_closed:
+            raise NoConnectionError("the server is gone", is_reachable=False)
+        if not urgency.is_deferrable:
+            return
+        concurrency = max(1.0, min(self._window.size, self.limit))
+        reserved = self._reserve.reserved(urgency.priority, concurrency, self._clock())
+        if reserved and self._active >= concurrency - reserved:
+            if waiter is not None:
+                self._wake_next()  # it may have been given a connection
+            raise NoConnectionError(
+                "the primary is reserved for work that only it can run",
+                is_reachable=True,
+            )
+
     async def _try_acquire(self, customer: str) -> ServerConnection | None:
         if not self._window.has_room(self._active):
             return None
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -96,6 +96,18 @@
         )
         return (servers[found.id], need) if found is not None else None
 
+    def is_deferrable(self, op: Operation, tried: set[str]) -> bool:
+        """Return whether a read is to leave the primary to work that only it can run.
+
+        Args:
+            op: The read, or the first statement of a read-only transaction.
+            tried: The ids of the replicas that could not serve it so far; one of them
+                may be able to soon.
+        """
+        if not self._executor.reserves_primaries or not tried:
+            return False
+        return self.choose(op, set()) is not None
+
     def need(self, op: Operation, group: GroupState) -> ReadNeed | None:
         """Return the freshness that a read needs; None if only the primary has it."""
         route, session = op.route, op.session
@@ -146,9 +158,14 @@
             server, need = chosen
             tried.add(server.id)
             return await self._read_from_replica(op, statement, server, need)
+        is_deferrable = self.is_deferrable(op, tried)
         tried.clear()
-        server = await self._executor.primary(op)
-        return await self._read_from_primary(op, statement, group, server)
+        primary = await self._executor.primary_for_read(op, is_deferrable=is_deferrable)
+        if primary is None:
+            return None
+        return await self._read_from_primary(
+            op, statement, group, primary, is_deferrable=is_deferrable
+        )
 
     async def _read_from_replica(
         self, op: Operation, statement: Read | Execute, server: Server, need: ReadNeed
@@ -170,6 +187,8 @@
         statement: Read | Execute,
         group: GroupState,
         server: Server,
+        *,
+        is_deferrable: bool,
     ) -> Answer | None:
         # A former primary refuses to open a read-write transaction, but it would answer
         # a plain read with stale data.
@@ -180,7 +199,9 @@
             RollBack(),
         )
         left = op.deadline - asked_at
-        answers = await self._attempt(op, server, commands, left)
+        answers = await self._attempt(
+            op, server, commands, left, is_deferrable=is_deferrable
+        )
         if answers is None:
             return None
         opened, answer, _ = answers
@@ -200,9 +221,15 @@
         server: Server,
         commands: tuple[OpenTransaction | RunFor | RollBack, ...],
         connection_s: float,
+        *,
+        is_deferrable: bool = False,
     ) -> tuple[Answer, ...] | None:
         lease = await self._executor.try_acquire(
-            op, server, max_wait_s=connection_s, retry_event=READ_RETRIED
+            op,
+            server,
+            max_wait_s=connection_s,
+            retry_event=READ_RETRIED,
+            is_deferrable=is_deferrable,
         )
         if lease is None:
             return None
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -230,17 +230,31 @@
         while True:
             self._executor.check_time(op, group)
             chosen = self._reader.choose(op, tried) if tx.read_only else None
+            is_deferrable = False
             if chosen is not None:
                 server, need = chosen
                 tried.add(server.id)
                 command = OpenTransaction(read_only=True, after=need.position)
                 max_wait_s = REPLICA_CONNECTION_WAIT_S
             else:
-                server = await self._executor.primary(op)
+                if tx.read_only:
+                    is_deferrable = self._reader.is_deferrable(op, tried)
+                if is_deferrable:
+                    tried.clear()
+                found = await self._executor.primary_for_read(
+                    op, is_deferrable=is_deferrable
+                )
+                if found is None:
+                    continue
+                server = found
                 command = OpenTransaction(read_only=False)
                 max_wait_s = op.deadline - self._clock()
             lease = await self._executor.try_acquire(
-                op, server, max_wait_s=max_wait_s, retry_event=TRANSACTION_RETRIED
+                op,
+                server,
+                max_wait_s=max_wait_s,
+                retry_event=TRANSACTION_RETRIED,
+                is_deferrable=is_deferrable,
             )
             if lease is not None and await self._begin(op, lease, command):
                 tx.lease = lease
