Share each server's concurrency among the homes by urgency

Cause: each home ordered only its own queue. A home with nothing but the least urgent statements filled a server's queue, and the most urgent ones of the other homes waited behind them.

--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -115,6 +115,8 @@
     334, "INFO", "registry entry from an old copy of the store ignored"
 )
 REPORT_NOT_SENT = Event(335, "WARNING", "report to a peer could not be sent")
+SLOT_SHARE_CHANGED = Event(340, "INFO", "share of a server's concurrency changed")
+LOAD_REPORTS_OFF = Event(341, "ERROR", "load reports to other homes not possible")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
 PROMOTION_CLAIMED = Event(503, "WARNING", "promotion claimed")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -17,6 +17,7 @@
 from .control.cluster_state import ClusterState
 from .control.instance_list import InstanceList
 from .control.limits import CustomerLimits
+from .control.load_reports import LoadReports
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
@@ -26,6 +27,7 @@
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
     INSTANCE_STOPPING,
+    LOAD_REPORTS_OFF,
     SETTINGS_RELOADED,
     TASK_FAILED,
     emit,
@@ -49,6 +51,7 @@
 from .serving.operation import Ticket
 from .serving.reading import Reader
 from .serving.servers import Servers
+from .serving.shares import SlotShares
 from .serving.statement_metrics import StatementMetrics
 from .serving.transactions import TransactionRunner
 from .serving.writing import Writer
@@ -135,6 +138,12 @@
             has_majority=lambda: self.peers.has_majority,
             admission=self._admission,
         )
+        self._load_reports = LoadReports(
+            cfg.name, self._load_address_of, boot_time, rng
+        )
+        self.slot_shares = SlotShares(
+            self.servers, self._load_reports, self._fellow_homes
+        )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
         executor = Executor(
@@ -203,6 +212,9 @@
             self._link_server.run,
         ):
             self._start(duty)
+        if self.cfg.features.load_control:
+            await self._listen_to_loads()
+            self._start(self.slot_shares.run)
         asyncio.get_running_loop().call_later(CATCH_UP_S, self._check_caught_up)
         emit(
             INSTANCE_STARTED,
@@ -211,6 +223,13 @@
             first=self.cfg.is_first_start,
         )
 
+    async def _listen_to_loads(self) -> None:
+        try:
+            await self._load_reports.listen(_load_address(self.cfg.peers))
+        except (OSError, OverflowError) as exc:
+            # Without the others' load, the pools adapt to the servers' rejections.
+            emit(LOAD_REPORTS_OFF, reason=str(exc))
+
     async def stop(self) -> None:
         """Drain requests and stop, within the grace period."""
         emit(INSTANCE_STOPPING, name=self.cfg.name)
@@ -254,6 +273,7 @@
             self._link_server.close()
         self._links.close()
         self.servers.close()
+        self._load_reports.close()
         self.peers.close()
         self._client.close()
         self._promotion_client.close()
@@ -353,6 +373,14 @@
     def _needs_all_counts(self) -> bool:
         return self.cluster_state.has_deployment.is_set() and self.homes.is_direct
 
+    def _fellow_homes(self) -> list[str]:
+        homes = [] if self.homes.is_direct else self.homes.names
+        return homes if self.cfg.name in homes else []
+
+    def _load_address_of(self, name: str) -> Address | None:
+        address = self.peers.address_of(name)
+        return _load_address(address) if address is not None else None
+
     def _link_address(self, name: str) -> str | None:
         address = self.peers.address_of(name)
         return _link_url(address) if address is not None else None
@@ -400,6 +428,12 @@
         )
 
 
+def _load_address(peer_address: Address) -> Address:
+    """Return the address of load reports, on the port next to the peer port."""
+    host, port = peer_address
+    return host, port + 1
+
+
 def _link_url(address: Address) -> str:
     host, port = address
     return f"tcp://{host}:{port}"
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -48,6 +48,8 @@
         yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
+        if instance.cfg.features.load_control:
+            yield from self._load()
 
     def _groups(self) -> Iterator[Metric]:
         now = boot_time()
@@ -91,6 +93,27 @@
             failing.add_metric(name, pool.server.failures)
         yield from (held, waiting, opened, failing)
 
+    def _load(self) -> Iterator[Metric]:
+        share = GaugeMetricFamily(
+            "mangoramp_slot_share",
+            "This home's part of a server's concurrency",
+            labels=("server",),
+        )
+        for server_id, part in self._instance.slot_shares.shares():
+            share.add_metric((server_id,), part)
+        backlog = GaugeMetricFamily(
+            "mangoramp_backlog",
+            "Statements that wait for a connection",
+            labels=("priority",),
+        )
+        totals: dict[int, int] = {}
+        for pool in self._instance.servers.pools():
+            for priority, count in pool.waiting_by_class().items():
+                totals[priority] = totals.get(priority, 0) + count
+        for priority, count in sorted(totals.items()):
+            backlog.add_metric((str(priority),), count)
+        yield from (share, backlog)
+
 
 def _gauge(name: str, help_text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"mangoramp_{name}", help_text, value=float(value))
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -15,6 +15,7 @@
 SMOOTHING_WEIGHT = 0.1  # averages over about ten handovers
 START_HANDOVER_INTERVAL_S = 0.002  # a short statement on a handful of connections
 STATEMENT_TIME_MARGIN = 2.0  # few statements take over twice the usual time
+MAX_CLASSES = 8  # in reports; less urgent classes count as the last of these
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +44,14 @@
         statement_s: Seconds for which a statement usually occupies a connection.
         handover_interval_s: Average seconds between two handovers of a connection
             while requests are waiting.
+        min_interval_s: The least seconds between two handovers that the present limits
+            allow on average.
     """
 
     def __init__(self) -> None:
         self.statement_s = 0.0
         self.handover_interval_s = START_HANDOVER_INTERVAL_S
+        self.min_interval_s = 0.0
         self._waiters: list[Waiter] = []
         self._last_number = 0
         self._handover_at: float | None = None
@@ -114,12 +118,12 @@
         Returns:
             Each such request, with the seconds that it would have to wait.
         """
-        total_s = len(self._waiters) * self.handover_interval_s
+        total_s = len(self._waiters) * self._interval_s
         if now + total_s <= min((p.deadline for p in self._waiters), default=math.inf):
             return []
         # The first request is never refused, so that an outdated rate is remeasured.
         ordered = sorted(self._waiters, key=self._sort_key(now, ""))
-        waits = ((p, n * self.handover_interval_s) for n, p in enumerate(ordered))
+        waits = ((p, n * self._interval_s) for n, p in enumerate(ordered))
         return [
             (waiter, wait_s)
             for waiter, wait_s in waits
@@ -136,12 +140,20 @@
             now: The current time, in seconds.
         """
         done_at = now + STATEMENT_TIME_MARGIN * self.statement_s
-        classes = [w.priority for w in self._waiters if done_at <= w.due_at]
+        classes = [
+            min(w.priority, MAX_CLASSES - 1)
+            for w in self._waiters
+            if done_at <= w.due_at
+        ]
         return tuple(
-            sum(other <= priority for other in classes) * self.handover_interval_s
+            sum(other <= priority for other in classes) * self._interval_s
             for priority in range(max(classes, default=-1) + 1)
         )
 
+    @property
+    def _interval_s(self) -> float:
+        return max(self.handover_interval_s, self.min_interval_s)
+
     def _sort_key(
         self, now: float, customer: str
     ) -> Callable[[Waiter], tuple[bool, int, bool, float, int]]:
--- a/mangoramp/serving/admission.py
+++ b/mangoramp/serving/admission.py
@@ -121,17 +121,20 @@
             retry_after_s=self._reject(op, "backlog", server.id, wait_s),
         )
 
-    def record_late(self, op: Operation, server: Server, wait_s: float) -> float:
+    def record_late(
+        self, op: Operation, server: Server, detail: str, wait_s: float
+    ) -> float:
         """Record that a queue rejected an operation; return when to retry, in seconds.
 
         Args:
             op: The operation.
             server: The server that it waited for.
+            detail: The reason that the queue gave, with the backlog.
             wait_s: Expected seconds until the server could have run it.
         """
         if not self.is_enabled:
             return wait_s
-        return self._reject(op, "queue", server.id, wait_s)
+        return self._reject(op, "queue", server.id, wait_s, detail)
 
     def observe_groups(self) -> None:
         """Record the state of all primaries, also of groups without statements."""
@@ -206,7 +209,9 @@
             silence.record_down(min(primary.failing_since, reported_at))
         return vacancy if silence.began_at is None else silence
 
-    def _reject(self, op: Operation, reason: str, peer: str, ahead_s: float) -> float:
+    def _reject(
+        self, op: Operation, reason: str, peer: str, ahead_s: float, detail: str = ""
+    ) -> float:
         retry_s = retry_after_s(ahead_s, self._rng)
         priority = op.route.priority
         self._rejections.labels(reason, priority).inc()
@@ -217,6 +222,7 @@
             priority=priority,
             reason=reason,
             peer=peer,
+            detail=detail,
             wait_s=round(ahead_s, 3),
             left_s=round(op.deadline - self._servers.clock(), 3),
             retry_after_s=round(retry_s, 3),
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -187,7 +187,7 @@
                 reason,
                 Step.QUEUE,
                 peer=server.id,
-                retry_after_s=self._admission.record_late(op, server, wait_s),
+                retry_after_s=self._admission.record_late(op, server, reason, wait_s),
             )
         emit(retry_event, id=op.request_id, server=server.id, reason=reason)
         await self.back_off(op)
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -10,7 +10,7 @@
 from ..control.group import Server
 from ..events import CONNECTION_REFUSED, emit
 from ..policy.primary_reserve import PrimaryReserve
-from ..policy.wait_queue import Waiter, WaitQueue
+from ..policy.wait_queue import MAX_CLASSES, Waiter, WaitQueue
 from ..policy.window import ConcurrencyWindow
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
 
@@ -69,6 +69,11 @@
         connector: Opens connections.
         clock: Returns the time in seconds.
         limit: Maximum number of open connections.
+
+    Attributes:
+        opened: Connections opened since the start.
+        answers: Answers received since the start.
+        handovers: Connections acquired since the start, by priority class.
     """
 
     def __init__(
@@ -82,6 +87,8 @@
         self.server = server
         self.limit = limit
         self.opened = 0
+        self.answers = 0
+        self.handovers: dict[int, int] = {}
         self._connector = connector
         self._clock = clock
         self._idle: deque[_IdleConnection] = deque()
@@ -90,6 +97,7 @@
         self._active = 0
         self._wait_queue = WaitQueue()
         self._reserve = PrimaryReserve()
+        self._share: int | None = None
         self._futs: dict[Waiter, asyncio.Future[None]] = {}
         self._open_blocked_until = float("-inf")
         self._full_delay_s = SERVER_FULL_DELAY_S
@@ -106,6 +114,33 @@
         """The number of requests that wait for a connection."""
         return len(self._wait_queue)
 
+    @property
+    def in_flight(self) -> int:
+        """Statements and openings of connections in flight at the server."""
+        return self._active
+
+    def waiting_by_class(self) -> dict[int, int]:
+        """Return the number of requests that wait, by priority class."""
+        found: dict[int, int] = {}
+        for waiter in self._wait_queue:
+            priority = min(waiter.priority, MAX_CLASSES - 1)
+            found[priority] = found.get(priority, 0) + 1
+        return found
+
+    def set_share(self, limit: int | None, interval_s: float) -> None:
+        """Limit the statements in flight to this home's share of the server.
+
+        Args:
+            limit: The limit, None for none.
+            interval_s: Average seconds between two statements that the share allows.
+        """
+        self._share = limit
+        self._wait_queue.min_interval_s = interval_s
+        free = self.limit - self._count + len(self._idle)
+        for woken in range(min(free, self.waiting)):
+            if self._has_room(self._active + woken):
+                self._wake_next()
+
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
         return any(i.customer == customer and i.conn.is_open for i in self._idle)
@@ -123,29 +158,24 @@
         now = self._clock()
         deadline = now + urgency.timeout_s
         waiter: Waiter | None = None
-        try:
-            while True:
-                self._check_open_to(urgency, waiter)
-                conn = await self._try_acquire(customer)
-                if conn is not None:
-                    return conn
-                if self._clock() >= deadline:
-                    raise NoConnectionError(
-                        "all connections are busy", is_reachable=True
-                    )
-                if waiter is None:
-                    waiter = self._wait_queue.enqueue(
-                        customer,
-                        priority=urgency.priority,
-                        due_at=now + urgency.due_s,
-                        deadline=deadline,
-                    )
-                    if not urgency.is_deferrable:
-                        self._reserve.start_wait(urgency.priority)
-                await self._wait(waiter)
-        finally:
-            if waiter is not None and not urgency.is_deferrable:
-                self._reserve.end_wait(urgency.priority, self._clock())
+        while True:
+            if self._is_closed:
+                raise NoConnectionError("the server is gone", is_reachable=False)
+            self._check_reserve(urgency, waiter)
+            conn = await self._try_acquire(customer)
+            if conn is not None:
+                self._record_handover(urgency)
+                return conn
+            if self._clock() >= deadline:
+                raise NoConnectionError("all connections are busy", is_reachable=True)
+            if waiter is None:
+                waiter = self._wait_queue.enqueue(
+                    customer,
+                    priority=urgency.priority,
+                    due_at=now + urgency.due_s,
+                    deadline=deadline,
+                )
+            await self._wait(waiter, urgency)
 
     def waits_by_class(self) -> tuple[float, ...]:
         """Return the seconds until a new request is served, by priority class.
@@ -169,6 +199,7 @@
         Args:
             was_refused: Whether the server refused a statement for lack of capacity.
         """
+        self.answers += 1
         if was_refused:
             self._window.record_refusal(self._active, self._clock())
         else:
@@ -185,7 +216,7 @@
         else:
             self._idle.append(_IdleConnection(conn, customer, self._clock()))
         self._wake_next(customer)
-        if self._window.has_room(self._active + 1):
+        if self._has_room(self._active + 1):
             # The window has grown: a second waiter can be served.
             self._wake_next()
 
@@ -211,12 +242,15 @@
         while len(self._wait_queue):
             self._wake_next()
 
-    def _check_open_to(self, urgency: Urgency, waiter: Waiter | None) -> None:
-        if self._is_closed:
-            raise NoConnectionError("the server is gone", is_reachable=False)
+    def _record_handover(self, urgency: Urgency) -> None:
+        priority = min(urgency.priority, MAX_CLASSES - 1)
+        self.handovers[priority] = self.handovers.get(priority, 0) + 1
+
+    def _check_reserve(self, urgency: Urgency, waiter: Waiter | None) -> None:
         if not urgency.is_deferrable:
             return
-        concurrency = max(1.0, min(self._window.size, self.limit))
+        share = self.limit if self._share is None else self._share
+        concurrency = max(1.0, min(self._window.size, self.limit, share))
         reserved = self._reserve.reserved(urgency.priority, concurrency, self._clock())
         if reserved and self._active >= concurrency - reserved:
             if waiter is not None:
@@ -227,7 +261,7 @@
             )
 
     async def _try_acquire(self, customer: str) -> ServerConnection | None:
-        if not self._window.has_room(self._active):
+        if not self._has_room(self._active):
             return None
         self._active += 1
         conn: ServerConnection | None = None
@@ -242,6 +276,12 @@
                 self._active -= 1
         return conn
 
+    def _has_room(self, in_flight: int) -> bool:
+        return self._is_in_share(in_flight) and self._window.has_room(in_flight)
+
+    def _is_in_share(self, in_flight: int) -> bool:
+        return self._share is None or in_flight < self._share
+
     def _may_open(self) -> bool:
         if self._clock() < self._open_blocked_until:
             return False
@@ -302,7 +342,7 @@
             return
         raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
 
-    async def _wait(self, waiter: Waiter) -> None:
+    async def _wait(self, waiter: Waiter, urgency: Urgency) -> None:
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._wait_queue.requeue(waiter)
         self._futs[waiter] = fut
@@ -311,9 +351,13 @@
         delay_s = self._open_blocked_until - self._clock()
         if 0 < delay_s < timeout_s:
             timeout_s = delay_s
+        if not urgency.is_deferrable:
+            self._reserve.start_wait(urgency.priority)
         try:
             await asyncio.wait((fut,), timeout=timeout_s)
         finally:
+            if not urgency.is_deferrable:
+                self._reserve.end_wait(urgency.priority, self._clock())
             self._wait_queue.remove(waiter)
             self._futs.pop(waiter, None)
         if fut.done():
@@ -327,6 +371,8 @@
                 waiter of this customer is preferred.
         """
         self._reject_late_waiters()
+        if not self._is_closed and not self._is_in_share(self._active):
+            return  # woken when the share grows or another statement ends
         now = self._clock()
         waiter = self._wait_queue.next_waiter(now, customer)
         if waiter is None:
--- a/tests/test_load_control.py
+++ b/tests/test_load_control.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 import random
+import time
 from statistics import mean
 
 import pytest
@@ -7,6 +9,8 @@
 from mangoramp.control.deployment import ReadRule, Route
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
+from mangoramp.control.load_reports import server_checksum
+from mangoramp.control.settings import Features
 from mangoramp.errors import Code, FaultError, Outcome
 from mangoramp.policy.admission import (
     INITIAL_OUTAGE_S,
@@ -29,6 +33,7 @@
 
 from .test_pool import Connector, pool
 from .virtual_time import run_virtual
+from .wire_world import GROUP, World, configuration
 
 TIMEOUTS_S = {0: 0.8, 1: 1.0, 2: 1.2}
 WRITES = 200
@@ -362,3 +367,108 @@
         self.report(site, {"p": (9.0,)})
         assert not self.check(site)
         assert site.admission.hint("g") is None
+
+
+class TestFleet:
+    """Two homes in one process, with real sockets on the loopback interface."""
+
+    TIMEOUT_S = 1.5
+    CUSTOMERS = 30  # too many for each instance to hold connections for all
+
+    @contextlib.asynccontextmanager
+    async def world(self, *, is_enabled=True):
+        async with World(instances=0) as world:
+            tenants = [
+                {
+                    "name": f"t{n}",
+                    "api_keys": [f"k{n}"],
+                    "rate_per_s": 1e4,
+                    "burst": 1e4,
+                }
+                for n in range(self.CUSTOMERS)
+            ]
+            services = [{"name": GROUP, "max_connections": 12}]
+            changes = {"tenants": tenants, "services": services}
+            world.put("config", "main", configuration(2, **changes))
+            features = Features(load_control=is_enabled)
+            for number in range(2):
+                await world.start_instance(f"i{number}", features=features)
+            await world.wait_until(
+                lambda: (
+                    all(len(i.homes.names) == 2 for i in world.instances)
+                    and all(
+                        i.is_ready and not i.homes.is_direct for i in world.instances
+                    )
+                )
+            )
+            yield world
+
+    async def write(self, world, number, instance=0):
+        caller = await world.caller(key=f"k{number}", instance=instance)
+        (line, *_) = await caller.ask(f"WRITE a {number}")
+        caller.close()
+        return line
+
+    async def test_homes_tell_each_other_their_load(self):
+        async with self.world() as world:
+            for number in range(self.CUSTOMERS):
+                assert (await self.write(world, number)).startswith("DONE")
+            primary = server_checksum("s1")
+
+            def is_known():
+                return all(
+                    any(load.rates for load in found)
+                    for i in world.instances
+                    for found, _ in [i._load_reports.loads(i.homes.names, primary)]
+                )
+
+            await world.wait_until(is_known)
+            for instance in world.instances:
+                assert 0 < dict(instance.slot_shares.shares())["s1"] <= 3
+                gauge = ("mangoramp_slot_share", {"server": "s1"})
+                assert instance.registry.get_sample_value(*gauge) > 0
+
+    async def test_an_instance_without_load_control_reports_nothing(self):
+        async with self.world(is_enabled=False) as world:
+            for number in range(self.CUSTOMERS):
+                assert (await self.write(world, number)).startswith("DONE")
+            await asyncio.sleep(0.5)
+            for instance in world.instances:
+                assert instance._load_reports._transport is None
+                assert not dict(instance.slot_shares.shares())
+
+    async def lose_primary(self, world, writes):
+        """Return the replies to writes after the primary is lost, and their times."""
+        world.is_promotion_enabled = False
+        for number in range(self.CUSTOMERS):
+            await self.write(world, number)
+        runs = len(world.group.runs)
+        world.group.servers["s1"].crash()
+        lines, took_s = [], []
+        for number in range(writes):
+            started = time.monotonic()
+            lines.append(await self.write(world, number, number % 2))
+            took_s.append(time.monotonic() - started)
+        assert len(world.group.runs) == runs
+        return lines, took_s
+
+    async def test_callers_learn_at_once_that_the_primary_is_lost(self):
+        async with self.world() as world:
+            lines, took_s = await self.lose_primary(world, writes=12)
+            # The first ones are held until two attempts have failed.
+            assert all("the primary is expected back" in line for line in lines[-8:])
+            assert all(line.startswith("ERR BUSY ") for line in lines[-8:])
+            assert sum(took_s[-8:]) < self.TIMEOUT_S
+            rejected = [
+                i.registry.get_sample_value(
+                    "mangoramp_admission_rejections_total",
+                    {"reason": "outage", "priority": "1"},
+                )
+                for i in world.instances
+            ]
+            assert sum(count or 0 for count in rejected) >= 8
+
+    async def test_callers_are_held_without_load_control(self):
+        async with self.world(is_enabled=False) as world:
+            _, took_s = await self.lose_primary(world, writes=2)
+            assert took_s[-1] > 0.9 * self.TIMEOUT_S
