Wait through resets, cap retry times, report waits cheaply

Cause: two connections reset at once counted as an outage of 2.5 s, so statements were rejected although the primary was back at once. A long overdue outage sent callers away for minutes. A home computed its waits anew for each answer, in time proportional to its queue and its pools.

Change: an outage counts once the primary has not answered for 0.25 s; what is ahead counts as at most 5 s in a retry time; the waits are computed at most every 20 ms for each group.

Ruled out: three failures in a row as the condition, since many pooled connections fail in the same moment.

--- a/mangoramp/policy/admission.py
+++ b/mangoramp/policy/admission.py
@@ -18,6 +18,7 @@
 MAX_OUTAGES = 15  # learned durations that are kept
 EARLY_FRACTION = 0.25  # of the possible ends; a wrong rejection costs as much as a wait
 PROBE_INTERVAL = 8  # one in eight rejected statements is sent all the same
+MAX_AHEAD_S = 5.0  # an outage that is long overdue may still end at any time
 MIN_RETRY_AFTER_S = 0.1  # a connection or slot is usually free by then
 
 
@@ -123,5 +124,5 @@
         ahead_s: Seconds until what is ahead of the statement is done.
         rng: Source of the jitter, which spreads the callers over as long again.
     """
-    ahead_s = max(ahead_s, MIN_RETRY_AFTER_S)
+    ahead_s = min(max(ahead_s, MIN_RETRY_AFTER_S), MAX_AHEAD_S)
     return ahead_s + rng.uniform(0.0, ahead_s)
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -140,15 +141,13 @@
             now: The current time, in seconds.
         """
         done_at = now + STATEMENT_TIME_MARGIN * self.statement_s
-        classes = [
-            min(w.priority, MAX_CLASSES - 1)
-            for w in self._waiters
-            if done_at <= w.due_at
-        ]
-        return tuple(
-            sum(other <= priority for other in classes) * self._interval_s
-            for priority in range(max(classes, default=-1) + 1)
-        )
+        counts = [0] * MAX_CLASSES
+        for waiter in self._waiters:
+            if done_at <= waiter.due_at:
+                counts[min(waiter.priority, MAX_CLASSES - 1)] += 1
+        while counts and not counts[-1]:
+            counts.pop()
+        return tuple(n * self._interval_s for n in itertools.accumulate(counts))
 
     @property
     def _interval_s(self) -> float:
--- a/mangoramp/serving/admission.py
+++ b/mangoramp/serving/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -25,7 +26,9 @@
 if TYPE_CHECKING:
     from .servers import Servers
 
+HINT_TTL_S = 0.02  # a home answers hundreds of batches per second
 MIN_FAILURES = 2  # in a row; a single one is often only a lost connection
+MIN_SILENCE_S = 0.25  # a server that resets its connections is back sooner
 
 
 class AdmissionControl:
@@ -56,6 +59,7 @@
         )
         self._reported_silences: dict[str, float] = {}
         self._backlogs: defaultdict[tuple[str, str], Backlog] = defaultdict(Backlog)
+        self._hints: dict[str, tuple[float, LoadHint]] = {}
         self._probes = ProbeCounter()
         self._rejections = Counter(
             "mangoramp_admission_rejections",
@@ -153,8 +157,14 @@
         if not self.is_enabled:
             return None
         now = self._servers.clock()
-        state = self._servers.group(group)
-        self._observe(state, now)
+        made_at, hint = self._hints.get(group, (-math.inf, LoadHint()))
+        if now - made_at >= HINT_TTL_S:
+            hint = self._make_hint(group, now)
+            self._hints[group] = (now, hint)
+        return hint
+
+    def _make_hint(self, group: str, now: float) -> LoadHint:
+        self._observe(self._servers.group(group), now)
         began_at = self._silences[group].began_at
         waiting = (
             (pool.server.id, pool.waits_by_class())
@@ -175,8 +185,9 @@
             home: The home.
             message: The request.
             answer: The home's answer.
-            asked_at: When the request was sent, in seconds; since the report was made
-                later, the waits have shrunk by no more than the time since then.
+            asked_at: When the request was sent, in seconds. The report was made at most
+                ``HINT_TTL_S`` earlier, so the waits have shrunk by no more than the
+                time since then.
         """
         if not self.is_enabled or not isinstance(message, RunBatch):
             return
@@ -185,9 +196,11 @@
         load = answer.load
         for server_id in self._servers.group(message.group).servers:
             waits = load.waits.get(server_id, ())
-            self._backlogs[home, server_id].record(waits, asked_at)
+            self._backlogs[home, server_id].record(waits, asked_at - HINT_TTL_S)
         if load.silent_s is not None:
-            self._reported_silences[message.group] = asked_at - load.silent_s
+            self._reported_silences[message.group] = (
+                asked_at - HINT_TTL_S - load.silent_s
+            )
 
     def _observe(self, group: GroupState, now: float) -> OutageEstimate:
         silence, vacancy = self._silences[group.name], self._vacancies[group.name]
@@ -203,7 +216,10 @@
             silence.record_up(now)
             vacancy.record_up(now)
             self._reported_silences.pop(group.name, None)
-        elif primary.failures >= MIN_FAILURES:
+        elif (
+            primary.failures >= MIN_FAILURES
+            and now - primary.failing_since >= MIN_SILENCE_S
+        ):
             # The home has noticed the silence before an instance without traffic.
             reported_at = self._reported_silences.get(group.name, now)
             silence.record_down(min(primary.failing_since, reported_at))
