--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -44,6 +44,7 @@
     DRAINING = "draining"
     COLD = "cold"
     PACE = "pace"
+    SHARE = "share"
     WINDOW = "window"
     CONNECTIONS = "connections"
     PINNED = "pinned"
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -96,6 +96,9 @@
 TRANSACTION_RETRIED = Event(249, "INFO", "statement of a transaction retried")
 TRANSACTION_LOST = Event(250, "INFO", "transaction lost with its connection")
 COMMIT_OUTCOME_UNKNOWN = Event(251, "WARNING", "commit outcome unknown, no answer")
+ADMISSION_REJECTED = Event(
+    260, "INFO", "statement rejected, it cannot be served in time"
+)
 DEPLOYMENT_CHANGED = Event(320, "INFO", "configuration in force")
 ENTRY_UNREADABLE = Event(321, "WARNING", "object of the store cannot be decoded")
 ENDPOINT_CHANGED = Event(322, "INFO", "registry entry of a server changed")
@@ -118,6 +121,8 @@
 EVACUATION_DRAINED = Event(
     338, "INFO", "last statement in an evacuated failure domain ended"
 )
+SLOT_SHARE_CHANGED = Event(340, "INFO", "share of a server's concurrency changed")
+LOAD_REPORTS_OFF = Event(341, "ERROR", "load reports to other homes not possible")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
 PACE_STARTED = Event(440, "INFO", "load of a server limited, grows with its answers")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -18,6 +18,7 @@
 from .control.evacuations import Evacuations
 from .control.instance_list import InstanceList
 from .control.limits import CustomerLimits
+from .control.load_reports import LoadReports
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
@@ -27,6 +28,7 @@
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
     INSTANCE_STOPPING,
+    LOAD_REPORTS_OFF,
     SETTINGS_RELOADED,
     TASK_FAILED,
     emit,
@@ -42,6 +44,7 @@
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
 from .proxies.links import Links
+from .serving.admission import AdmissionControl
 from .serving.batches import BatchMessage
 from .serving.executor import Executor
 from .serving.gateway import Gateway
@@ -49,6 +52,7 @@
 from .serving.operation import Ticket
 from .serving.reading import Reader
 from .serving.servers import Servers
+from .serving.shares import SlotShares
 from .serving.statement_metrics import StatementMetrics
 from .serving.transactions import TransactionRunner
 from .serving.writing import Writer
@@ -136,6 +140,12 @@
             self._request_news,
             self.evacuations,
         )
+        self._admission = AdmissionControl(
+            self.servers,
+            is_enabled=cfg.features.load_control,
+            rng=rng,
+            registry=self.registry,
+        )
         self.homes = Homes(
             cfg.name,
             self.servers,
@@ -144,6 +154,13 @@
             links=self._links,
             heard_at=self.peers.last_report_at,
             has_majority=lambda: self.peers.has_majority,
+            admission=self._admission,
+        )
+        self._load_reports = LoadReports(
+            cfg.name, self._load_address_of, boot_time, rng
+        )
+        self.slot_shares = SlotShares(
+            self.servers, self._load_reports, self._fellow_homes
         )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
@@ -153,6 +170,7 @@
             self._promoter.is_primary_unreachable,
             self.homes,
             self._acquire_ticket,
+            self._admission,
         )
         reader = Reader(executor, cfg.failure_domain)
         self._has_caught_up = asyncio.Event()
@@ -214,6 +232,9 @@
             self._link_server.run,
         ):
             self._start(duty)
+        if self.cfg.features.load_control:
+            await self._listen_to_loads()
+            self._start(self.slot_shares.run)
         asyncio.get_running_loop().call_later(CATCH_UP_S, self._check_caught_up)
         emit(
             INSTANCE_STARTED,
@@ -222,6 +243,13 @@
             first=self.cfg.is_first_start,
         )
 
+    async def _listen_to_loads(self) -> None:
+        try:
+            await self._load_reports.listen(_load_address(self.cfg.peers))
+        except (OSError, OverflowError) as exc:
+            # Without the others' load, the pools adapt to the servers' rejections.
+            emit(LOAD_REPORTS_OFF, reason=str(exc))
+
     async def stop(self) -> None:
         """Drain requests and stop, within the grace period."""
         emit(INSTANCE_STOPPING, name=self.cfg.name)
@@ -266,6 +294,7 @@
             self._link_server.close()
         self._links.close()
         self.servers.close()
+        self._load_reports.close()
         self.peers.close()
         self._client.close()
         self._promotion_client.close()
@@ -291,6 +320,7 @@
             self.servers.evict_expired()
             self.evacuations.log_drained()
             self.homes.evict_expired_pins()
+            self._admission.observe_groups()
             self._share_connections()
             self._news_fetcher.check_peers()
             self._check_caught_up()
@@ -368,6 +398,14 @@
     def _needs_all_counts(self) -> bool:
         return self.cluster_state.has_deployment.is_set() and self.homes.is_direct
 
+    def _fellow_homes(self) -> list[str]:
+        homes = [] if self.homes.is_direct else self.homes.names
+        return homes if self.cfg.name in homes else []
+
+    def _load_address_of(self, name: str) -> Address | None:
+        address = self.peers.address_of(name)
+        return _load_address(address) if address is not None else None
+
     def _link_address(self, name: str) -> str | None:
         address = self.peers.address_of(name)
         return _link_url(address) if address is not None else None
@@ -416,6 +454,12 @@
         )
 
 
+def _load_address(peer_address: Address) -> Address:
+    """Return the address of load reports, on the port next to the peer port."""
+    host, port = peer_address
+    return host, port + 1
+
+
 def _link_url(address: Address) -> str:
     host, port = address
     return f"tcp://{host}:{port}"
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -9,7 +9,8 @@
 from ..control.group import CapacityState, Limit, Server
 from ..events import CONNECTION_REFUSED, emit
 from ..policy.handover import Handover
-from ..policy.wait_queue import Waiter
+from ..policy.primary_reserve import PrimaryReserve
+from ..policy.wait_queue import MAX_CLASSES, Waiter
 from ..policy.window import ConcurrencyWindow
 from .capacity import Capacity
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
@@ -42,6 +43,11 @@
         capacity: The server's cold limit and pace, None for neither.
         pins: Bounds the connections that transactions hold, None for no bound.
         handover: The customers whose connections move to or from this process.
+
+    Attributes:
+        opened: Connections opened since the start.
+        answers: Answers received since the start.
+        handovers: Connections acquired since the start, by priority class.
     """
 
     def __init__(
@@ -58,6 +64,8 @@
         self.server = server
         self.limit = limit
         self.opened = 0
+        self.answers = 0
+        self.handovers: dict[int, int] = {}
         self._connector = connector
         self.clock = clock
         self._idle = IdleConnections()
@@ -66,6 +74,10 @@
         self._active = 0
         self._waiting = WaitingRequests(clock, "a connection")
         self._timer: asyncio.TimerHandle | None = None
+        self._reserve = PrimaryReserve()
+        self._share: int | None = None
+        self._share_interval_s = 0.0
+        self._cold_interval_s = 0.0
         self.capacity = capacity
         self._pins = pins
         self._pinned: set[ServerConnection] = set()
@@ -94,6 +106,8 @@
         state = self.capacity.state(self._active) if self.capacity is not None else None
         if state is not None:
             return state
+        if not self._is_in_share(self._active):
+            return CapacityState(Limit.SHARE, f"{self._share} statements in flight")
         if not self._window.has_room(self._active):
             return CapacityState(Limit.WINDOW, f"{self._active} statements in flight")
         if self._pins is not None and len(self._pins):
@@ -112,6 +126,41 @@
         """Return whether the server's evacuation, if any, still allows a request."""
         return self.server.may_send(self.clock(), in_transaction=in_transaction)
 
+    @property
+    def in_flight(self) -> int:
+        """Statements and openings of connections in flight at the server."""
+        return self._active
+
+    def waiting_by_class(self) -> dict[int, int]:
+        """Return the number of requests that wait, by priority class."""
+        found: dict[int, int] = {}
+        for waiter in self._waiting.queue:
+            priority = min(waiter.priority, MAX_CLASSES - 1)
+            found[priority] = found.get(priority, 0) + 1
+        return found
+
+    def waits_by_class(self) -> tuple[float, ...]:
+        """Return the seconds until a new request is served, by priority class.
+
+        The last entry also holds for less urgent classes; empty if nothing waits.
+        """
+        return self._waiting.queue.waits_by_class(self.clock())
+
+    def set_share(self, limit: int | None, interval_s: float) -> None:
+        """Limit the statements in flight to this home's share of the server.
+
+        Args:
+            limit: The limit, None for none.
+            interval_s: Average seconds between two statements that the share allows.
+        """
+        self._share = limit
+        self._share_interval_s = interval_s
+        self._update_min_interval()
+        free = self.limit - self._count + len(self._idle)
+        for woken in range(min(free, len(self._waiting))):
+            if self._has_room(self._active + woken):
+                self._wake_next(in_flight=self._active + woken)
+
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
         return self._idle.has(customer)
@@ -166,6 +215,7 @@
                 that of a statement.
             has_failed: Whether the server failed to run a statement.
         """
+        self.answers += 1
         if was_refused:
             self._window.record_refusal(self._active, self.clock())
         else:
@@ -203,7 +253,7 @@
         else:
             self._idle.add(conn, customer, self.clock())
         self._wake_next(customer)
-        if self._window.has_room(self._active + 1):
+        if self._has_room(self._active + 1):
             # The window has grown: a second waiter can be served.
             self._wake_next(in_flight=self._active + 1)
 
@@ -258,9 +308,11 @@
                 raise NoConnectionError(EVACUATED_REASON, is_reachable=True)
             if self.server.is_evacuated:
                 deadline = min(deadline, now + EVACUATED_WAIT_S)
+            self._check_reserve(urgency, waiter)
             if waiter is not None or self._may_overtake():
                 conn = await self._try_acquire(customer, work.requests)
                 if conn is not None:
+                    self._record_handover(urgency)
                     if len(self._waiting) and self._is_limited():
                         self._wake_next()  # the limits may allow several at once
                     return conn
@@ -269,7 +321,25 @@
             self._check_cold(work.requests, deadline)
             if waiter is None:
                 waiter = self._waiting.enqueue(customer, urgency, now)
-            await self._wait(waiter, work.requests)
+            await self._wait(waiter, work.requests, urgency)
+
+    def _record_handover(self, urgency: Urgency) -> None:
+        priority = min(urgency.priority, MAX_CLASSES - 1)
+        self.handovers[priority] = self.handovers.get(priority, 0) + 1
+
+    def _check_reserve(self, urgency: Urgency, waiter: Waiter | None) -> None:
+        if not urgency.is_deferrable:
+            return
+        share = self.limit if self._share is None else self._share
+        concurrency = max(1.0, min(self._window.size, self.limit, share))
+        reserved = self._reserve.reserved(urgency.priority, concurrency, self.clock())
+        if reserved and self._active >= concurrency - reserved:
+            if waiter is not None:
+                self._wake_next()  # it may have been given a connection
+            raise NoConnectionError(
+                "the primary is reserved for work that only it can run",
+                is_reachable=True,
+            )
 
     def _may_overtake(self) -> bool:
         """Whether a request that has just arrived may go before those that wait.
@@ -285,7 +355,7 @@
     async def _try_acquire(
         self, customer: str, requests: int
     ) -> ServerConnection | None:
-        if not self._window.has_room(self._active):
+        if not self._has_room(self._active):
             return None
         capacity = self.capacity if self._is_limited() else None
         reservation = None
@@ -310,11 +380,23 @@
             capacity.hold(conn, reservation)
         return conn
 
+    def _has_room(self, in_flight: int) -> bool:
+        return self._is_in_share(in_flight) and self._window.has_room(in_flight)
+
+    def _is_in_share(self, in_flight: int) -> bool:
+        return self._share is None or in_flight < self._share
+
+    def _update_min_interval(self) -> None:
+        self._waiting.queue.min_interval_s = max(
+            self._share_interval_s, self._cold_interval_s
+        )
+
     def _check_cold(self, requests: int, deadline: float) -> None:
         capacity = self.capacity
         if capacity is not None and capacity.cold is not None:
             part = capacity.cold.part
-            self._waiting.queue.min_interval_s = 1 / part if part else 0.0
+            self._cold_interval_s = 1 / part if part else 0.0
+            self._update_min_interval()
             capacity.check_cold(requests, deadline)
 
     def _may_open(self, customer: str) -> bool:
@@ -394,7 +476,7 @@
             return
         raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
 
-    async def _wait(self, waiter: Waiter, requests: int) -> None:
+    async def _wait(self, waiter: Waiter, requests: int, urgency: Urgency) -> None:
         timeout_s = waiter.deadline - self.clock()
         delay_s = self._open_blocked_until - self.clock()
         if 0 < delay_s < timeout_s:
@@ -402,7 +484,14 @@
         self._waiting.queue.statement_s = self.server.latency_s
         # Armed first: the request itself may be all that waits.
         self._arm_timer(requests)
-        await self._waiting.wait(waiter, timeout_s=timeout_s)
+        if urgency.is_deferrable:
+            await self._waiting.wait(waiter, timeout_s=timeout_s)
+            return
+        self._reserve.start_wait(urgency.priority)
+        try:
+            await self._waiting.wait(waiter, timeout_s=timeout_s)
+        finally:
+            self._reserve.end_wait(urgency.priority, self.clock())
 
     def _wake_next(self, customer: str = "", in_flight: int | None = None) -> None:
         """Wake the next waiter to acquire a connection, if the limits allow a request.
@@ -414,9 +503,11 @@
         """
         if not len(self._waiting):
             return
+        in_flight = self._active if in_flight is None else in_flight
+        if not self._is_closed and not self._is_in_share(in_flight):
+            return  # woken when the share grows or another statement ends
         if self._is_limited():
             assert self.capacity is not None
-            in_flight = self._active if in_flight is None else in_flight
             if not self.capacity.has_room(in_flight, 1):
                 self._arm_timer(1)
                 return
@@ -439,6 +530,7 @@
         if self._is_limited():
             self._wake_next()
             return
-        self._waiting.queue.min_interval_s = 0.0
+        self._cold_interval_s = 0.0
+        self._update_min_interval()
         for _ in range(self.limit):
             self._wake_next()
--- a/mangoramp/serving/urgency.py
+++ b/mangoramp/serving/urgency.py
@@ -27,8 +27,11 @@
         priority: The priority class; 0 is the most urgent.
         due_s: Seconds until the request misses its latency objective.
         timeout_s: Maximum wait for a connection in seconds.
+        is_deferrable: Whether the request is a read at the primary that a replica can
+            serve.
     """
 
     priority: int
     due_s: float
     timeout_s: float
+    is_deferrable: bool = False
