--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -16,7 +16,7 @@
 from mangoramp.serving.pool import NoConnectionError, ServerPool, Urgency
 from mangoramp.serving.shares import SlotShares
 
-from .virtual_time import run
+from .virtual_time import run as run_virtual
 
 SLOTS = 4
 MAX_QUEUE = 24
@@ -139,7 +139,7 @@
         self.number = itertools.count(1)
 
     def run(self):
-        run(self._run())
+        run_virtual(self._run())
         return self
 
     async def _run(self):
@@ -206,10 +206,9 @@
 
     async def statement(self, customer, priority):
         clock, kind = self.clock, CLASSES[priority]
-        names = [h.name for h in self.holders]
-        pool = self.holders[
-            names.index(home_for(customer, dict.fromkeys(names, 1)))
-        ].pool
+        holders = {h.name: h for h in self.holders}
+        home = home_for(customer, dict.fromkeys(holders, 1))
+        pool = holders[home].pool
         started, pauses = clock(), StatementBackoff()
         service_s = self.rng.uniform(*SERVICE_S)
         self.results[priority][0] += 1
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from types import SimpleNamespace
 
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
@@ -18,6 +17,17 @@
 HANDSHAKE_S, STATEMENT_S = 0.012, (0.003, 0.019)
 
 
+class Connection:
+    """A connection; pools use connections as keys."""
+
+    def __init__(self):
+        self.context = ConnectionContext()
+        self.is_open = True
+
+    def close(self):
+        self.is_open = False
+
+
 class Backend:
     """A server with few slots; a handshake occupies one like a statement."""
 
@@ -34,9 +44,7 @@
         async with self.slots:
             await asyncio.sleep(HANDSHAKE_S)
         self.opening -= 1
-        conn = SimpleNamespace(context=ConnectionContext(), is_open=True)
-        conn.close = lambda: setattr(conn, "is_open", False)
-        return conn
+        return Connection()
 
     async def run(self, took_s):
         async with self.slots:
--- a/tests/test_load_control.py
+++ b/tests/test_load_control.py
@@ -32,7 +32,7 @@
 from mangoramp.sessions.session import Session
 
 from .test_pool import Connector, pool
-from .virtual_time import run
+from .virtual_time import run as run_virtual
 from .wire_world import GROUP, World, configuration
 
 TIMEOUTS_S = {0: 0.8, 1: 1.0, 2: 1.2}
@@ -174,7 +174,9 @@
 
     def test_writes_are_served_through_a_crowd_of_reads(self):
         """Writes of class 0 wait behind reads that a replica can serve."""
-        on, off = (run(self.crowd(is_deferrable=value)) for value in (True, False))
+        on, off = (
+            run_virtual(self.crowd(is_deferrable=value)) for value in (True, False)
+        )
         assert len(on["writer"]) == WRITES
         assert len(off["writer"]) < 0.5 * WRITES
         assert mean(on["writer"]) < 0.1 * mean(off["writer"])
--- a/tests/test_slot_shares.py
+++ b/tests/test_slot_shares.py
@@ -18,6 +18,7 @@
 from mangoramp.serving.shares import REPORT_INTERVAL_S, load_demand
 
 from .load_world import CLASSES, SLOTS, Endpoint4, FakeConnector, Holder, World
+from .virtual_time import run as run_virtual
 
 
 class TestComparison:
@@ -218,7 +219,7 @@
             await asyncio.sleep(0.1)
             return held, two, all(task.done() for task in tasks)
 
-        assert run(run()) == ([False] * 3, 2, True)
+        assert run_virtual(run()) == ([False] * 3, 2, True)
 
     def test_no_share_applies_to_an_instance_that_is_no_home(self):
         world = World(2, "shares", 1)
@@ -236,6 +237,6 @@
             holder.shares.tick()
             return with_share, holder.pool._share
 
-        with_share, without = run(run())
+        with_share, without = run_virtual(run())
         assert with_share is not None
         assert without is None
