--- a/mangoramp/policy/cold_limit.py
+++ b/mangoramp/policy/cold_limit.py
@@ -14,7 +14,7 @@
 from ._rendezvous import rendezvous_order
 
 WINDOW_S = 1.0
-WINDOW_MARGIN_S = 0.005  # the clock is read shortly before a request is sent
+WINDOW_MARGIN_S = 0.02  # a process may be suspended between clock and send
 
 
 def cold_limit(rate: float, overage: float, slack: float) -> float:
--- a/tests/pace_world.py
+++ b/tests/pace_world.py
@@ -64,6 +64,7 @@
 
 CASES = {
     "fast at once": Case(),
+    "fast, full load": Case(load=0.95),
     "slow at first": Case(slowness=lambda t: max(1.0, 8 - 7 * t / 3)),
     "says healthy, fails": Case(failing=lambda t: 0.4 if t < 3 else 0.0),
     "flaps": Case(is_up=lambda t: t % 1.4 < 0.7, load=0.3),
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -160,7 +160,7 @@
         assert limit.wait_s(1, 0.0) == 0
         limit.reserve(2)
         limit.record_sent(2, 0.5)
-        assert limit.wait_s(1, 1.0) == pytest.approx(0.505)
+        assert limit.wait_s(1, 1.0) == pytest.approx(0.52)
         assert limit.wait_s(3, 1.0) == float("inf")
 
     def test_begins_statements_and_commits_are_requests(self):
