--- a/mangoramp/control/deployment.py
+++ b/mangoramp/control/deployment.py
@@ -47,10 +47,14 @@
     Attributes:
         name: The group's name.
         max_connections: Connections each of its servers accepts, from all instances.
+        cold_start_s: Seconds that a server stays cold after its start.
+        cold_rate: Requests per second that a cold server can take; 0 for no limit.
     """
 
     name: str
     max_connections: int
+    cold_start_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangoramp/control/settings.py
+++ b/mangoramp/control/settings.py
@@ -17,6 +17,10 @@
         draining_s: Seconds after which a draining server gets no new work.
         grace_s: Seconds between the stop signal and the end of the process.
         rate_window_s: Length of the window for a customer's rate limit, in seconds.
+        evacuation_s: Seconds after which the servers of an evacuated failure domain
+            get no more requests; 0 if evacuations are not supported.
+        cold_overage: Factor by which a cold server's request rate may be exceeded.
+        cold_slack: Requests that a cold server may get beyond that in any second.
     """
 
     settled_s: float = 4.0
@@ -24,6 +28,24 @@
     draining_s: float = 7.0
     grace_s: float = 6.0
     rate_window_s: float = 5.0
+    evacuation_s: float = 0.0
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """The parts that the deployment switches on.
+
+    Attributes:
+        evacuation: Whether operators may evacuate failure domains.
+        load_control: Whether load is controlled over all instances.
+        server_health: Whether servers are judged by their answers.
+    """
+
+    evacuation: bool = False
+    load_control: bool = False
+    server_health: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +65,7 @@
         is_first_start: Whether the deployment as a whole starts for the first time.
         bounds: The time limits to keep.
         strength: Relative capacity, compared with that of other instances.
+        features: The parts that are switched on.
     """
 
     name: str
@@ -57,3 +80,4 @@
     is_first_start: bool = False
     bounds: Bounds = Bounds()
     strength: int = 1
+    features: Features = Features()
--- a/mangoramp/platform/configuration.py
+++ b/mangoramp/platform/configuration.py
@@ -31,6 +31,8 @@
 class _Service(msgspec.Struct):
     name: str
     max_connections: int = 16  # to each server of the group, across all callers
+    cold_start_s: float = 0  # after a server's start
+    cold_per_s: float = 0  # requests that a cold server can take; 0 for no limit
 
 
 class _Limits(msgspec.Struct):
@@ -69,7 +71,7 @@
     return Deployment(
         version=found.version,
         routes=routes,
-        groups={s.name: Group(s.name, s.max_connections) for s in found.services},
+        groups={s.name: _group(s) for s in found.services},
         customers={
             t.name: Customer(t.name, t.rate_per_s, t.burst) for t in found.tenants
         },
@@ -78,6 +80,15 @@
     )
 
 
+def _group(raw: _Service) -> Group:
+    return Group(
+        name=raw.name,
+        max_connections=raw.max_connections,
+        cold_start_s=raw.cold_start_s,
+        cold_rate=raw.cold_per_s,
+    )
+
+
 def _route(raw: _Route) -> Route:
     age_ms = raw.max_staleness_ms
     return Route(
--- a/mangoramp/platform/settings.py
+++ b/mangoramp/platform/settings.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..control.settings import Address, Bounds, InstanceSettings
+from ..control.settings import Address, Bounds, Features, InstanceSettings
 
 SETTINGS_PATH_VARIABLE = "MANGORAMP_BOOT"
 MAX_PORT = 65_535
@@ -28,6 +28,9 @@
     drain_ms: float = 7000
     grace_s: float = 6
     quota_window_s: float = 5
+    evacuate_ms: float = 0  # 0 or absent: evacuations are not supported
+    cold_overage: float = 0
+    cold_slack: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -53,6 +56,7 @@
     seeds: tuple[str, ...] = ()  # control addresses; only their hosts are used
     heartbeat_ms: float = 1200
     bootstrap: bool = False
+    contracts: tuple[str, ...] = ()  # names of optional parts that are required
 
 
 def settings_path() -> Path:
@@ -92,6 +96,15 @@
         is_first_start=raw.bootstrap,
         bounds=_bounds(raw.bounds),
         strength=_statements_per_s(raw.limits),
+        features=_features(raw),
+    )
+
+
+def _features(raw: _File) -> Features:
+    return Features(
+        evacuation=raw.bounds.evacuate_ms > 0,
+        load_control="pressure" in raw.contracts,
+        server_health="health" in raw.contracts,
     )
 
 
@@ -108,6 +121,9 @@
         draining_s=raw.drain_ms / 1000,
         grace_s=raw.grace_s,
         rate_window_s=raw.quota_window_s,
+        evacuation_s=max(0.0, raw.evacuate_ms / 1000),
+        cold_overage=raw.cold_overage,
+        cold_slack=raw.cold_slack,
     )
 
 
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -2,6 +2,7 @@
 from returns.result import Success
 
 from mangoramp.control.deployment import ReadRule
+from mangoramp.control.settings import Features
 from mangoramp.platform.configuration import decode_deployment
 from mangoramp.platform.registry import decode_endpoint
 from mangoramp.platform.settings import load_instance_settings
@@ -33,6 +34,25 @@
         assert cfg.seeds == (("127.0.0.2", 7560),)
         assert cfg.bounds.grace_s == 6
 
+    def test_parts_are_off_unless_the_file_switches_them_on(self, tmp_path):
+        """Guards against other behaviour in a deployment that asks for nothing new."""
+        cfg = self.load(tmp_path, SETTINGS + "[bounds]\nevacuate_ms = 0\n").unwrap()
+        assert cfg.features == Features()
+        assert cfg.bounds.evacuation_s == 0
+
+    def test_the_file_switches_each_part_on(self, tmp_path):
+        """Guards against a part that stays off although the deployment requires it."""
+        extra = "[bounds]\nevacuate_ms = 5000\ncold_overage = 1.5\ncold_slack = 5\n"
+        contracts = 'contracts = ["health", "unknown"]\n'
+        cfg = self.load(tmp_path, contracts + SETTINGS + extra).unwrap()
+        assert cfg.features == Features(evacuation=True, server_health=True)
+        bounds = cfg.bounds
+        assert (bounds.evacuation_s, bounds.cold_overage, bounds.cold_slack) == (
+            5,
+            1.5,
+            5,
+        )
+
     @pytest.mark.parametrize(
         ("change", "named"),
         [
@@ -63,6 +83,12 @@
         assert route.rule is ReadRule.PRIMARY
         assert not route.open_to_all
 
+    def test_reads_what_a_cold_server_can_take(self):
+        services = b'[{"name":"g","cold_start_s":8,"cold_per_s":20},{"name":"h"}]'
+        found = decode_deployment(b'{"version": 3, "services": %s}' % services).groups
+        assert (found["g"].cold_start_s, found["g"].cold_rate) == (8, 20)
+        assert (found["h"].cold_start_s, found["h"].cold_rate) == (0, 0)
+
     @pytest.mark.parametrize("raw", [b"{}", b"[]", b'{"version": "x"}', b"\xff{"])
     def test_what_cannot_be_read_is_refused(self, raw):
         with pytest.raises(ValueError, match=r".+"):
@@ -76,7 +102,9 @@
     )
 
     def test_reads_an_entry(self):
-        endpoint = decode_endpoint("s1", self.ENTRY.encode())
+        entry = self.ENTRY.replace('"cold_remaining_ms":0', '"cold_remaining_ms":1500')
+        endpoint = decode_endpoint("s1", entry.encode())
+        assert endpoint.cold_remaining_s == 1.5
         assert endpoint.address == ("10.0.0.1", 80)
         assert not endpoint.is_primary
 
