Run a read that a server failed again at another server

A server that fails a part of its statements while its health check passes made the reads routed to it fail, although other servers would have answered. A read has no effect, so with server_health a read that a server failed (FAILED, or an answer without a signature) runs again at another server that is fresh enough at that time. Where only the primary can run it, it is asked again. Transactions and writes are not touched.

Ruled out: retrying error codes that are not known (a malformed statement fails everywhere), and one budget for all groups (a failing group would use up that of the others).

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -47,6 +47,7 @@
 from .serving.homes import Homes
 from .serving.operation import Ticket
 from .serving.reading import Reader
+from .serving.server_health import ServerHealth
 from .serving.servers import Servers
 from .serving.statement_metrics import StatementMetrics
 from .serving.transactions import TransactionRunner
@@ -135,7 +136,9 @@
             self.homes,
             self._acquire_ticket,
         )
-        reader = Reader(executor, cfg.failure_domain)
+        has_health = cfg.features.server_health
+        self.health = ServerHealth(self.registry) if has_health else None
+        reader = Reader(executor, cfg.failure_domain, self.health)
         self._has_caught_up = asyncio.Event()
         self.gateway = Gateway(
             deployment=lambda: self.cluster_state.deployment,
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..control.deployment import ReadRule
 from ..control.group import GroupState, Server
-from ..errors import Code
+from ..errors import Code, FaultError
 from ..events import READ_RETRIED, READ_ROUTED, emit
 from ..policy.placement import Replica, choose_replica, preferred_replica
 from ..policy.position import Position
@@ -22,10 +22,12 @@
 )
 from .executor import Executor
 from .operation import Operation, outcome_unknown_error
+from .server_health import ServerHealth
 
 MIN_ATTEMPT_TIMEOUT_S = 0.25  # the longest statement under normal load
 ATTEMPT_TIMEOUT_FACTOR = 8.0  # multiple of the server's usual latency
 REPLICA_CONNECTION_WAIT_S = 0.1  # then another server is tried
+MAX_FAILURES = 3  # a statement that failed as often is likely to fail everywhere
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,16 +43,47 @@
     age_s: float
 
 
+@dataclass(slots=True)
+class _Progress:
+    """The attempts of one read so far.
+
+    Attributes:
+        tried: The ids of the replicas that did not answer it in this round.
+        failed: The ids of the servers that failed it; replicas do not get it again.
+        failures: How often it failed.
+        failure: The error of the last failure, None if there was none.
+    """
+
+    tried: set[str] = field(default_factory=set)
+    failed: set[str] = field(default_factory=set)
+    failures: int = 0
+    failure: FaultError | None = None
+
+    def record_failure(self, server_id: str, error: FaultError) -> None:
+        """Record that a server failed the read."""
+        self.failed.add(server_id)
+        self.failures += 1
+        self.failure = error
+
+
 class Reader:
     """Runs reads outside transactions.
 
     Args:
         executor: Acquires connections and runs commands.
         failure_domain: The failure domain of this process.
+        health: Grants additional attempts; None if a read that a server failed is not
+            run again.
     """
 
-    def __init__(self, executor: Executor, failure_domain: str) -> None:
+    def __init__(
+        self,
+        executor: Executor,
+        failure_domain: str,
+        health: ServerHealth | None = None,
+    ) -> None:
         self._executor = executor
+        self._health = health
         self._servers = executor.servers
         self._clock = executor.clock
         self._failure_domain = failure_domain
@@ -62,12 +95,18 @@
             FaultError: The read failed or timed out.
         """
         group = self._servers.group(op.route.group)
-        tried: set[str] = set()
-        while True:
-            self._executor.check_time(op, group)
-            answer = await self._try_next(op, statement, group, tried)
-            if answer is not None:
-                return answer
+        progress = _Progress()
+        if self._health is not None:
+            self._health.record_read(group.name)
+        try:
+            while True:
+                self._executor.check_time(op, group)
+                answer = await self._try_next(op, statement, group, progress)
+                if answer is not None:
+                    return answer
+        except FaultError as exc:
+            # A server ran the read, so that "not run" would not be true.
+            raise progress.failure or exc from None
 
     def choose(
         self, op: Operation, excluded: set[str]
@@ -139,19 +178,24 @@
         op: Operation,
         statement: Read | Execute,
         group: GroupState,
-        tried: set[str],
+        progress: _Progress,
     ) -> Answer | None:
-        chosen = self.choose(op, tried)
+        chosen = self.choose(op, progress.tried | progress.failed)
         if chosen is not None:
             server, need = chosen
-            tried.add(server.id)
-            return await self._read_from_replica(op, statement, server, need)
-        tried.clear()
+            progress.tried.add(server.id)
+            return await self._read_from_replica(op, statement, server, need, progress)
+        progress.tried.clear()
         server = await self._executor.primary(op)
-        return await self._read_from_primary(op, statement, group, server)
+        return await self._read_from_primary(op, statement, group, server, progress)
 
     async def _read_from_replica(
-        self, op: Operation, statement: Read | Execute, server: Server, need: ReadNeed
+        self,
+        op: Operation,
+        statement: Read | Execute,
+        server: Server,
+        need: ReadNeed,
+        progress: _Progress,
     ) -> Answer | None:
         command = RunFor(op.request_id, statement, after=need.position)
         answers = await self._attempt(op, server, (command,), REPLICA_CONNECTION_WAIT_S)
@@ -162,7 +206,7 @@
             server.record_applied(need.age_s)
         elif answer.refusal is Refusal.BEHIND:
             server.record_lag(need.age_s)
-        return await self._check_answer(op, server, answer)
+        return await self._check_answer(op, server, answer, progress)
 
     async def _read_from_primary(
         self,
@@ -170,6 +214,7 @@
         statement: Read | Execute,
         group: GroupState,
         server: Server,
+        progress: _Progress,
     ) -> Answer | None:
         # A former primary refuses to open a read-write transaction, but it would answer
         # a plain read with stale data.
@@ -192,7 +237,7 @@
         group.record_position(asked_at, opened.position)
         if answer.refusal is Refusal.NOT_PRIMARY:
             server.not_primary_at = self._clock()
-        return await self._check_answer(op, server, answer)
+        return await self._check_answer(op, server, answer, progress)
 
     async def _attempt(
         self,
@@ -240,24 +285,30 @@
             lease.release()
 
     async def _check_answer(
-        self, op: Operation, server: Server, answer: Answer
+        self, op: Operation, server: Server, answer: Answer, progress: _Progress
     ) -> Answer | None:
-        if answer.refusal is None:
-            if answer.signature:
-                return answer
-            raise outcome_unknown_error(
-                Code.STATEMENT_FAILED, "no signature", peer=server.id
+        if answer.refusal is None and answer.signature:
+            return answer
+        if answer.refusal is not None:
+            emit(
+                READ_RETRIED,
+                id=op.request_id,
+                server=server.id,
+                reason=answer.refusal.value,
             )
-        emit(
-            READ_RETRIED,
-            id=op.request_id,
-            server=server.id,
-            reason=answer.refusal.value,
-        )
-        if answer.refusal in (Refusal.FAILED, Refusal.OTHER):
-            raise outcome_unknown_error(
-                Code.STATEMENT_FAILED, answer.detail, peer=server.id
+        if answer.refusal in (None, Refusal.FAILED, Refusal.OTHER):
+            error = outcome_unknown_error(
+                Code.STATEMENT_FAILED, answer.detail or "no signature", peer=server.id
             )
-        if answer.refusal is not Refusal.BEHIND:
+            if answer.refusal is Refusal.OTHER or not self._may_retry(op, progress):
+                raise error
+            progress.record_failure(server.id, error)
+        elif answer.refusal is not Refusal.BEHIND:
             await self._executor.back_off(op)
         return None
+
+    def _may_retry(self, op: Operation, progress: _Progress) -> bool:
+        """Return whether a read that a server failed may run again, and count it."""
+        if self._health is None or progress.failures + 1 >= MAX_FAILURES:
+            return False
+        return self._health.try_acquire_retry(op.route.group)
--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -1,11 +1,17 @@
-"""Records what the outcome of a batch shows about its server."""
+"""Records what the outcome of a batch shows about its server.
+
+With ``server_health``, also limits the additional attempts of reads.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from prometheus_client import CollectorRegistry, Counter
+
 from ..control.group import Server
+from ..policy.hedging import RETRY_RATIO, AttemptBudget
 from .command import AnswerTimeoutError, ConnectionLostError, NotSentError
 from .lease import HomeLostError, ServerUnreachableError
 from .pool import NoConnectionError
@@ -52,3 +58,33 @@
     """Record a failed attempt to get a connection, if the server was not reached."""
     if not exc.is_reachable:
         server.record_failure(now, str(exc))
+
+
+class ServerHealth:
+    """Grants additional attempts to the reads of each group.
+
+    Args:
+        registry: The Prometheus registry to register the metrics in.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._retry_budgets: dict[str, AttemptBudget] = {}
+        self._retries = Counter(
+            "mangoramp_read_retries",
+            "Reads that failed on one server and were run on another",
+            registry=registry,
+        )
+
+    def record_read(self, group: str) -> None:
+        """Count a read, which adds to its group's budget."""
+        self._retry_budget(group).record_read()
+
+    def try_acquire_retry(self, group: str) -> bool:
+        """Return whether a failed read may run again at another server; count it."""
+        if not self._retry_budget(group).try_acquire():
+            return False
+        self._retries.inc()
+        return True
+
+    def _retry_budget(self, group: str) -> AttemptBudget:
+        return self._retry_budgets.setdefault(group, AttemptBudget(RETRY_RATIO))
