Compare servers by their answers to reads, hedge overdue reads

A server may pass its health check and yet fail 40% of its reads, answer 8 times as slowly, drop answers or go down and up within seconds. With server_health, each instance compares the servers of a group by their answers to reads: failures (Wilson's interval, three standard deviations, against the better half of the others), spells without an answer, and latency (mean of the latest answers and decaying peak against the median replica). An outlier's reads fall in steps of 1/2, 1/4, 1/8 to probes and return in steps. The best replica keeps at least a quarter, and a reduced one is still used while the primary has no free slot. A read whose answer is overdue after the server's 95th percentile is sent to a second server that is free, within 5% of the reads and while the customer has half of its burst; the loser's answer is read before its connection is used again. A home's answer tells how long the server took, so that a wait at the home is not taken for a slow server.

tests/test_server_health.py and the tests of the touched modules pass.

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..events import PRIMARY_CHANGED, SERVER_LOST, SERVER_RECOVERED, emit
+from ..policy.ejection import OutlierDetector
 from ..policy.position import Position
 from ..policy.revision import NO_REVISION, Revision
 from ..policy.samples import PrimarySamples, Sample
@@ -101,10 +102,12 @@
 
     Args:
         name: The group's name.
+        outliers: Compares the servers' answers, None if they are not compared.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, outliers: OutlierDetector | None = None) -> None:
         self.name = name
+        self.outliers = outliers
         self.servers: dict[str, Server] = {}
         self.samples = PrimarySamples()
         self._changed = asyncio.Event()
--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -80,6 +80,21 @@
         self.spent[customer] = self.spent.get(customer, 0) + 1
         return 0.0
 
+    def may_hedge(self, customer: str, now: float) -> bool:
+        """Return whether at least half of a customer's burst is left.
+
+        Below it, a hedged read could use up what the customer's own requests need.
+
+        Args:
+            customer: The customer.
+            now: The time, in seconds.
+        """
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return True
+        level = bucket.current_level(now, self._usable_part(bucket))
+        return level >= NEAR_LIMIT_FRACTION * self._limits[customer].burst
+
     def spent_near_limit(self) -> dict[str, int]:
         """Return the operations admitted here, by customer near its rate limit."""
         return {
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -114,6 +114,11 @@
 REPORT_NOT_SENT = Event(335, "WARNING", "report to a peer could not be sent")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
+SERVER_WEIGHT_REDUCED = Event(
+    420, "WARNING", "server answers worse than others, gets fewer reads"
+)
+SERVER_WEIGHT_RAISED = Event(421, "INFO", "server gets more reads again")
+READ_HEDGED = Event(422, "INFO", "overdue read sent to a second server")
 PROMOTION_CLAIMED = Event(503, "WARNING", "promotion claimed")
 PROMOTION_ENDED = Event(504, "WARNING", "promotion requested")
 PROMOTION_SKIPPED = Event(505, "INFO", "promotion not attempted")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -127,6 +127,7 @@
             links=self._links,
             heard_at=self.peers.last_report_at,
             has_majority=lambda: self.peers.has_majority,
+            may_hedge=self._may_hedge,
         )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
@@ -137,7 +138,12 @@
             self._acquire_ticket,
         )
         has_health = cfg.features.server_health
-        self.health = ServerHealth(self.registry) if has_health else None
+        self.servers.compares_answers = has_health
+        self.health = (
+            ServerHealth(boot_time, self._may_hedge, self.registry)
+            if has_health
+            else None
+        )
         reader = Reader(executor, cfg.failure_domain, self.health)
         self._has_caught_up = asyncio.Event()
         self.gateway = Gateway(
@@ -363,6 +369,9 @@
     def _acquire_ticket(self, customer: str, request_id: str) -> float:
         return self.limits.admit(customer, boot_time(), request_id)
 
+    def _may_hedge(self, customer: str) -> bool:
+        return self.limits.may_hedge(customer, boot_time())
+
     def _admit(self, customer: str, ticket: Ticket) -> float:
         # If customers have homes, only the home sees all of their operations.
         if ticket.is_admitted or not self.homes.is_direct:
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -68,6 +68,20 @@
             for server in group.replicas(now):
                 lag.add_metric((group.name, server.id), server.lag_s)
         yield from (age, lag)
+        yield from self._weights()
+
+    def _weights(self) -> Iterator[Metric]:
+        weight = GaugeMetricFamily(
+            "mangoramp_server_weight",
+            "Share that a server gets of the reads meant for it",
+            labels=("server",),
+        )
+        for group in self._instance.servers.groups.values():
+            if group.outliers is None:
+                return
+            for server_id in group.servers:
+                weight.add_metric((server_id,), group.outliers.weight(server_id))
+        yield weight
 
     def _connections(self) -> Iterator[Metric]:
         labels = ("server",)
--- a/mangoramp/policy/hedging.py
+++ b/mangoramp/policy/hedging.py
@@ -1,14 +1,24 @@
-"""Limits on the additional attempts of reads.
+"""Additional attempts of reads: when they are made and how many.
 
-Addresses servers that fail a part of their statements. A read has no effect, so that it
-may run again at another server. A fault of all servers must not multiply their load,
-therefore additional attempts are limited to a share of the reads.
+Addresses servers that fail a part of their statements, drop answers or answer late. A
+read has no effect, so that it may run at another server, too. A fault of all servers
+must not multiply their load, therefore additional attempts are limited to a share of
+the reads.
 """
 
 from __future__ import annotations
 
-RETRY_RATIO = 0.1  # additional attempts per read
+from collections import deque
+
+RETRY_RATIO = 0.1  # retries per read
+HEDGE_RATIO = 0.05  # hedged attempts per read
 BURST = 20.0  # failures until an outlier is ejected, at 100 reads per second
+MIN_HEDGE_DELAY_S = 0.01  # most statements are answered by then
+MAX_HEDGE_OBJECTIVE_SHARE = 0.5  # leaves the other half to the second attempt
+MAX_LATENCIES = 128
+MIN_LATENCIES = 20  # fewer have no 95th percentile
+QUANTILE = 0.95
+SORT_INTERVAL = 16  # answers after which the percentile is computed again
 
 
 class AttemptBudget:
@@ -34,3 +44,41 @@
             return False
         self._level -= 1.0
         return True
+
+
+class LatencyWindow:
+    """The latest latencies of one server's reads and their 95th percentile."""
+
+    def __init__(self) -> None:
+        self._latencies: deque[float] = deque(maxlen=MAX_LATENCIES)
+        self._unsorted = 0
+        self._p95_s: float | None = None
+
+    def record(self, latency_s: float) -> None:
+        """Add the latency of an answer, in seconds."""
+        self._latencies.append(latency_s)
+        self._unsorted += 1
+
+    @property
+    def p95_s(self) -> float | None:
+        """The 95th percentile in seconds, None while too few latencies are known."""
+        if len(self._latencies) < MIN_LATENCIES:
+            return None
+        if self._p95_s is None or self._unsorted >= SORT_INTERVAL:
+            self._unsorted = 0
+            ordered = sorted(self._latencies)
+            self._p95_s = ordered[int(QUANTILE * len(ordered))]
+        return self._p95_s
+
+
+def hedge_delay_s(p95_s: float | None, objective_s: float) -> float:
+    """Return after which time a read's answer is overdue, in seconds.
+
+    Args:
+        p95_s: The 95th percentile of the server's latency, None if unknown.
+        objective_s: The latency objective of the read.
+    """
+    most_s = MAX_HEDGE_OBJECTIVE_SHARE * objective_s
+    if p95_s is None:
+        return most_s
+    return min(max(p95_s, MIN_HEDGE_DELAY_S), most_s)
--- a/mangoramp/policy/placement.py
+++ b/mangoramp/policy/placement.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from ._rendezvous import rendezvous
@@ -59,7 +59,12 @@
 
 
 def choose_replica(
-    replicas: Iterable[Replica], need: Position, need_age_s: float
+    replicas: Iterable[Replica],
+    need: Position,
+    need_age_s: float,
+    *,
+    admit: Callable[[str], bool] = lambda replica: True,
+    admit_probe: Callable[[str], bool] = lambda replica: False,
 ) -> Replica | None:
     """Choose the replica that is expected to answer first.
 
@@ -68,16 +73,20 @@
         need: The position that the answer must include.
         need_age_s: The least time for which the primary has held that position, in
             seconds.
+        admit: Returns whether a replica that was chosen, given its id, may get the
+            read; an outlier gets only a share.
+        admit_probe: Returns whether a replica gets the read although others are
+            expected to answer sooner, so that it is measured again.
 
     Returns:
-        None if no replica is likely to have reached the position.
+        None if no replica that may get the read is likely to have reached the position.
     """
     suitable = [
         r for r in replicas if not r.is_suspect and _likely_shows(r, need, need_age_s)
     ]
-    if not suitable:
-        return None
-    return min(suitable, key=_expected_s)
+    suitable.sort(key=_expected_s)
+    probed = next((r for r in suitable if admit_probe(r.id)), None)
+    return probed or next((r for r in suitable if admit(r.id)), None)
 
 
 def _likely_shows(replica: Replica, need: Position, need_age_s: float) -> bool:
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -40,6 +40,16 @@
         """Operations that were left when the bucket was last updated."""
         return self._level
 
+    def current_level(self, now: float, part: float) -> float:
+        """Return the operations that are left, negative if too many were reported.
+
+        Args:
+            now: The current time, in seconds.
+            part: The part of the limits that the instances in touch may use.
+        """
+        self._refill(now, part)
+        return self._level
+
     def resize(self, rate: float, burst: float, now: float, part: float) -> None:
         """Change the limits; operations accumulated above the new burst are lost."""
         self._refill(now, part)
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -25,6 +25,8 @@
         handle: The pinned connection to use, 0 for any connection.
         ticket: The id of the operation's first statement if the operation must still be
             charged to the customer's limits, else empty.
+        is_hedge: Whether another server runs the read already, so that it is sent only
+            if the server has capacity and the customer most of its burst.
     """
 
     server: str
@@ -39,6 +41,7 @@
     priority: int = 1
     handle: int = 0
     ticket: str = ""
+    is_hedge: bool = False
 
 
 class BatchRun(Envelope, frozen=True, array_like=True):
@@ -48,11 +51,14 @@
         answers: The answers to the commands, in order.
         handle: The connection that is pinned by an open transaction, 0 for none.
         samples: The home's latest sample of each group's primary.
+        server_s: Seconds that the server took, without the wait for a connection; 0 if
+            unknown.
     """
 
     answers: tuple[Answer, ...]
     handle: int = 0
     samples: tuple[PrimarySampleReport, ...] = ()
+    server_s: float = 0.0
 
 
 class BatchLost(Envelope, frozen=True, array_like=True):
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -66,6 +66,7 @@
         links: The links to other instances.
         heard_at: Returns when a message from an instance was last received, in seconds.
         has_majority: Returns whether most of the instances are in touch.
+        may_hedge: Returns whether a customer's limits allow a hedged read.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         links: Links,
         heard_at: Callable[[str], float],
         has_majority: Callable[[], bool] = lambda: True,
+        may_hedge: Callable[[str], bool] = lambda customer: True,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -87,6 +89,7 @@
         self._links = links
         self._heard_at = heard_at
         self._has_majority = has_majority
+        self._may_hedge = may_hedge
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: list[str] = []
@@ -260,6 +263,8 @@
 
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
+        if message.is_hedge and not self._has_room_to_hedge(message):
+            return BatchNotSent(reason="no capacity for a hedged read")
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
@@ -301,8 +306,15 @@
             answers=answers,
             handle=self._pin_or_release(message.handle, lease, answers),
             samples=self._latest_samples(),
+            server_s=self._clock() - asked_at,
         )
 
+    def _has_room_to_hedge(self, message: RunBatch) -> bool:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None or not self._may_hedge(message.customer):
+            return False
+        return self._servers.pool(server).has_capacity(message.customer)
+
     async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
         server = self._servers.group(message.group).servers.get(message.server)
         if server is None:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -60,6 +60,7 @@
 
     server: Server
     customer: str
+    server_s: float
 
     @property
     def home_name(self) -> str:
@@ -100,6 +101,7 @@
         customer: The customer that owns the connection.
         pool: The pool that the connection belongs to.
         is_parked: Whether the connection is idle inside an open transaction.
+        server_s: Always 0: the time from sending to the answers is the server's.
     """
 
     server: Server
@@ -107,6 +109,7 @@
     customer: str
     pool: ServerPool
     is_parked: bool = False
+    server_s: float = 0.0
 
     @property
     def home_name(self) -> str:
@@ -196,6 +199,7 @@
         urgency: How urgently the connection is needed at the home.
         ticket: Whether the operation has been charged to the customer's limits.
         handle: The home's handle of the pinned connection, 0 for none.
+        server_s: Seconds that the server took for the last commands, 0 if unknown.
     """
 
     server: Server
@@ -205,6 +209,7 @@
     urgency: Urgency
     ticket: Ticket
     handle: int = 0
+    server_s: float = 0.0
     _drop_tasks: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
         default_factory=set, repr=False
     )
@@ -238,6 +243,7 @@
             priority=self.urgency.priority,
             handle=self.handle,
             ticket="" if self.ticket.is_admitted else self.ticket.request_id,
+            is_hedge=self.ticket.is_hedge,
         )
         result = await self.home_client.call(
             self.home, message, timeout_s=timeout_s + HOME_ROUND_TRIP_S
@@ -257,6 +263,7 @@
             raise ConnectionLostError(answer.reason, answer.answers)
         assert isinstance(answer, BatchRun)
         self.handle = answer.handle
+        self.server_s = answer.server_s
         return answer.answers
 
     def release(self) -> None:
--- a/mangoramp/serving/operation.py
+++ b/mangoramp/serving/operation.py
@@ -19,10 +19,12 @@
     Attributes:
         request_id: The id of the operation's first statement.
         is_admitted: Whether the operation has been admitted and charged.
+        is_hedge: Whether it is the second attempt of a read whose first one still runs.
     """
 
     request_id: str
     is_admitted: bool = False
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -105,6 +105,13 @@
         """Return whether a customer has an idle connection."""
         return any(i.customer == customer and i.conn.is_open for i in self._idle)
 
+    def has_capacity(self, customer: str) -> bool:
+        """Return whether a customer's statement could be sent now, without waiting."""
+        has_room = not self.waiting and self._window.has_room(self._active)
+        may_open = self._count < self.limit and self._may_open()
+        is_free = self.server.busy < self.server.endpoint.slots
+        return has_room and is_free and (may_open or self.has_idle(customer))
+
     async def acquire(self, customer: str, urgency: Urgency) -> ServerConnection:
         """Acquire a connection; return it with :meth:`release`.
 
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from ..control.deployment import ReadRule
 from ..control.group import GroupState, Server
 from ..errors import Code, FaultError
-from ..events import READ_RETRIED, READ_ROUTED, emit
-from ..policy.placement import Replica, choose_replica, preferred_replica
-from ..policy.position import Position
+from ..events import READ_HEDGED, READ_RETRIED, READ_ROUTED, emit
 from ..sessions.statement import Execute, Read
 from .command import (
     Answer,
+    AnswerTimeoutError,
     ConnectionLostError,
     NotSentError,
     OpenTransaction,
@@ -21,8 +19,12 @@
     RunFor,
 )
 from .executor import Executor
-from .operation import Operation, outcome_unknown_error
-from .server_health import ServerHealth
+from .hedged_reads import Attempt, Hedger
+from .lease import HomeLostError, ServerUnreachableError
+from .operation import Operation, Ticket, outcome_unknown_error
+from .pool import NoConnectionError
+from .replica_choice import ReadNeed, ReplicaChooser
+from .server_health import MIN_CONCLUSIVE_TIMEOUT_S, ServerHealth
 
 MIN_ATTEMPT_TIMEOUT_S = 0.25  # the longest statement under normal load
 ATTEMPT_TIMEOUT_FACTOR = 8.0  # multiple of the server's usual latency
@@ -30,19 +32,6 @@
 MAX_FAILURES = 3  # a statement that failed as often is likely to fail everywhere
 
 
-@dataclass(frozen=True, slots=True)
-class ReadNeed:
-    """The freshness that a read requires.
-
-    Attributes:
-        position: The position that the server must have applied.
-        age_s: Seconds for which the primary has held this position, at least.
-    """
-
-    position: Position
-    age_s: float
-
-
 @dataclass(slots=True)
 class _Progress:
     """The attempts of one read so far.
@@ -52,12 +41,14 @@
         failed: The ids of the servers that failed it; replicas do not get it again.
         failures: How often it failed.
         failure: The error of the last failure, None if there was none.
+        is_settled: Whether the read has ended, so that no further attempt is sent.
     """
 
     tried: set[str] = field(default_factory=set)
     failed: set[str] = field(default_factory=set)
     failures: int = 0
     failure: FaultError | None = None
+    is_settled: bool = False
 
     def record_failure(self, server_id: str, error: FaultError) -> None:
         """Record that a server failed the read."""
@@ -84,9 +75,12 @@
     ) -> None:
         self._executor = executor
         self._health = health
+        self._hedger = Hedger()
         self._servers = executor.servers
         self._clock = executor.clock
-        self._failure_domain = failure_domain
+        self._chooser = ReplicaChooser(
+            executor, failure_domain, judges_answers=health is not None
+        )
 
     async def run(self, op: Operation, statement: Read | Execute) -> Answer:
         """Run a read, retrying on other servers until the operation times out.
@@ -97,81 +91,27 @@
         group = self._servers.group(op.route.group)
         progress = _Progress()
         if self._health is not None:
-            self._health.record_read(group.name)
+            self._health.record_read(group)
         try:
             while True:
                 self._executor.check_time(op, group)
                 answer = await self._try_next(op, statement, group, progress)
                 if answer is not None:
+                    self._record_failures(group, progress)
                     return answer
         except FaultError as exc:
+            if len(progress.failed) == 1:
+                self._record_failures(group, progress)
             # A server ran the read, so that "not run" would not be true.
             raise progress.failure or exc from None
+        finally:
+            progress.is_settled = True
 
     def choose(
         self, op: Operation, excluded: set[str]
     ) -> tuple[Server, ReadNeed] | None:
-        """Choose a replica for a read; None if the read needs the primary.
-
-        Args:
-            op: The read, or the first statement of a read-only transaction.
-            excluded: The ids of servers to exclude.
-        """
-        group = self._servers.group(op.route.group)
-        now = self._clock()
-        need = self.need(op, group)
-        if need is None:
-            return None
-        replicas = group.replicas(now)
-        preferred = preferred_replica(op.customer, [s.id for s in replicas])
-        servers = {s.id: s for s in replicas if s.id not in excluded}
-        found = choose_replica(
-            (
-                self._candidate(s, op.customer, s.id == preferred, now)
-                for s in servers.values()
-            ),
-            need.position,
-            need.age_s,
-        )
-        return (servers[found.id], need) if found is not None else None
-
-    def need(self, op: Operation, group: GroupState) -> ReadNeed | None:
-        """Return the freshness that a read needs; None if only the primary has it."""
-        route, session = op.route, op.session
-        if route.rule is ReadRule.PRIMARY:
-            return None
-        sample = group.samples.earliest_since(op.fresh_since - route.max_age_s)
-        if sample is None:
-            return None
-        now = self._clock()
-        need = ReadNeed(sample.position, now - sample.asked_at)
-        committed_position = (
-            session.committed_position if route.rule is ReadRule.OWN_WRITES else None
-        )
-        if committed_position is not None and committed_position > need.position:
-            return ReadNeed(committed_position, now - session.committed_at)
-        return need
-
-    def _candidate(
-        self, server: Server, customer: str, is_preferred: bool, now: float
-    ) -> Replica:
-        pool = self._servers.pool(server)
-        # The connections of a home are unknown here; the preferred replica is assumed
-        # to have one.
-        is_own = self._executor.has_own_connections
-        has_connection = pool.has_idle(customer) if is_own else is_preferred
-        return Replica(
-            id=server.id,
-            last_position=server.last_position,
-            lag_s=server.lag_s,
-            latency_s=server.latency_s,
-            busy=server.busy + pool.waiting,
-            slots=server.endpoint.slots,
-            is_near=server.endpoint.failure_domain == self._failure_domain,
-            has_connection=has_connection,
-            is_preferred=is_preferred,
-            is_suspect=server.is_suspect(now),
-        )
+        """Choose a replica for a read; None if the read needs the primary."""
+        return self._chooser.choose(op, excluded)
 
     async def _try_next(
         self,
@@ -180,15 +120,77 @@
         group: GroupState,
         progress: _Progress,
     ) -> Answer | None:
-        chosen = self.choose(op, progress.tried | progress.failed)
+        chosen = self._chooser.choose(
+            op,
+            progress.tried | progress.failed,
+            is_probe_allowed=not progress.failures,
+        )
         if chosen is not None:
             server, need = chosen
             progress.tried.add(server.id)
-            return await self._read_from_replica(op, statement, server, need, progress)
+            first = self._read_from_replica(op, statement, server, need, progress)
+            if self._health is None:
+                return await first
+            return await self._run_hedged(op, statement, group, server, progress, first)
         progress.tried.clear()
         server = await self._executor.primary(op)
         return await self._read_from_primary(op, statement, group, server, progress)
 
+    async def _run_hedged(
+        self,
+        op: Operation,
+        statement: Read | Execute,
+        group: GroupState,
+        server: Server,
+        progress: _Progress,
+        first: Attempt,
+    ) -> Answer | None:
+        assert self._health is not None
+        delay_s = self._health.hedge_delay_s(group, server, op.route.objective_s)
+        answer, outcome = await self._hedger.run(
+            first,
+            delay_s,
+            lambda: self._start_hedge(op, statement, group, server, progress),
+        )
+        if outcome is not None:
+            self._health.record_hedge(outcome.value)
+        return answer
+
+    def _start_hedge(
+        self,
+        op: Operation,
+        statement: Read | Execute,
+        group: GroupState,
+        first: Server,
+        progress: _Progress,
+    ) -> Attempt | None:
+        """Return a second attempt of an overdue read, None if there is to be none."""
+        assert self._health is not None
+        is_local = self._executor.has_own_connections
+        if is_local and not self._health.may_hedge(op.customer):
+            return None
+        hedge = replace(op, ticket=Ticket(op.request_id, is_hedge=True))
+        excluded = progress.tried | progress.failed
+        chosen = self._chooser.choose(hedge, excluded)
+        server = chosen[0] if chosen else self._free_primary(op, group)
+        if server is None or not self._chooser.has_capacity(server, op.customer):
+            return None
+        if not self._health.try_acquire_hedge(group.name):
+            return None
+        emit(READ_HEDGED, id=op.request_id, first=first.id, server=server.id)
+        progress.tried.add(server.id)
+        if chosen is None:
+            return self._read_from_primary(hedge, statement, group, server, progress)
+        return self._read_from_replica(hedge, statement, server, chosen[1], progress)
+
+    def _free_primary(self, op: Operation, group: GroupState) -> Server | None:
+        """Return the primary if it is free and the group has no second replica."""
+        now = self._clock()
+        is_avoided = self._chooser.avoids_primary(group, op.customer, now)
+        return (
+            None if len(group.replicas(now)) > 1 or is_avoided else group.primary(now)
+        )
+
     async def _read_from_replica(
         self,
         op: Operation,
@@ -198,7 +200,9 @@
         progress: _Progress,
     ) -> Answer | None:
         command = RunFor(op.request_id, statement, after=need.position)
-        answers = await self._attempt(op, server, (command,), REPLICA_CONNECTION_WAIT_S)
+        answers = await self._attempt(
+            op, server, (command,), REPLICA_CONNECTION_WAIT_S, progress
+        )
         if answers is None:
             return None
         (answer,) = answers
@@ -225,7 +229,7 @@
             RollBack(),
         )
         left = op.deadline - asked_at
-        answers = await self._attempt(op, server, commands, left)
+        answers = await self._attempt(op, server, commands, left, progress)
         if answers is None:
             return None
         opened, answer, _ = answers
@@ -245,11 +249,24 @@
         server: Server,
         commands: tuple[OpenTransaction | RunFor | RollBack, ...],
         connection_s: float,
+        progress: _Progress,
     ) -> tuple[Answer, ...] | None:
-        lease = await self._executor.try_acquire(
-            op, server, max_wait_s=connection_s, retry_event=READ_RETRIED
-        )
-        if lease is None:
+        group = self._servers.group(op.route.group)
+        started = self._clock()
+        try:
+            lease = await self._executor.acquire(
+                op, server, max_wait_s=0.0 if op.ticket.is_hedge else connection_s
+            )
+        except NoConnectionError as exc:
+            if not exc.is_reachable:
+                self._record_unreachable(group, server)
+            await self._executor.delay_retry(
+                op, server, str(exc), READ_RETRIED, wait_s=exc.wait_s
+            )
+            return None
+        if progress.is_settled:
+            # Another attempt has answered the read in the meantime.
+            lease.release()
             return None
         now = self._clock()
         left = op.deadline - now
@@ -269,20 +286,54 @@
             busy=server.busy,
             left_s=round(left, 3),
         )
+        timeout_s = min(left, attempt_timeout_s)
         try:
-            return await self._executor.run(
-                lease, op.session, commands, timeout_s=min(left, attempt_timeout_s)
+            answers = await self._executor.run(
+                lease, op.session, commands, timeout_s=timeout_s
             )
         except NotSentError as exc:
+            if isinstance(exc, ServerUnreachableError):
+                self._record_unreachable(group, server)
             await self._executor.delay_retry(
                 op, server, str(exc), READ_RETRIED, wait_s=exc.wait_s
             )
             return None
         except ConnectionLostError as exc:
+            is_early = (
+                isinstance(exc, AnswerTimeoutError)
+                and timeout_s < MIN_CONCLUSIVE_TIMEOUT_S
+            )
+            if not is_early and not isinstance(exc, HomeLostError):
+                self._record_unreachable(group, server)
             emit(READ_RETRIED, id=op.request_id, server=server.id, reason=str(exc))
             return None
         finally:
             lease.release()
+        ended = self._clock()
+        answer = answers[-2] if len(commands) > 1 else answers[0]
+        if self._health is not None and answer.refusal is None and answer.signature:
+            self._health.record_answer(
+                group,
+                server,
+                took_s=ended - started,
+                server_s=lease.server_s or ended - now,
+                objective_s=op.route.objective_s,
+            )
+        return answers
+
+    def _record_unreachable(self, group: GroupState, server: Server) -> None:
+        if self._health is not None:
+            self._health.record_failure(group, server, is_reachable=False)
+
+    def _record_failures(self, group: GroupState, progress: _Progress) -> None:
+        """Record which servers failed a read.
+
+        A statement that several servers failed says nothing about any of them.
+        """
+        for server_id in progress.failed:
+            server = group.servers.get(server_id)
+            if self._health is not None and server is not None:
+                self._health.record_failure(group, server, is_reachable=True)
 
     async def _check_answer(
         self, op: Operation, server: Server, answer: Answer, progress: _Progress
@@ -300,15 +351,17 @@
             error = outcome_unknown_error(
                 Code.STATEMENT_FAILED, answer.detail or "no signature", peer=server.id
             )
-            if answer.refusal is Refusal.OTHER or not self._may_retry(op, progress):
+            if answer.refusal is Refusal.OTHER:
                 raise error
             progress.record_failure(server.id, error)
+            if not self._may_retry(op, progress):
+                raise error
         elif answer.refusal is not Refusal.BEHIND:
             await self._executor.back_off(op)
         return None
 
     def _may_retry(self, op: Operation, progress: _Progress) -> bool:
         """Return whether a read that a server failed may run again, and count it."""
-        if self._health is None or progress.failures + 1 >= MAX_FAILURES:
+        if self._health is None or progress.failures >= MAX_FAILURES:
             return False
         return self._health.try_acquire_retry(op.route.group)
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -7,6 +7,7 @@
 
 from ..control.deployment import Deployment
 from ..control.group import GroupState, Server
+from ..policy.ejection import OutlierDetector
 from .command import Connector
 from .pool import ServerPool
 
@@ -30,6 +31,8 @@
 
     Attributes:
         instances: The number of instances, 0 while unknown.
+        compares_answers: Whether the servers of a group are compared by their answers;
+            set before the first group is known.
         connection_limit: Returns how many connections this process may hold to each
             server of a group, None while unknown.
     """
@@ -39,6 +42,7 @@
         self.clock = clock
         self.groups: dict[str, GroupState] = {}
         self.instances = 0
+        self.compares_answers = False
         self.connection_limit: Callable[[str], int | None] = lambda group: None
         self._deployment: Deployment | None = None
         self._pools: dict[str, _PoolEntry] = {}
@@ -47,7 +51,9 @@
         """Return the state of a group, creating it if needed."""
         found = self.groups.get(name)
         if found is None:
-            found = self.groups[name] = GroupState(name)
+            found = self.groups[name] = GroupState(
+                name, OutlierDetector() if self.compares_answers else None
+            )
         return found
 
     def pool(self, server: Server) -> ServerPool:
