--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -1,10 +1,12 @@
 """What callers get while a server misbehaves, on the real path in virtual time."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
-from mangoramp.control.deployment import ReadRule
+from mangoramp.control.deployment import Customer, Deployment, ReadRule
+from mangoramp.control.limits import CustomerLimits
 from mangoramp.policy.ejection import WEIGHTS, OutlierDetector
 from mangoramp.policy.hedging import (
     BURST,
@@ -298,3 +300,20 @@
 def test_read_timeout_is_longer_than_the_objective():
     """The tests above tell late answers from lost ones by it."""
     assert TIMEOUT_S > 2 * OBJECTIVE_S
+
+
+class TestCustomersBurst:
+    def test_allows_hedged_reads_while_half_of_it_is_left(self):
+        """Guards against hedged reads at the expense of the customer's own requests."""
+        peers = SimpleNamespace(live_instances={"a"}, known_instances={"a"})
+        limits = CustomerLimits("a", peers, is_first_start=True)
+        customers = {"c": Customer("c", 1.0, 10.0), "free": Customer("free", None, 0)}
+        limits.apply_deployment(Deployment(1, customers=customers), 0.0)
+        allowed = [
+            limits.may_hedge("c", 0.0)
+            for _ in range(10)
+            if limits.admit("c", 0.0, "r") == 0
+        ]
+        assert allowed == [True] * 5 + [False] * 5
+        assert limits.may_hedge("c", 5.0)
+        assert limits.may_hedge("free", 0.0)
