--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from ..events import PRIMARY_CHANGED, SERVER_LOST, SERVER_RECOVERED, emit
+from ..policy.ejection import OutlierDetector
 from ..policy.evacuation import EvacuationTimes
 from ..policy.position import Position
 from ..policy.revision import NO_REVISION, Revision
@@ -262,12 +263,17 @@
     Args:
         name: The group's name.
         evacuations: The evacuated failure domains.
+        outliers: Compares the servers' answers, None if they are not compared.
     """
 
     def __init__(
-        self, name: str, evacuations: Mapping[str, EvacuationTimes] | None = None
+        self,
+        name: str,
+        evacuations: Mapping[str, EvacuationTimes] | None = None,
+        outliers: OutlierDetector | None = None,
     ) -> None:
         self.name = name
+        self.outliers = outliers
         self._evacuations = evacuations if evacuations is not None else {}
         self.servers: dict[str, Server] = {}
         self.samples = PrimarySamples()
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -125,6 +125,11 @@
 LOAD_REPORTS_OFF = Event(341, "ERROR", "load reports to other homes not possible")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
+SERVER_WEIGHT_REDUCED = Event(
+    420, "WARNING", "server answers worse than others, gets fewer reads"
+)
+SERVER_WEIGHT_RAISED = Event(421, "INFO", "server gets more reads again")
+READ_HEDGED = Event(422, "INFO", "overdue read sent to a second server")
 PACE_STARTED = Event(440, "INFO", "load of a server limited, grows with its answers")
 PACE_REDUCED = Event(441, "INFO", "load limit of a server reduced")
 PACE_ENDED = Event(442, "INFO", "load of a server no longer limited")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -51,6 +51,7 @@
 from .serving.homes import Homes
 from .serving.operation import Ticket
 from .serving.reading import Reader
+from .serving.server_health import ServerHealth
 from .serving.servers import Servers
 from .serving.shares import SlotShares
 from .serving.statement_metrics import StatementMetrics
@@ -155,6 +156,7 @@
             heard_at=self.peers.last_report_at,
             has_majority=lambda: self.peers.has_majority,
             admission=self._admission,
+            may_hedge=self._may_hedge,
         )
         self._load_reports = LoadReports(
             cfg.name, self._load_address_of, boot_time, rng
@@ -172,7 +174,14 @@
             self._acquire_ticket,
             self._admission,
         )
-        reader = Reader(executor, cfg.failure_domain)
+        has_health = cfg.features.server_health
+        self.servers.compares_answers = has_health
+        self.health = (
+            ServerHealth(boot_time, self._may_hedge, self.registry)
+            if has_health
+            else None
+        )
+        reader = Reader(executor, cfg.failure_domain, self.health)
         self._has_caught_up = asyncio.Event()
         self.gateway = Gateway(
             deployment=lambda: self.cluster_state.deployment,
@@ -423,6 +432,9 @@
     def _acquire_ticket(self, customer: str, request_id: str) -> float:
         return self.limits.admit(customer, boot_time(), request_id)
 
+    def _may_hedge(self, customer: str) -> bool:
+        return self.limits.may_hedge(customer, boot_time())
+
     def _admit(self, customer: str, ticket: Ticket) -> float:
         # If customers have homes, only the home sees all of their operations.
         if ticket.is_admitted or not self.homes.is_direct:
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -73,6 +73,7 @@
         heard_at: Returns when a message from an instance was last received, in seconds.
         has_majority: Returns whether most of the instances are in touch.
         admission: Rejects what cannot be served in time, None for no such control.
+        may_hedge: Returns whether a customer's limits allow a hedged read.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         heard_at: Callable[[str], float],
         has_majority: Callable[[], bool] = lambda: True,
         admission: AdmissionControl | None = None,
+        may_hedge: Callable[[str], bool] = lambda customer: True,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -96,6 +98,7 @@
         self._heard_at = heard_at
         self._has_majority = has_majority
         self._admission = admission or AdmissionControl(servers)
+        self._may_hedge = may_hedge
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: dict[str, int] = {}
@@ -336,6 +339,8 @@
 
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
+        if message.is_hedge and not self._has_room_to_hedge(message):
+            return BatchNotSent(reason="no capacity for a hedged read")
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
@@ -383,6 +388,7 @@
             handle=self._pin_or_release(message.handle, lease, answers),
             samples=self._latest_samples(),
             load=self._admission.hint(message.group),
+            server_s=self._clock() - asked_at,
         )
 
     async def _admit_batch(
@@ -407,6 +413,12 @@
                 pinned.is_busy, pinned.used_at = False, self._clock()
             return BatchNotSent(reason=str(exc), wait_s=exc.wait_s)
 
+    def _has_room_to_hedge(self, message: RunBatch) -> bool:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None or not self._may_hedge(message.customer):
+            return False
+        return self._servers.pool(server).has_capacity(message.customer)
+
     async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
         server = self._servers.group(message.group).servers.get(message.server)
         if server is None:
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -165,6 +165,13 @@
         """Return whether a customer has an idle connection."""
         return self._idle.has(customer)
 
+    def has_capacity(self, customer: str) -> bool:
+        """Return whether a customer's statement could be sent now, without waiting."""
+        has_room = not self.waiting and self._has_room(self._active)
+        may_open = self._count < self.limit and self._may_open(customer)
+        is_free = self.server.busy < self.server.endpoint.slots
+        return has_room and is_free and (may_open or self.has_idle(customer))
+
     async def acquire(
         self, customer: str, urgency: Urgency, work: Workload = ONE_REQUEST
     ) -> ServerConnection:
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -9,6 +9,7 @@
 from ..control.group import GroupState, Server
 from ..control.settings import Bounds, Features
 from ..policy.cold_limit import Holders
+from ..policy.ejection import OutlierDetector
 from ..policy.evacuation import EvacuationTimes
 from ..policy.handover import Handover
 from .capacity import Capacity
@@ -43,6 +44,8 @@
 
     Attributes:
         instances: The number of instances, 0 while unknown.
+        compares_answers: Whether the servers of a group are compared by their answers;
+            set before the first group is known.
         connection_limit: Returns how many connections this process may hold to each
             server of a group, None while unknown.
         rates: The customers' rate limits per second, None for no limit. It is replaced
@@ -68,6 +71,7 @@
         self.groups: dict[str, GroupState] = {}
         self.evacuations: dict[str, EvacuationTimes] = {}
         self.instances = 0
+        self.compares_answers = False
         self.connection_limit: Callable[[str], int | None] = lambda group: None
         self.rates: Mapping[str, float | None] = {}
         self.handover = Handover()
@@ -81,7 +85,11 @@
         """Return the state of a group, creating it if needed."""
         found = self.groups.get(name)
         if found is None:
-            found = self.groups[name] = GroupState(name, self.evacuations)
+            found = self.groups[name] = GroupState(
+                name,
+                self.evacuations,
+                OutlierDetector() if self.compares_answers else None,
+            )
         return found
 
     def pool(self, server: Server) -> ServerPool:
