Evacuations: one check of a successor fewer, tests that see more

The check right after the claim repeated the one before each order, as no test could tell them apart; it is gone. Tests now see an abandoned claim that holds up the next promotion, a removal that is not reported and a refresh that asks one peer only: each fails with its part off.

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -331,9 +331,6 @@
             received=f"{successor.received.term}.{successor.received.offset}",
             token=own_claim.token,
         )
-        if self._is_evacuated(group, successor.id):
-            emit(PROMOTION_SKIPPED, group=group.name, reason=EVACUATED_SUCCESSOR)
-            return
         await self._request_promotion(group, watch, own_claim)
 
     def _is_evacuated(self, group: GroupState, server_id: str) -> bool:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,10 +6,12 @@
 
 import msgspec
 import pytest
+from returns.result import Success
 
+from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.evacuations import Evacuations
-from mangoramp.control.news import AskNews, News
+from mangoramp.control.news import AskNews, News, NewsFetcher
 from mangoramp.control.peers import Report
 from mangoramp.errors import FaultError
 from mangoramp.policy.evacuation import (
@@ -75,8 +77,11 @@
         table = EvacuationTable()
         table.apply("a", Revision(1, 50), True)
         table.retain((), Revision(2, 40), now=10.0)
+        # Peers ask for the removal only if it raises the revision that is reported.
+        reported = table.latest
         table.expire(10.0 + MISSING_GRACE_S)
         assert not table.evacuated
+        assert table.latest > reported
         table.apply("a", Revision(1, 50), True)
         assert not table.evacuated
 
@@ -311,6 +316,42 @@
         assert server.returned_at == deployment.now
 
 
+class TestNews:
+    async def test_peers_confirm_an_evacuation_in_turn(self, deployment):
+        """Guards against a removal that the peer asked last does not know either."""
+        asked = []
+
+        class StubPeers:
+            is_watcher = False
+            peers = {}
+            now = 100.0
+
+            def has_newer(self, known):
+                return False
+
+            def choose_newer_peer(self, known, excluded):
+                return next((n for n in "xyz" if n not in excluded), None)
+
+        async def fetch(peer, message, timeout_s):
+            asked.append(peer)
+            return Success(News(0, 0, None, (), frozenset(), False))
+
+        peers = StubPeers()
+        fetcher = NewsFetcher(
+            ClusterState(deployment.servers),
+            peers,
+            lambda: None,
+            fetch,
+            deployment.evacuations,
+        )
+        deployment.set("a")
+        for _ in range(8):
+            fetcher.check_peers()
+            await asyncio.sleep(0.01)
+            peers.now += 1.3
+        assert asked == ["x", "y", "z", "x"]
+
+
 class TestMessages:
     def test_the_former_build_decodes_the_new_fields(self):
         """Guards against instances of two builds that cannot hear each other."""
--- a/tests/test_evacuation_instances.py
+++ b/tests/test_evacuation_instances.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mangoramp.control import peers
+from mangoramp.control.promoter import CLAIM_TTL_S
 from mangoramp.control.settings import Bounds, Features
 
 from .relay import Relay
@@ -143,7 +144,10 @@
             world.evacuate("a")
             await world.wait_until(lambda: claimed)
             (last,) = set(SERVERS) - {"s1", claimed[0]}
-            await world.wait_until(lambda: world.group.primary == last)
+            # The claim for the evacuated successor must not hold the next one up.
+            await world.wait_until(
+                lambda: world.group.primary == last, CLAIM_TTL_S - 0.5
+            )
             assert {server for _, _, server in world.promotion_requests} == {last}
 
     async def test_one_withdrawn_at_once_causes_no_promotion(self):
