--- a/mangoramp/policy/slot_shares.py
+++ b/mangoramp/policy/slot_shares.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-QUEUE_PART = 0.5  # of the slots; keeps them busy between an answer and the next request
+QUEUE_PART = 1.0  # of the slots; half of it leaves slots idle while homes wait
 SMOOTHING_WEIGHT = 0.3  # of the latest interval; averages over about three reports
 MEAN_SHARE_WEIGHT = 0.2  # averages over about a second
 MIN_MEAN_SHARE = 0.05  # a share of 0 may end with the next report
@@ -69,9 +69,20 @@
         served = min(1.0, free / totals[priority])
         share += served * own.by_class.get(priority, 0.0)
         free -= served * totals[priority]
-    share += free
-    has_urgent_work = bool(wanted) and own.by_class.get(wanted[0], 0.0) > 0
-    return max(share, 1.0) if has_urgent_work else share
+    return share + free
+
+
+def urgent_class(own: Demand, others: Collection[Demand]) -> int | None:
+    """Return the most urgent class with any demand, None without demand.
+
+    A home may always have one statement of this class at the server. If less urgent
+    ones could use this floor, the homes with little work would get more than their
+    part of the server.
+    """
+    wanted = [
+        p for d in (own, *others) for p, amount in d.by_class.items() if amount > 0
+    ]
+    return min(wanted, default=None)
 
 
 class ShareLimit:
@@ -110,12 +121,20 @@
 
 
 class DemandMeter:
-    """Measures this home's demand at one server, from one report to the next."""
+    """Measures this home's demand at one server, from one report to the next.
 
-    def __init__(self) -> None:
+    Args:
+        handovers: Connections acquired so far, by priority class.
+        answers: Answers received so far.
+
+    Attributes:
+        rates: Answers per second, by priority class.
+    """
+
+    def __init__(self, handovers: Mapping[int, int], answers: int) -> None:
         self.rates: dict[int, float] = {}
-        self._handovers: dict[int, int] = {}
-        self._answers = 0
+        self._handovers = dict(handovers)
+        self._answers = answers
 
     def update(
         self, handovers: Mapping[int, int], answers: int, interval_s: float
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -98,6 +98,7 @@
         self._wait_queue = WaitQueue()
         self._reserve = PrimaryReserve()
         self._share: int | None = None
+        self._urgent_class: int | None = None
         self._futs: dict[Waiter, asyncio.Future[None]] = {}
         self._open_blocked_until = float("-inf")
         self._full_delay_s = SERVER_FULL_DELAY_S
@@ -127,19 +128,26 @@
             found[priority] = found.get(priority, 0) + 1
         return found
 
-    def set_share(self, limit: int | None, interval_s: float) -> None:
+    def set_share(
+        self,
+        limit: int | None,
+        urgent: int | None = None,
+        interval_s: float = 0.0,
+    ) -> None:
         """Limit the statements in flight to this home's share of the server.
 
         Args:
             limit: The limit, None for none.
+            urgent: The priority class of which one statement may always be in flight,
+                None for none; this includes more urgent classes.
             interval_s: Average seconds between two statements that the share allows.
         """
         self._share = limit
+        self._urgent_class = urgent
         self._wait_queue.min_interval_s = interval_s
         free = self.limit - self._count + len(self._idle)
         for woken in range(min(free, self.waiting)):
-            if self._has_room(self._active + woken):
-                self._wake_next()
+            self._wake_next(woken=woken)
 
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
@@ -162,7 +170,7 @@
             if self._is_closed:
                 raise NoConnectionError("the server is gone", is_reachable=False)
             self._check_reserve(urgency, waiter)
-            conn = await self._try_acquire(customer)
+            conn = await self._try_acquire(customer, urgency.priority)
             if conn is not None:
                 self._record_handover(urgency)
                 return conn
@@ -216,9 +224,9 @@
         else:
             self._idle.append(_IdleConnection(conn, customer, self._clock()))
         self._wake_next(customer)
-        if self._has_room(self._active + 1):
+        if self._window.has_room(self._active + 1):
             # The window has grown: a second waiter can be served.
-            self._wake_next()
+            self._wake_next(woken=1)
 
     def resize(self, limit: int) -> None:
         """Set the maximum number of open connections."""
@@ -260,8 +268,10 @@
                 is_reachable=True,
             )
 
-    async def _try_acquire(self, customer: str) -> ServerConnection | None:
-        if not self._has_room(self._active):
+    async def _try_acquire(
+        self, customer: str, priority: int
+    ) -> ServerConnection | None:
+        if not self._has_room(self._active, priority):
             return None
         self._active += 1
         conn: ServerConnection | None = None
@@ -276,11 +286,15 @@
                 self._active -= 1
         return conn
 
-    def _has_room(self, in_flight: int) -> bool:
-        return self._is_in_share(in_flight) and self._window.has_room(in_flight)
+    def _has_room(self, in_flight: int, priority: int) -> bool:
+        is_in_share = self._is_in_share(in_flight, priority)
+        return is_in_share and self._window.has_room(in_flight)
 
-    def _is_in_share(self, in_flight: int) -> bool:
-        return self._share is None or in_flight < self._share
+    def _is_in_share(self, in_flight: int, priority: int) -> bool:
+        if self._share is None or in_flight < self._share:
+            return True
+        is_urgent = self._urgent_class is not None and priority <= self._urgent_class
+        return is_urgent and in_flight < 1
 
     def _may_open(self) -> bool:
         if self._clock() < self._open_blocked_until:
@@ -363,20 +377,22 @@
         if fut.done():
             fut.result()
 
-    def _wake_next(self, customer: str = "") -> None:
+    def _wake_next(self, customer: str = "", *, woken: int = 0) -> None:
         """Wake the next waiter to acquire a connection.
 
         Args:
             customer: The customer whose connection became idle, empty for none; a
                 waiter of this customer is preferred.
+            woken: Waiters that have just been woken besides.
         """
         self._reject_late_waiters()
-        if not self._is_closed and not self._is_in_share(self._active):
-            return  # woken when the share grows or another statement ends
         now = self._clock()
         waiter = self._wait_queue.next_waiter(now, customer)
         if waiter is None:
             return
+        in_flight = self._active + woken
+        if not self._is_closed and not self._is_in_share(in_flight, waiter.priority):
+            return  # woken when the share grows or another statement ends
         self._wait_queue.remove(waiter)
         self._wait_queue.record_handover(now)
         self._futs.pop(waiter).set_result(None)
--- a/mangoramp/serving/shares.py
+++ b/mangoramp/serving/shares.py
@@ -15,6 +15,7 @@
     ShareLimit,
     demand_of,
     slot_share,
+    urgent_class,
 )
 from .pool import ServerPool
 from .servers import Servers
@@ -26,7 +27,7 @@
 @dataclass(slots=True)
 class _ServerShare:
     pool: ServerPool
-    meter: DemandMeter = field(default_factory=DemandMeter)
+    meter: DemandMeter
     limit: ShareLimit = field(default_factory=ShareLimit)
     logged_at: float = float("-inf")
 
@@ -88,7 +89,8 @@
             server_id = pool.server.id
             share = known.get(server_id)
             if share is None or share.pool is not pool:
-                share = _ServerShare(pool)
+                meter = DemandMeter(pool.handovers, pool.answers)
+                share = _ServerShare(pool, meter)
             self._shares[server_id] = share
             share.meter.update(pool.handovers, pool.answers, interval_s)
             found[server_id] = ServerLoad(
@@ -105,15 +107,12 @@
     ) -> None:
         others, silent = self._reports.loads(homes, load.server)
         server = share.pool.server
-        part = slot_share(
-            load_demand(load),
-            [load_demand(other) for other in others],
-            server.endpoint.slots,
-            silent=silent,
-        )
+        own, demands = load_demand(load), [load_demand(other) for other in others]
+        part = slot_share(own, demands, server.endpoint.slots, silent=silent)
         limit = share.limit.update(part)
         mean_share = max(MIN_MEAN_SHARE, share.limit.mean_share)
-        share.pool.set_share(limit, server.latency_s / mean_share)
+        urgent = urgent_class(own, demands)
+        share.pool.set_share(limit, urgent, server.latency_s / mean_share)
         is_due = now - share.logged_at >= MIN_LOG_INTERVAL_S
         if is_due and share.limit.has_changed():
             share.logged_at = now
@@ -129,7 +128,7 @@
 
     def _remove_limits(self) -> None:
         for share in self._shares.values():
-            share.pool.set_share(None, 0.0)
+            share.pool.set_share(None)
         self._shares.clear()
 
 
