--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -76,6 +76,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._reserve = PrimaryReserve()
         self._share: int | None = None
+        self._urgent_class: int | None = None
         self._share_interval_s = 0.0
         self._cold_interval_s = 0.0
         self.capacity = capacity
@@ -106,7 +107,7 @@
         state = self.capacity.state(self._active) if self.capacity is not None else None
         if state is not None:
             return state
-        if not self._is_in_share(self._active):
+        if self._share is not None and self._active >= self._share:
             return CapacityState(Limit.SHARE, f"{self._share} statements in flight")
         if not self._window.has_room(self._active):
             return CapacityState(Limit.WINDOW, f"{self._active} statements in flight")
@@ -146,20 +147,27 @@
         """
         return self._waiting.queue.waits_by_class(self.clock())
 
-    def set_share(self, limit: int | None, interval_s: float) -> None:
+    def set_share(
+        self,
+        limit: int | None,
+        urgent: int | None = None,
+        interval_s: float = 0.0,
+    ) -> None:
         """Limit the statements in flight to this home's share of the server.
 
         Args:
             limit: The limit, None for none.
+            urgent: The priority class of which one statement may always be in flight,
+                None for none; this includes more urgent classes.
             interval_s: Average seconds between two statements that the share allows.
         """
         self._share = limit
+        self._urgent_class = urgent
         self._share_interval_s = interval_s
         self._update_min_interval()
         free = self.limit - self._count + len(self._idle)
         for woken in range(min(free, len(self._waiting))):
-            if self._has_room(self._active + woken):
-                self._wake_next(in_flight=self._active + woken)
+            self._wake_next(in_flight=self._active + woken)
 
     def has_idle(self, customer: str) -> bool:
         """Return whether a customer has an idle connection."""
@@ -167,10 +175,12 @@
 
     def has_capacity(self, customer: str) -> bool:
         """Return whether a customer's statement could be sent now, without waiting."""
-        has_room = not self.waiting and self._has_room(self._active)
+        is_in_share = self._share is None or self._active < self._share
+        has_room = not self.waiting and self._window.has_room(self._active)
         may_open = self._count < self.limit and self._may_open(customer)
         is_free = self.server.busy < self.server.endpoint.slots
-        return has_room and is_free and (may_open or self.has_idle(customer))
+        has_connection = may_open or self.has_idle(customer)
+        return is_in_share and has_room and is_free and has_connection
 
     async def acquire(
         self, customer: str, urgency: Urgency, work: Workload = ONE_REQUEST
@@ -260,7 +270,7 @@
         else:
             self._idle.add(conn, customer, self.clock())
         self._wake_next(customer)
-        if self._has_room(self._active + 1):
+        if self._window.has_room(self._active + 1):
             # The window has grown: a second waiter can be served.
             self._wake_next(in_flight=self._active + 1)
 
@@ -317,7 +327,9 @@
                 deadline = min(deadline, now + EVACUATED_WAIT_S)
             self._check_reserve(urgency, waiter)
             if waiter is not None or self._may_overtake():
-                conn = await self._try_acquire(customer, work.requests)
+                conn = await self._try_acquire(
+                    customer, urgency.priority, work.requests
+                )
                 if conn is not None:
                     self._record_handover(urgency)
                     if len(self._waiting) and self._is_limited():
@@ -360,9 +372,9 @@
         return self.capacity is not None and self.capacity.refresh()
 
     async def _try_acquire(
-        self, customer: str, requests: int
+        self, customer: str, priority: int, requests: int
     ) -> ServerConnection | None:
-        if not self._has_room(self._active):
+        if not self._has_room(self._active, priority):
             return None
         capacity = self.capacity if self._is_limited() else None
         reservation = None
@@ -387,11 +399,15 @@
             capacity.hold(conn, reservation)
         return conn
 
-    def _has_room(self, in_flight: int) -> bool:
-        return self._is_in_share(in_flight) and self._window.has_room(in_flight)
+    def _has_room(self, in_flight: int, priority: int) -> bool:
+        is_in_share = self._is_in_share(in_flight, priority)
+        return is_in_share and self._window.has_room(in_flight)
 
-    def _is_in_share(self, in_flight: int) -> bool:
-        return self._share is None or in_flight < self._share
+    def _is_in_share(self, in_flight: int, priority: int) -> bool:
+        if self._share is None or in_flight < self._share:
+            return True
+        is_urgent = self._urgent_class is not None and priority <= self._urgent_class
+        return is_urgent and in_flight < 1
 
     def _update_min_interval(self) -> None:
         self._waiting.queue.min_interval_s = max(
@@ -511,7 +527,7 @@
         if not len(self._waiting):
             return
         in_flight = self._active if in_flight is None else in_flight
-        if not self._is_closed and not self._is_in_share(in_flight):
+        if not self._is_closed and not self._may_wake(customer, in_flight):
             return  # woken when the share grows or another statement ends
         if self._is_limited():
             assert self.capacity is not None
@@ -521,6 +537,10 @@
         self._waiting.queue.statement_s = self.server.latency_s
         self._waiting.wake_next(customer)
 
+    def _may_wake(self, customer: str, in_flight: int) -> bool:
+        waiter = self._waiting.queue.next_waiter(self.clock(), customer)
+        return waiter is not None and self._is_in_share(in_flight, waiter.priority)
+
     def _arm_timer(self, requests: int) -> None:
         """Have the next waiter woken when the limits allow a batch."""
         if self._timer is not None or not self._is_limited():
