--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
 
 from ..events import PRIMARY_CHANGED, SERVER_LOST, SERVER_RECOVERED, emit
+from ..policy.ejection import OutlierDetector
+from ..policy.evacuation import EvacuationTimes
 from ..policy.position import Position
 from ..policy.revision import NO_REVISION, Revision
 from ..policy.samples import PrimarySamples, Sample
@@ -22,6 +27,51 @@
 MIN_FAILED_STATEMENTS = 5  # in a row; fewer happen after a reset of connections
 
 
+class SlowStart(StrEnum):
+    """Why a server gets its load gradually."""
+
+    STARTED = "started"
+    RECOVERED = "recovered"
+    PROMOTED = "promoted"
+    EVACUATION_ENDED = "evacuation ended"
+    NEW_HOLDER = "this instance newly holds connections"
+
+
+class Limit(StrEnum):
+    """A limit on the statements that this instance sends to a server."""
+
+    NONE = "none"
+    EVACUATED = "evacuated"
+    DRAINING = "draining"
+    COLD = "cold"
+    PACE = "pace"
+    SHARE = "share"
+    WINDOW = "window"
+    CONNECTIONS = "connections"
+    PINNED = "pinned"
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityState:
+    """Which limit holds statements back from a server, and why.
+
+    Attributes:
+        limit: The binding limit.
+        reason: The figures of the limit, empty for none.
+    """
+
+    limit: Limit
+    reason: str = ""
+
+
+class CapacityReporter(Protocol):
+    """Reports the limits of this instance's connections to one server."""
+
+    @property
+    def capacity_state(self) -> CapacityState:
+        """Which limit is binding and why."""
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """A server with its recent latency, lag and failures.
@@ -44,6 +94,16 @@
         latency_s: Moving average of the statement latency, in seconds.
         lag_s: Estimated replication lag, in seconds.
         busy: Statements of this process in flight at the server.
+        evacuation: When requests to it end because its failure domain is evacuated,
+            None if it is not.
+        returned_at: When the last evacuation of its failure domain was withdrawn.
+        cold_until: Time until which it is cold, in seconds.
+        full_until: Time until which its limits leave no room, in seconds, so that reads
+            go to other servers.
+        slow_starts: How often it started, recovered or was promoted.
+        slow_start: The reason of the latest of these.
+        reporter: Reports the limits of this instance's connections to it, None while
+            there are none.
     """
 
     endpoint: Endpoint
@@ -61,20 +121,88 @@
     latency_s: float = INITIAL_LATENCY_S
     lag_s: float = INITIAL_LAG_S
     busy: int = 0
+    evacuation: EvacuationTimes | None = None
+    returned_at: float = float("-inf")
+    cold_until: float = float("-inf")
+    full_until: float = float("-inf")
+    slow_starts: int = 0
+    slow_start: SlowStart = SlowStart.STARTED
+    reporter: CapacityReporter | None = field(default=None, repr=False)
 
     @property
     def id(self) -> str:
         """The server's id."""
         return self.endpoint.id
 
+    @property
+    def is_primary(self) -> bool:
+        """Whether it is listed as primary or has just been promoted."""
+        return self.primary_since != NO_REVISION
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether its failure domain is evacuated."""
+        return self.evacuation is not None
+
+    @property
+    def evacuated_at(self) -> float | None:
+        """When this instance learned of the evacuation, None without one."""
+        return self.evacuation.since if self.evacuation is not None else None
+
+    def may_send(self, now: float, *, in_transaction: bool = False) -> bool:
+        """Return whether an evacuation, if any, still allows a request to it.
+
+        Args:
+            now: The time in seconds.
+            in_transaction: Whether the request belongs to a transaction that is open
+                at the server.
+        """
+        return self.evacuation is None or self.evacuation.may_send(
+            now, is_primary=self.is_primary, in_transaction=in_transaction
+        )
+
+    def update_evacuation(self, times: EvacuationTimes | None, now: float) -> None:
+        """Set when requests to it end, None if it is not evacuated any more."""
+        if self.evacuation is not None and times is None:
+            self.returned_at = now
+            self.begin_slow_start(SlowStart.EVACUATION_ENDED)
+        self.evacuation = times
+
     def is_suspect(self, now: float) -> bool:
         """Whether it failed recently, so that other servers are preferred."""
         return now < self.retry_at
 
+    @property
+    def capacity_state(self) -> CapacityState:
+        """Which limit holds statements back from the server, and why."""
+        if self.is_evacuated:
+            return CapacityState(Limit.EVACUATED, "its failure domain is evacuated")
+        if self.endpoint.is_draining:
+            return CapacityState(Limit.DRAINING, "it is being drained")
+        if self.reporter is None:
+            return CapacityState(Limit.NONE)
+        return self.reporter.capacity_state
+
+    def begin_slow_start(self, reason: SlowStart) -> None:
+        """Have the server's load increased gradually from now on."""
+        self.slow_starts += 1
+        self.slow_start = reason
+
+    def apply_entry(self, endpoint: Endpoint, now: float) -> None:
+        """Apply a registry entry of the same process."""
+        remaining_s = endpoint.cold_remaining_s
+        cold_until = now + remaining_s if remaining_s > 0 else float("-inf")
+        if endpoint.age_key == self.endpoint.age_key and self.cold_until > now:
+            # A copy of the same entry that arrives later shows no later end.
+            cold_until = min(cold_until, self.cold_until)
+        self.cold_until = cold_until
+        self.endpoint = endpoint
+
     def record_answer(self, now: float, latency_s: float | None = None) -> None:
         """Record an answer, and the statement latency if given."""
         if self.failures > 1:
             emit(SERVER_RECOVERED, server=self.id, failures=self.failures)
+            self.begin_slow_start(SlowStart.RECOVERED)
         self.last_answer_at = now
         self.failing_since = None
         self.failures = 0
@@ -134,35 +262,51 @@
 
     Args:
         name: The group's name.
+        evacuations: The evacuated failure domains.
+        outliers: Compares the servers' answers, None if they are not compared.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        evacuations: Mapping[str, EvacuationTimes] | None = None,
+        outliers: OutlierDetector | None = None,
+    ) -> None:
         self.name = name
+        self.outliers = outliers
+        self._evacuations = evacuations if evacuations is not None else {}
         self.servers: dict[str, Server] = {}
         self.samples = PrimarySamples()
         self._changed = asyncio.Event()
         self._primary_id = ""
 
-    def update_endpoint(self, endpoint: Endpoint, revision: Revision) -> None:
+    def update_endpoint(
+        self, endpoint: Endpoint, revision: Revision, now: float = float("-inf")
+    ) -> None:
         """Apply a server's registry entry.
 
         Args:
             endpoint: The entry.
             revision: The registry's revision of it.
+            now: The current time, in seconds.
         """
         known = self.servers.get(endpoint.id)
+        was_primary = known is not None and known.primary_since != NO_REVISION
         if known is None or known.endpoint.started_ms != endpoint.started_ms:
             # What was recorded of the previous process says nothing of the new one.
             known = self.servers[endpoint.id] = Server(endpoint)
         elif endpoint.is_primary and not known.endpoint.is_primary:
             known.primary_since = NO_REVISION
-        known.endpoint = endpoint
+        known.apply_entry(endpoint, now)
+        known.evacuation = self._evacuations.get(endpoint.failure_domain)
         known.unlisted_at = None
         if not endpoint.is_primary:
             known.primary_since = NO_REVISION
         elif known.primary_since == NO_REVISION:
             known.primary_since = revision
             known.not_primary_at = float("-inf")
+            if not was_primary:
+                known.begin_slow_start(SlowStart.PROMOTED)
         self.notify_changed()
 
     def unlist_endpoint(self, server_id: str, now: float) -> None:
@@ -189,12 +333,20 @@
             self.notify_changed()
         return expired
 
+    def update_evacuated(self, now: float) -> None:
+        """Mark the servers whose failure domains are evacuated, and no others."""
+        for server in self.servers.values():
+            domain = server.endpoint.failure_domain
+            server.update_evacuation(self._evacuations.get(domain), now)
+        self.notify_changed()
+
     def record_promotion(self, server_id: str, revision: Revision) -> None:
         """Treat a server as the primary before the registry lists it as such."""
         server = self.servers.get(server_id)
         if server is not None:
             server.primary_since = revision
             server.not_primary_at = float("-inf")
+            server.begin_slow_start(SlowStart.PROMOTED)
             self.notify_changed()
 
     def primary(self, now: float) -> Server | None:
@@ -222,7 +374,10 @@
         return [
             s
             for s in self.servers.values()
-            if s is not primary and not s.endpoint.is_draining and s.unlisted_at is None
+            if s is not primary
+            and not s.endpoint.is_draining
+            and not s.is_evacuated
+            and s.unlisted_at is None
         ]
 
     def record_position(self, asked_at: float, position: Position | None) -> None:
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -43,6 +43,7 @@
 MAX_REQUESTS = 3  # a request is idempotent and repeated if its answer is lost
 SETTLE_S = 1.0  # after a request, until the server reports its new role
 MAX_HEARD_AGE_S = 30.0  # peers have no use for an older answer
+EVACUATED_SUCCESSOR = "the successor's failure domain is being evacuated"
 PROBE_INTERVAL_S = 0.4  # for a failing primary without traffic from callers
 
 
@@ -157,7 +158,7 @@
         """Whether a group's primary is unreachable from here but not from elsewhere."""
         now = self._servers.clock()
         primary = self._servers.group(group).primary(now)
-        if primary is None or primary.failing_since is None:
+        if primary is None or primary.failing_since is None or primary.is_evacuated:
             return False
         reach = Reachability(
             silent_s=now - primary.failing_since,
@@ -196,6 +197,10 @@
         wait_s = RANK_DELAY_S * self._rank(group.name)
         if now < watch.hold_until or now - watch.reason_since < wait_s:
             return
+        if primary is not None and primary.is_evacuated and not group.replicas(now):
+            # All servers are evacuated; the claim in the store need not be read.
+            watch.hold_until = now + SETTLE_S
+            return
         watch.is_replacing = True
         self._spawn(self._replace(group, watch, primary, reason), watch)
 
@@ -216,6 +221,7 @@
         return Evidence(
             is_known=True,
             is_draining=primary.endpoint.is_draining,
+            is_evacuated=primary.is_evacuated,
             is_listed=primary.unlisted_at is None,
             silent_s=now - since if since is not None else 0.0,
             failures=primary.failures,
@@ -234,7 +240,8 @@
     def _is_healthy(self, primary: Server) -> bool:
         fails = self._judges_statements and primary.fails_statements
         is_answering = primary.failing_since is None and not fails
-        return is_answering and not primary.endpoint.is_draining
+        is_leaving = primary.endpoint.is_draining or primary.is_evacuated
+        return is_answering and not is_leaving
 
     def _peer_heard_s(self, group: str, server_id: str, now: float) -> float:
         ages = [float("inf")]
@@ -301,8 +308,12 @@
         since = former.primary_since if former is not None else NO_REVISION
         former_id = former.id if former is not None else ""
         claim = known.value
-        if claim is not None and self._is_claim_active(
-            claim, known.revision, watch, former_id, since, now
+        if (
+            claim is not None
+            and self._is_claim_active(
+                claim, known.revision, watch, former_id, since, now
+            )
+            and not self._is_evacuated(group, claim.successor)
         ):
             emit(PROMOTION_SKIPPED, group=group.name, holder=claim.holder)
             return
@@ -351,6 +362,10 @@
         )
         await self._request_promotion(group, watch, own_claim)
 
+    def _is_evacuated(self, group: GroupState, server_id: str) -> bool:
+        server = group.servers.get(server_id)
+        return server is not None and server.is_evacuated
+
     def _is_claim_active(
         self,
         claim: Claim,
@@ -372,6 +387,9 @@
     ) -> None:
         outcome = PromotionOutcome.UNKNOWN
         for _ in range(MAX_REQUESTS):
+            if self._is_evacuated(group, claim.successor):
+                emit(PROMOTION_SKIPPED, group=group.name, reason=EVACUATED_SUCCESSOR)
+                return
             outcome = await self._promotion_client.promote(
                 group.name, claim.successor, holder=self._name, token=claim.token
             )
@@ -397,7 +415,9 @@
         found = await asyncio.gather(
             *(self._query_candidate(s, former) for s in servers)
         )
-        return choose_successor(s for s in found if s is not None)
+        return choose_successor(
+            s for s in found if s is not None and not self._is_evacuated(group, s.id)
+        )
 
     async def _query_candidate(
         self, server: Server, former: Server | None
@@ -410,6 +430,9 @@
         except OpenRefusedError as exc:
             emit(CONNECTION_REFUSED, server=server.id, reason=str(exc))
             return None
+        if server.is_evacuated:
+            conn.close()
+            return None
         try:
             status = await self._servers.connector.fetch_status(conn)
         finally:
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -96,6 +96,9 @@
 TRANSACTION_RETRIED = Event(249, "INFO", "statement of a transaction retried")
 TRANSACTION_LOST = Event(250, "INFO", "transaction lost with its connection")
 COMMIT_OUTCOME_UNKNOWN = Event(251, "WARNING", "commit outcome unknown, no answer")
+ADMISSION_REJECTED = Event(
+    260, "INFO", "statement rejected, it cannot be served in time"
+)
 DEPLOYMENT_CHANGED = Event(320, "INFO", "configuration in force")
 ENTRY_UNREADABLE = Event(321, "WARNING", "object of the store cannot be decoded")
 ENDPOINT_CHANGED = Event(322, "INFO", "registry entry of a server changed")
@@ -113,8 +116,25 @@
     334, "INFO", "registry entry from an old copy of the store ignored"
 )
 REPORT_NOT_SENT = Event(335, "WARNING", "report to a peer could not be sent")
+EVACUATION_STARTED = Event(336, "WARNING", "evacuation of a failure domain in force")
+EVACUATION_ENDED = Event(337, "INFO", "evacuation of a failure domain withdrawn")
+EVACUATION_DRAINED = Event(
+    338, "INFO", "last statement in an evacuated failure domain ended"
+)
+SLOT_SHARE_CHANGED = Event(340, "INFO", "share of a server's concurrency changed")
+LOAD_REPORTS_OFF = Event(341, "ERROR", "load reports to other homes not possible")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
+SERVER_WEIGHT_REDUCED = Event(
+    420, "WARNING", "server answers worse than others, gets fewer reads"
+)
+SERVER_WEIGHT_RAISED = Event(421, "INFO", "server gets more reads again")
+READ_HEDGED = Event(422, "INFO", "overdue read sent to a second server")
+PACE_STARTED = Event(440, "INFO", "load of a server limited, grows with its answers")
+PACE_REDUCED = Event(441, "INFO", "load limit of a server reduced")
+PACE_ENDED = Event(442, "INFO", "load of a server no longer limited")
+COLD_LIMIT_STARTED = Event(443, "INFO", "requests to a cold server limited")
+COLD_LIMIT_ENDED = Event(444, "INFO", "requests to a formerly cold server unlimited")
 PROMOTION_CLAIMED = Event(503, "WARNING", "promotion claimed")
 PROMOTION_ENDED = Event(504, "WARNING", "promotion requested")
 PROMOTION_SKIPPED = Event(505, "INFO", "promotion not attempted")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -15,8 +15,10 @@
 
 from .clock import boot_time
 from .control.cluster_state import ClusterState
+from .control.evacuations import Evacuations
 from .control.instance_list import InstanceList
 from .control.limits import CustomerLimits
+from .control.load_reports import LoadReports
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
@@ -26,6 +28,7 @@
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
     INSTANCE_STOPPING,
+    LOAD_REPORTS_OFF,
     SETTINGS_RELOADED,
     TASK_FAILED,
     emit,
@@ -41,13 +44,16 @@
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
 from .proxies.links import Links
+from .serving.admission import AdmissionControl
 from .serving.batches import BatchMessage
 from .serving.executor import Executor
 from .serving.gateway import Gateway
 from .serving.homes import Homes
 from .serving.operation import Ticket
 from .serving.reading import Reader
+from .serving.server_health import ServerHealth
 from .serving.servers import Servers
+from .serving.shares import SlotShares
 from .serving.statement_metrics import StatementMetrics
 from .serving.transactions import TransactionRunner
 from .serving.writing import Writer
@@ -80,8 +86,19 @@
         rng = rng or random.Random()
         self.cfg = cfg
         self.registry = CollectorRegistry()
-        self.servers = Servers(WireConnector(), boot_time)
+        self.servers = Servers(
+            WireConnector(),
+            boot_time,
+            name=cfg.name,
+            bounds=cfg.bounds,
+            features=cfg.features,
+        )
         self.cluster_state = ClusterState(self.servers)
+        self.evacuations = Evacuations(
+            self.servers,
+            lambda: self.cfg.bounds.evacuation_s,
+            is_enabled=cfg.features.evacuation,
+        )
         self.peers = Peers(
             cfg.name,
             self._build_report,
@@ -104,6 +121,7 @@
             is_preferred_watcher=lambda: self.peers.is_preferred_watcher,
             rng=rng,
             clock=boot_time,
+            evacuations=self.evacuations if cfg.features.evacuation else None,
         )
         self._promoter = Promoter(
             cfg.name,
@@ -117,7 +135,17 @@
         self._links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
         self._news_fetcher = NewsFetcher(
-            self.cluster_state, self.peers, self._feed.poll_now, self._request_news
+            self.cluster_state,
+            self.peers,
+            self._feed.poll_now,
+            self._request_news,
+            self.evacuations,
+        )
+        self._admission = AdmissionControl(
+            self.servers,
+            is_enabled=cfg.features.load_control,
+            rng=rng,
+            registry=self.registry,
         )
         self.homes = Homes(
             cfg.name,
@@ -127,16 +155,33 @@
             links=self._links,
             heard_at=self.peers.last_report_at,
             has_majority=lambda: self.peers.has_majority,
+            admission=self._admission,
+            may_hedge=self._may_hedge,
+        )
+        self._load_reports = LoadReports(
+            cfg.name, self._load_address_of, boot_time, rng
+        )
+        self.slot_shares = SlotShares(
+            self.servers, self._load_reports, self._fellow_homes
         )
         self.peers.is_direct = self._needs_all_counts
         self.servers.connection_limit = self.homes.connection_limit
+        self.servers.holders = lambda: self.homes.holders
         executor = Executor(
             self.servers,
             self._promoter.is_primary_unreachable,
             self.homes,
             self._acquire_ticket,
+            self._admission,
         )
-        reader = Reader(executor, cfg.failure_domain)
+        has_health = cfg.features.server_health
+        self.servers.compares_answers = has_health
+        self.health = (
+            ServerHealth(boot_time, self._may_hedge, self.registry)
+            if has_health
+            else None
+        )
+        reader = Reader(executor, cfg.failure_domain, self.health)
         self._has_caught_up = asyncio.Event()
         self.gateway = Gateway(
             deployment=lambda: self.cluster_state.deployment,
@@ -156,6 +201,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.cluster_state.on_deployment = self._apply_deployment
         self.cluster_state.on_change = self._announce_news
+        self.evacuations.on_change = self._announce_news
         self.peers.on_report = self._on_report
         self.peers.on_spent = self._on_peer_spent
         self._has_instance_list = False
@@ -195,6 +241,9 @@
             self._link_server.run,
         ):
             self._start(duty)
+        if self.cfg.features.load_control:
+            await self._listen_to_loads()
+            self._start(self.slot_shares.run)
         asyncio.get_running_loop().call_later(CATCH_UP_S, self._check_caught_up)
         emit(
             INSTANCE_STARTED,
@@ -203,6 +252,13 @@
             first=self.cfg.is_first_start,
         )
 
+    async def _listen_to_loads(self) -> None:
+        try:
+            await self._load_reports.listen(_load_address(self.cfg.peers))
+        except (OSError, OverflowError) as exc:
+            # Without the others' load, the pools adapt to the servers' rejections.
+            emit(LOAD_REPORTS_OFF, reason=str(exc))
+
     async def stop(self) -> None:
         """Drain requests and stop, within the grace period."""
         emit(INSTANCE_STOPPING, name=self.cfg.name)
@@ -233,6 +289,7 @@
             if getattr(cfg, field.name) != getattr(self.cfg, field.name)
         ]
         self.cfg = replace(self.cfg, bounds=cfg.bounds, strength=cfg.strength)
+        self.servers.limits.bounds = cfg.bounds
         emit(SETTINGS_RELOADED, changed=changed)
 
     def close(self) -> None:
@@ -246,6 +303,7 @@
             self._link_server.close()
         self._links.close()
         self.servers.close()
+        self._load_reports.close()
         self.peers.close()
         self._client.close()
         self._promotion_client.close()
@@ -269,7 +327,9 @@
             )
             self.gateway.abort_idle_transactions()
             self.servers.evict_expired()
+            self.evacuations.log_drained()
             self.homes.evict_expired_pins()
+            self._admission.observe_groups()
             self._share_connections()
             self._news_fetcher.check_peers()
             self._check_caught_up()
@@ -284,10 +344,13 @@
     def _check_caught_up(self) -> None:
         """Open to callers once no peer is known to have a newer configuration.
 
+        The evacuations must be known too, or callers' statements could be sent there.
+
         The store may hold an older one after it was restored from a copy.
         """
         state = self.cluster_state
-        if self._has_caught_up.is_set() or not state.has_deployment.is_set():
+        is_known = state.has_deployment.is_set() and self.evacuations.is_known.is_set()
+        if self._has_caught_up.is_set() or not is_known:
             return
         waited_s = boot_time() - self._started_at
         if (
@@ -344,6 +407,14 @@
     def _needs_all_counts(self) -> bool:
         return self.cluster_state.has_deployment.is_set() and self.homes.is_direct
 
+    def _fellow_homes(self) -> list[str]:
+        homes = [] if self.homes.is_direct else self.homes.names
+        return homes if self.cfg.name in homes else []
+
+    def _load_address_of(self, name: str) -> Address | None:
+        address = self.peers.address_of(name)
+        return _load_address(address) if address is not None else None
+
     def _link_address(self, name: str) -> str | None:
         address = self.peers.address_of(name)
         return _link_url(address) if address is not None else None
@@ -361,6 +432,9 @@
     def _acquire_ticket(self, customer: str, request_id: str) -> float:
         return self.limits.admit(customer, boot_time(), request_id)
 
+    def _may_hedge(self, customer: str) -> bool:
+        return self.limits.may_hedge(customer, boot_time())
+
     def _admit(self, customer: str, ticket: Ticket) -> float:
         # If customers have homes, only the home sees all of their operations.
         if ticket.is_admitted or not self.homes.is_direct:
@@ -388,9 +462,16 @@
             is_current=not self._feed.is_failing,
             version=self.cluster_state.version,
             era=self.cluster_state.registry_revision.era,
+            evacuations_at=self._news_fetcher.evacuations_at,
         )
 
 
+def _load_address(peer_address: Address) -> Address:
+    """Return the address of load reports, on the port next to the peer port."""
+    host, port = peer_address
+    return host, port + 1
+
+
 def _link_url(address: Address) -> str:
     host, port = address
     return f"tcp://{host}:{port}"
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -52,6 +52,10 @@
         yield _gauge("store_era", "Restorations of the store", instance.store_era)
         yield from self._groups()
         yield from self._connections()
+        if instance.evacuations.is_enabled:
+            yield from self._evacuations()
+        if instance.cfg.features.load_control:
+            yield from self._load()
 
     def _groups(self) -> Iterator[Metric]:
         now = boot_time()
@@ -72,6 +76,36 @@
             for server in group.replicas(now):
                 lag.add_metric((group.name, server.id), server.lag_s)
         yield from (age, lag)
+        yield from self._weights()
+
+    def _weights(self) -> Iterator[Metric]:
+        weight = GaugeMetricFamily(
+            "mangoramp_server_weight",
+            "Share that a server gets of the reads meant for it",
+            labels=("server",),
+        )
+        for group in self._instance.servers.groups.values():
+            if group.outliers is None:
+                return
+            for server_id in group.servers:
+                weight.add_metric((server_id,), group.outliers.weight(server_id))
+        yield weight
+
+    def _evacuations(self) -> Iterator[Metric]:
+        evacuations = self._instance.evacuations
+        evacuated = GaugeMetricFamily(
+            "mangoramp_evacuated",
+            "Whether a failure domain is evacuated",
+            labels=("failure_domain",),
+        )
+        for domain, (_, is_evacuated) in evacuations.table.entries.items():
+            evacuated.add_metric((domain,), float(is_evacuated))
+        yield evacuated
+        yield _gauge(
+            "evacuated_statements",
+            "Statements and open transactions at evacuated servers",
+            evacuations.statements,
+        )
 
     def _connections(self) -> Iterator[Metric]:
         labels = ("server",)
@@ -87,13 +121,46 @@
         failing = GaugeMetricFamily(
             "mangoramp_server_failures", "Failed attempts in a row", labels=labels
         )
+        pace = GaugeMetricFamily(
+            "mangoramp_server_pace",
+            "Statements that may be in flight; absent without this limit",
+            labels=labels,
+        )
+        cold = GaugeMetricFamily(
+            "mangoramp_server_cold_seconds", "Seconds that it stays cold", labels=labels
+        )
+        now = boot_time()
         for pool in self._instance.servers.pools():
             name = (pool.server.id,)
+            if pool.capacity is not None and pool.capacity.pace is not None:
+                pace.add_metric(name, pool.capacity.pace.limit)
+            cold.add_metric(name, max(0.0, pool.server.cold_until - now))
             held.add_metric(name, pool.connection_count)
             waiting.add_metric(name, pool.waiting)
             opened.add_metric(name, pool.opened)
             failing.add_metric(name, pool.server.failures)
-        yield from (held, waiting, opened, failing)
+        yield from (held, waiting, opened, failing, pace, cold)
+
+    def _load(self) -> Iterator[Metric]:
+        share = GaugeMetricFamily(
+            "mangoramp_slot_share",
+            "This home's part of a server's concurrency",
+            labels=("server",),
+        )
+        for server_id, part in self._instance.slot_shares.shares():
+            share.add_metric((server_id,), part)
+        backlog = GaugeMetricFamily(
+            "mangoramp_backlog",
+            "Statements that wait for a connection",
+            labels=("priority",),
+        )
+        totals: dict[int, int] = {}
+        for pool in self._instance.servers.pools():
+            for priority, count in pool.waiting_by_class().items():
+                totals[priority] = totals.get(priority, 0) + count
+        for priority, count in sorted(totals.items()):
+            backlog.add_metric((str(priority),), count)
+        yield from (share, backlog)
 
 
 def _gauge(name: str, help_text: str, value: float) -> Metric:
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 SMOOTHING_WEIGHT = 0.1  # averages over about ten handovers
 START_HANDOVER_INTERVAL_S = 0.002  # a short statement on a handful of connections
 STATEMENT_TIME_MARGIN = 2.0  # few statements take over twice the usual time
+MAX_CLASSES = 8  # in reports; less urgent classes count as the last of these
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,10 +45,13 @@
         statement_s: Seconds for which a statement usually occupies a connection.
         handover_interval_s: Average seconds between two handovers of a connection
             while requests are waiting.
+        min_interval_s: The least seconds between two handovers that a limit allows on
+            average, 0 for none.
     """
 
     def __init__(self) -> None:
         self.statement_s = 0.0
+        self.min_interval_s = 0.0
         self.handover_interval_s = START_HANDOVER_INTERVAL_S
         self._waiters: list[Waiter] = []
         self._last_number = 0
@@ -60,6 +65,11 @@
     def __iter__(self) -> Iterator[Waiter]:
         return iter(self._waiters)
 
+    @property
+    def interval_s(self) -> float:
+        """The expected seconds between two handovers."""
+        return max(self.handover_interval_s, self.min_interval_s)
+
     def enqueue(
         self, customer: str, *, priority: int, due_at: float, deadline: float
     ) -> Waiter:
@@ -114,18 +124,36 @@
         Returns:
             Each such request, with the seconds that it would have to wait.
         """
-        total_s = len(self._waiters) * self.handover_interval_s
+        total_s = len(self._waiters) * self.interval_s
         if now + total_s <= min((p.deadline for p in self._waiters), default=math.inf):
             return []
         # The first request is never refused, so that an outdated rate is remeasured.
         ordered = sorted(self._waiters, key=self._sort_key(now, ""))
-        waits = ((p, n * self.handover_interval_s) for n, p in enumerate(ordered))
+        waits = ((p, n * self.interval_s) for n, p in enumerate(ordered))
         return [
             (waiter, wait_s)
             for waiter, wait_s in waits
             if now + wait_s > waiter.deadline
         ]
 
+    def waits_by_class(self, now: float) -> tuple[float, ...]:
+        """Return the seconds until a new request is served, by its priority class.
+
+        The last entry also holds for less urgent classes. Requests that will miss their
+        objective are left out, since a new one that can still meet it is served first.
+
+        Args:
+            now: The current time, in seconds.
+        """
+        done_at = now + STATEMENT_TIME_MARGIN * self.statement_s
+        counts = [0] * MAX_CLASSES
+        for waiter in self._waiters:
+            if done_at <= waiter.due_at:
+                counts[min(waiter.priority, MAX_CLASSES - 1)] += 1
+        while counts and not counts[-1]:
+            counts.pop()
+        return tuple(n * self.interval_s for n in itertools.accumulate(counts))
+
     def _sort_key(
         self, now: float, customer: str
     ) -> Callable[[Waiter], tuple[bool, int, bool, float, int]]:
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..proxies.envelope import Envelope
 from ..sessions.statement import Shape
 from .command import Answer, Command
 from .primary_samples import PrimarySampleReport
 
 
-class RunBatch(Envelope, frozen=True, array_like=True):
+class LoadHint(msgspec.Struct, frozen=True, array_like=True):
+    """A home's load at the servers of one group.
+
+    Attributes:
+        waits: By server, the seconds until a new statement is served by priority class;
+            servers without waiting statements are left out.
+        silent_s: Seconds since the group's primary fell silent, None if it answers.
+    """
+
+    waits: dict[str, tuple[float, ...]] = {}
+    silent_s: float | None = None
+
+
+class _RunBatchFields(Envelope, frozen=True, array_like=True):
     """Run commands on one of a customer's connections.
 
     Attributes:
@@ -25,6 +40,8 @@
         handle: The pinned connection to use, 0 for any connection.
         ticket: The id of the operation's first statement if the operation must still be
             charged to the customer's limits, else empty.
+        is_hedge: Whether another server runs the read already, so that it is sent only
+            if the server has capacity and the customer most of its burst.
     """
 
     server: str
@@ -39,20 +56,48 @@
     priority: int = 1
     handle: int = 0
     ticket: str = ""
+    is_hedge: bool = False
+
+
+class RunBatch(_RunBatchFields, frozen=True, array_like=True, kw_only=True):
+    """Run commands on one of a customer's connections.
+
+    The former build expects the message's id after ``ticket``, so newer fields are in a
+    class of their own, which places them after the id.
+
+    Attributes:
+        is_deferrable: Whether the commands are a read at the primary that a replica can
+            serve.
+    """
+
+    is_deferrable: bool = False
 
 
-class BatchRun(Envelope, frozen=True, array_like=True):
+class _BatchRunFields(Envelope, frozen=True, array_like=True):
     """All commands were answered.
 
     Attributes:
         answers: The answers to the commands, in order.
         handle: The connection that is pinned by an open transaction, 0 for none.
         samples: The home's latest sample of each group's primary.
+        server_s: Seconds that the server took, without the wait for a connection; 0 if
+            unknown.
     """
 
     answers: tuple[Answer, ...]
     handle: int = 0
     samples: tuple[PrimarySampleReport, ...] = ()
+    server_s: float = 0.0
+
+
+class BatchRun(_BatchRunFields, frozen=True, array_like=True, kw_only=True):
+    """All commands were answered.
+
+    Attributes:
+        load: The home's load at the group's servers, None if it does not report it.
+    """
+
+    load: LoadHint | None = None
 
 
 class BatchLost(Envelope, frozen=True, array_like=True):
@@ -67,7 +112,7 @@
     answers: tuple[Answer, ...] = ()
 
 
-class BatchNotSent(Envelope, frozen=True, array_like=True):
+class _BatchNotSentFields(Envelope, frozen=True, array_like=True):
     """Nothing was sent to the server.
 
     Attributes:
@@ -81,6 +126,16 @@
     wait_s: float = 0.0
 
 
+class BatchNotSent(_BatchNotSentFields, frozen=True, array_like=True, kw_only=True):
+    """Nothing was sent to the server.
+
+    Attributes:
+        load: The home's load at the group's servers, None if it does not report it.
+    """
+
+    load: LoadHint | None = None
+
+
 class BatchOverRate(Envelope, frozen=True, array_like=True):
     """The operation exceeds the customer's limits; nothing was sent.
 
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -10,17 +10,20 @@
 
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, HOMES_CHANGED, PINNED_EXPIRED, emit
+from ..policy.cold_limit import Holders
 from ..policy.homes import (
     Candidate,
+    CustomerHomes,
     choose_homes,
     connections_of_home,
     connections_per_holder,
-    home_for,
     is_direct,
+    max_homes,
 )
 from ..policy.position import Position
 from ..proxies.envelope import Envelope
 from ..proxies.links import Links
+from .admission import AdmissionControl
 from .batches import (
     BatchLost,
     BatchMessage,
@@ -31,18 +34,20 @@
     PinnedDropped,
     RunBatch,
 )
-from .command import Answer, ConnectionLostError
+from .command import Answer, ConnectionLostError, NotSentError
 from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
 from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
+from .workload import workload_of
 
 MIN_SUSPECT_S = 0.5  # long enough to reconnect a link
 MAX_SUSPECT_S = 10.0  # an instance silent for longer counts as out of touch anyway
 MAX_UNANSWERED_CALLS = 2  # in a row, before the link is reconnected
 HOMES_REFRESH_S = 0.1  # a leaving home announces it or becomes suspect in the meantime
 MAX_SAMPLE_AGE_S = 2.0  # older samples rarely serve reads of data seconds old
+COLD_RETRY_S = 0.25  # a cold server has room for a few requests in each second
 PIN_TIMEOUT_S = 10.0  # exceeds the limits on transaction idle time and statement time
 
 
@@ -67,6 +72,8 @@
         links: The links to other instances.
         heard_at: Returns when a message from an instance was last received, in seconds.
         has_majority: Returns whether most of the instances are in touch.
+        admission: Rejects what cannot be served in time, None for no such control.
+        may_hedge: Returns whether a customer's limits allow a hedged read.
     """
 
     def __init__(
@@ -79,6 +86,8 @@
         links: Links,
         heard_at: Callable[[str], float],
         has_majority: Callable[[], bool] = lambda: True,
+        admission: AdmissionControl | None = None,
+        may_hedge: Callable[[str], bool] = lambda customer: True,
     ) -> None:
         self._name = name
         self._servers = servers
@@ -88,10 +97,13 @@
         self._links = links
         self._heard_at = heard_at
         self._has_majority = has_majority
+        self._admission = admission or AdmissionControl(servers)
+        self._may_hedge = may_hedge
         self._suspected_at: dict[str, float] = {}
         self._unanswered_calls: dict[str, int] = {}
         self._chosen: dict[str, int] = {}
         self._rates: Mapping[str, float | None] = {}
+        self._customer_homes = CustomerHomes({}, {})
         self._home_by_customer: dict[str, str | None] = {}
         self._chosen_at = float("-inf")
         self._pinned: dict[int, _PinnedLease] = {}
@@ -146,6 +158,7 @@
             emit(HOMES_CHANGED, homes=chosen, before=list(self._chosen))
         was_home = self._name in self._chosen
         self._chosen, self._rates = chosen, rates
+        self._customer_homes = CustomerHomes(chosen, rates)
         self._home_by_customer.clear()
         if was_home or self._name in chosen:
             is_own = {c: self._assign(c) == self._name for c in rates}
@@ -153,7 +166,7 @@
 
     def _assign(self, customer: str) -> str | None:
         if customer not in self._home_by_customer:
-            home = home_for(customer, self._chosen, self._rates.get(customer))
+            home = self._customer_homes.home_of(customer)
             self._home_by_customer[customer] = home
         return self._home_by_customer[customer]
 
@@ -198,6 +211,18 @@
         part = connections_of_home(self._name, homes, most)
         return max(1, int(part * min(1.0, in_touch)))
 
+    @property
+    def holders(self) -> Holders:
+        """The instances that hold connections, as known here."""
+        servers = self._servers
+        live = self._instances()
+        in_touch = len(live) / servers.instances if servers.instances else 0.0
+        if self.is_direct:
+            known = max(1, servers.instances)
+            return Holders(tuple(live), known, in_touch, are_chosen=False)
+        most = max_homes(servers.min_connections, servers.min_slots)
+        return Holders(tuple(self.names), most, in_touch)
+
     async def call(
         self, home: str, message: RunBatch | DropPinned, *, timeout_s: float
     ) -> Result[BatchMessage, Fault]:
@@ -213,6 +238,8 @@
         if isinstance(result, Success):
             self._unanswered_calls.pop(home, None)
             self._record_samples(result.unwrap(), asked_at)
+            self._record_full(result.unwrap(), message)
+            self._admission.record_hint(home, message, result.unwrap(), asked_at)
             return result
         self._unanswered_calls[home] = self._unanswered_calls.get(home, 0) + 1
         if self._unanswered_calls[home] >= MAX_UNANSWERED_CALLS:
@@ -232,6 +259,16 @@
                 asked_at - sample.age_s, position
             )
 
+    def _record_full(
+        self, answer: BatchMessage, message: RunBatch | DropPinned
+    ) -> None:
+        if not isinstance(answer, BatchNotSent) or not isinstance(message, RunBatch):
+            return
+        server = self._servers.group(message.group).servers.get(message.server)
+        now = self._clock()
+        if server is not None and now < server.cold_until:
+            server.full_until = now + COLD_RETRY_S
+
     def _latest_samples(self) -> tuple[PrimarySampleReport, ...]:
         now = self._clock()
         latest = ((g.name, g.samples.latest) for g in self._servers.groups.values())
@@ -302,6 +339,8 @@
 
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
+        if message.is_hedge and not self._has_room_to_hedge(message):
+            return BatchNotSent(reason="no capacity for a hedged read")
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
@@ -318,11 +357,10 @@
             lease = acquired
             pinned = None
         left = message.timeout_s - (self._clock() - started)
-        if left < MIN_ROUND_TRIP_S and pinned is None:
-            lease.release()
-            return BatchNotSent(reason="the time was over before a connection was free")
-        if pinned is not None:
-            pinned.is_busy = True
+        admitted = await self._admit_batch(message, lease, pinned, left)
+        if isinstance(admitted, BatchNotSent):
+            return admitted
+        left = admitted
         values = message.values
         asked_at = self._clock()
         context = None if values is None else SessionContext(values, message.shapes)
@@ -332,6 +370,11 @@
                     context, message.commands, timeout_s=max(0.0, left)
                 )
                 outcome.answers = answers
+        except NotSentError as exc:
+            # The server has been evacuated meanwhile; an open transaction is over.
+            self._pinned.pop(message.handle, None)
+            lease.release()
+            return BatchNotSent(reason=str(exc))
         except ConnectionLostError as exc:
             self._pinned.pop(message.handle, None)
             lease.release()
@@ -344,8 +387,38 @@
             answers=answers,
             handle=self._pin_or_release(message.handle, lease, answers),
             samples=self._latest_samples(),
+            load=self._admission.hint(message.group),
+            server_s=self._clock() - asked_at,
         )
 
+    async def _admit_batch(
+        self,
+        message: RunBatch,
+        lease: LocalLease,
+        pinned: _PinnedLease | None,
+        left: float,
+    ) -> float | BatchNotSent:
+        """Wait until a batch may be sent, and return the seconds that are left then."""
+        if pinned is not None:
+            pinned.is_busy = True
+        elif left < MIN_ROUND_TRIP_S:
+            lease.release()
+            return BatchNotSent(reason="the time was over before a connection was free")
+        try:
+            return await lease.admit(message.commands, timeout_s=left)
+        except NotSentError as exc:
+            if pinned is None:
+                lease.release()
+            else:
+                pinned.is_busy, pinned.used_at = False, self._clock()
+            return BatchNotSent(reason=str(exc), wait_s=exc.wait_s)
+
+    def _has_room_to_hedge(self, message: RunBatch) -> bool:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None or not self._may_hedge(message.customer):
+            return False
+        return self._servers.pool(server).has_capacity(message.customer)
+
     async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
         server = self._servers.group(message.group).servers.get(message.server)
         if server is None:
@@ -360,12 +433,17 @@
                 message.priority,
                 message.due_s,
                 min(message.wait_s, message.timeout_s),
+                message.is_deferrable,
             )
-            conn = await pool.acquire(message.customer, urgency)
+            work = workload_of(message.commands)
+            conn = await pool.acquire(message.customer, urgency, work)
         except NoConnectionError as exc:
             record_no_connection(server, exc, self._clock())
             return BatchNotSent(
-                reason=str(exc), is_reachable=exc.is_reachable, wait_s=exc.wait_s
+                reason=str(exc),
+                is_reachable=exc.is_reachable,
+                wait_s=exc.wait_s,
+                load=self._admission.hint(message.group),
             )
         return LocalLease(server, conn, message.customer, pool)
 
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -24,6 +24,7 @@
 )
 from .command import (
     Answer,
+    AnswerTimeoutError,
     AssignValue,
     Command,
     ConnectionLostError,
@@ -35,10 +36,13 @@
     ServerConnection,
 )
 from .operation import Ticket, over_rate_error
-from .pool import ServerPool, Urgency
+from .pool import EVACUATED_REASON, ServerPool, Urgency
+from .workload import count_requests
 
 MIN_ROUND_TRIP_S = 0.002  # to a server; with less time left nothing is sent
+MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
 HOME_ROUND_TRIP_S = 0.1  # allowance in addition to the batch timeout
+SERVER_FAILURES = frozenset({Refusal.FAILED, Refusal.TIMEOUT})
 DROP_TIMEOUT_S = 0.5  # on timeout, the home closes the connection at its expiry
 
 
@@ -60,11 +64,30 @@
 
     server: Server
     customer: str
+    server_s: float
 
     @property
     def home_name(self) -> str:
         """The name of the home that holds the connection, empty for this instance."""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the connection."""
+
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Wait until the server's limits allow commands.
+
+        Args:
+            commands: The commands, which must be run immediately afterwards.
+            timeout_s: Timeout for all answers in seconds.
+
+        Returns:
+            The part of the timeout that is left.
+
+        Raises:
+            NotSentError: The limits do not allow the commands in time.
+        """
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -80,6 +103,7 @@
             timeout_s: Timeout for all answers in seconds.
 
         Raises:
+            NotSentError: Nothing was sent.
             ConnectionLostError: The connection is closed and the outcome is unknown.
         """
 
@@ -100,6 +124,7 @@
         customer: The customer that owns the connection.
         pool: The pool that the connection belongs to.
         is_parked: Whether the connection is idle inside an open transaction.
+        server_s: Always 0: the time from sending to the answers is the server's.
     """
 
     server: Server
@@ -107,12 +132,18 @@
     customer: str
     pool: ServerPool
     is_parked: bool = False
+    server_s: float = 0.0
 
     @property
     def home_name(self) -> str:
         """The name of the home that holds the connection, empty for this instance."""
         return ""
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the connection."""
+        return self.is_parked
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -121,15 +152,47 @@
         timeout_s: float,
     ) -> tuple[Answer, ...]:
         """Apply a session's context to the connection and run commands."""
+        self._check_evacuation()
         self._resume()
-        answers = await self._run(session_context, commands, timeout_s)
-        was_refused = any(a.refusal is Refusal.BUSY for a in answers)
-        self.pool.record_answer(was_refused=was_refused)
+        sent_at = self.pool.clock()
+        try:
+            answers = await self._run(session_context, commands, timeout_s)
+        except ConnectionLostError as exc:
+            is_timeout = isinstance(exc, AnswerTimeoutError)
+            if not is_timeout or timeout_s >= MIN_CONCLUSIVE_TIMEOUT_S:
+                self.pool.record_failure(sent_at, str(exc))
+            raise
+        refusals = [a.refusal for a in answers if a.refusal is not None]
+        self.pool.record_answer(
+            was_refused=Refusal.BUSY in refusals,
+            sent_at=sent_at,
+            has_failed=any(r in SERVER_FAILURES for r in refusals),
+        )
         if needs_pin(answers):
             self.is_parked = True
             self.pool.park()
         return answers
 
+    def _check_evacuation(self) -> None:
+        """Raise an error if the server's evacuation forbids to send anything.
+
+        No other check follows before the commands are written to the connection.
+        """
+        if self.pool.may_send(in_transaction=self.in_transaction):
+            return
+        if self.in_transaction:
+            self.conn.close()  # the server rolls the transaction back
+        raise NotSentError(EVACUATED_REASON)
+
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Wait until the server's limits allow commands."""
+        capacity = self.pool.capacity
+        if capacity is None or not capacity.refresh() or capacity.cold is None:
+            return timeout_s
+        started = self.pool.clock()
+        await capacity.admit(self.conn, count_requests(commands), timeout_s=timeout_s)
+        return timeout_s - (self.pool.clock() - started)
+
     def _resume(self) -> None:
         if self.is_parked:
             self.is_parked = False
@@ -196,6 +259,7 @@
         urgency: How urgently the connection is needed at the home.
         ticket: Whether the operation has been charged to the customer's limits.
         handle: The home's handle of the pinned connection, 0 for none.
+        server_s: Seconds that the server took for the last commands, 0 if unknown.
     """
 
     server: Server
@@ -205,6 +269,7 @@
     urgency: Urgency
     ticket: Ticket
     handle: int = 0
+    server_s: float = 0.0
     _drop_tasks: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
         default_factory=set, repr=False
     )
@@ -214,6 +279,15 @@
         """The name of the home that holds the connection."""
         return self.home
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open on the home's connection."""
+        return bool(self.handle)
+
+    async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
+        """Return the timeout, since the home applies the server's limits."""
+        return timeout_s
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -238,6 +312,8 @@
             priority=self.urgency.priority,
             handle=self.handle,
             ticket="" if self.ticket.is_admitted else self.ticket.request_id,
+            is_deferrable=self.urgency.is_deferrable,
+            is_hedge=self.ticket.is_hedge,
         )
         result = await self.home_client.call(
             self.home, message, timeout_s=timeout_s + HOME_ROUND_TRIP_S
@@ -257,6 +333,7 @@
             raise ConnectionLostError(answer.reason, answer.answers)
         assert isinstance(answer, BatchRun)
         self.handle = answer.handle
+        self.server_s = answer.server_s
         return answer.answers
 
     def release(self) -> None:
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -33,6 +33,7 @@
 from .lease import Lease
 from .operation import Operation, Ticket, aborted_error, outcome_unknown_error
 from .reading import REPLICA_CONNECTION_WAIT_S, Reader
+from .workload import workload_of
 
 ROLLBACK_TIMEOUT_S = 0.5  # on timeout the connection is closed, which also rolls back
 
@@ -160,6 +161,10 @@
         self._executor.servers.group(op.route.group).record_position(asked_at, position)
 
     async def _roll_back(self, lease: Lease) -> None:
+        if not self._executor.may_send(lease):
+            lease.discard()
+            lease.release()
+            return
         try:
             (answer,) = await lease.run(
                 None, (RollBack(),), timeout_s=ROLLBACK_TIMEOUT_S
@@ -230,17 +235,32 @@
         while True:
             self._executor.check_time(op, group)
             chosen = self._reader.choose(op, tried) if tx.read_only else None
+            is_deferrable = False
             if chosen is not None:
                 server, need = chosen
                 tried.add(server.id)
                 command = OpenTransaction(read_only=True, after=need.position)
                 max_wait_s = REPLICA_CONNECTION_WAIT_S
             else:
-                server = await self._executor.primary(op)
+                if tx.read_only:
+                    is_deferrable = self._reader.is_deferrable(op, tried)
+                if is_deferrable:
+                    tried.clear()
+                found = await self._executor.primary_for_read(
+                    op, is_deferrable=is_deferrable
+                )
+                if found is None:
+                    continue
+                server = found
                 command = OpenTransaction(read_only=False)
                 max_wait_s = op.deadline - self._clock()
             lease = await self._executor.try_acquire(
-                op, server, max_wait_s=max_wait_s, retry_event=TRANSACTION_RETRIED
+                op,
+                server,
+                max_wait_s=max_wait_s,
+                retry_event=TRANSACTION_RETRIED,
+                work=workload_of((command,)),
+                is_deferrable=is_deferrable,
             )
             if lease is not None and await self._begin(op, lease, command):
                 tx.lease = lease
