Keep the place of the id in messages that got new fields

Messages between instances are arrays, and the id of the envelope came after the fields of the class. New fields of AskNews, News, RunBatch and BatchRun moved it, so an instance of the former build could not have read them while a release is rolled out. They now come after the id, like those of load control. tests/test_rollout.py fails with the fields in their former place.

--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -29,7 +29,7 @@
 FETCH_TIMEOUT_S = 0.5  # two round trips within a region and one lost packet
 
 
-class AskNews(Envelope, frozen=True, array_like=True):
+class _AskNewsFields(Envelope, frozen=True, array_like=True):
     """Requests the updates that the sender does not have yet.
 
     Attributes:
@@ -37,18 +37,29 @@
         registry_revision: The latest registry revision that the sender knows.
         version: The version of the configuration that the sender has in force.
         era: The era of the registry revision.
-        evacuations_at: Era and number of the newest revision of the evacuations that
-            the sender knows, None if it knows none.
     """
 
     revision: int
     registry_revision: int
     version: int = 0
     era: int = 0
+
+
+class AskNews(_AskNewsFields, frozen=True, array_like=True, kw_only=True):
+    """Requests the updates that the sender does not have yet.
+
+    The former build expects the message's id after ``era``, so newer fields are in a
+    class of their own, which places them after the id.
+
+    Attributes:
+        evacuations_at: Era and number of the newest revision of the evacuations that
+            the sender knows, None if it knows none.
+    """
+
     evacuations_at: tuple[int, int] | None = None
 
 
-class News(Envelope, frozen=True, array_like=True):
+class _NewsFields(Envelope, frozen=True, array_like=True):
     """The updates since the revisions in a request.
 
     Attributes:
@@ -60,10 +71,6 @@
         is_registered: Whether the sender has the full registry.
         era: The era of the registry revision.
         departed: The servers that left lately.
-        evacuations: Each failure domain with the era and number of its newest revision
-            and whether it is evacuated.
-        evacuations_at: Era and number of the newest revision of the evacuations that
-            the sender knows, None if it knows none.
     """
 
     revision: int
@@ -74,6 +81,18 @@
     is_registered: bool
     era: int = 0
     departed: dict[str, DepartedServer] = {}
+
+
+class News(_NewsFields, frozen=True, array_like=True, kw_only=True):
+    """The updates since the revisions in a request.
+
+    Attributes:
+        evacuations: Each failure domain with the era and number of its newest revision
+            and whether it is evacuated.
+        evacuations_at: Era and number of the newest revision of the evacuations that
+            the sender knows, None if it knows none.
+    """
+
     evacuations: tuple[tuple[str, int, int, bool], ...] = ()
     evacuations_at: tuple[int, int] | None = None
 
--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -40,8 +40,6 @@
         handle: The pinned connection to use, 0 for any connection.
         ticket: The id of the operation's first statement if the operation must still be
             charged to the customer's limits, else empty.
-        is_hedge: Whether another server runs the read already, so that it is sent only
-            if the server has capacity and the customer most of its burst.
     """
 
     server: str
@@ -56,7 +54,6 @@
     priority: int = 1
     handle: int = 0
     ticket: str = ""
-    is_hedge: bool = False
 
 
 class RunBatch(_RunBatchFields, frozen=True, array_like=True, kw_only=True):
@@ -68,9 +65,12 @@
     Attributes:
         is_deferrable: Whether the commands are a read at the primary that a replica can
             serve.
+        is_hedge: Whether another server runs the read already, so that it is sent only
+            if the server has capacity and the customer most of its burst.
     """
 
     is_deferrable: bool = False
+    is_hedge: bool = False
 
 
 class _BatchRunFields(Envelope, frozen=True, array_like=True):
@@ -80,14 +80,11 @@
         answers: The answers to the commands, in order.
         handle: The connection that is pinned by an open transaction, 0 for none.
         samples: The home's latest sample of each group's primary.
-        server_s: Seconds that the server took, without the wait for a connection; 0 if
-            unknown.
     """
 
     answers: tuple[Answer, ...]
     handle: int = 0
     samples: tuple[PrimarySampleReport, ...] = ()
-    server_s: float = 0.0
 
 
 class BatchRun(_BatchRunFields, frozen=True, array_like=True, kw_only=True):
@@ -95,9 +92,12 @@
 
     Attributes:
         load: The home's load at the group's servers, None if it does not report it.
+        server_s: Seconds that the server took, without the wait for a connection; 0 if
+            unknown.
     """
 
     load: LoadHint | None = None
+    server_s: float = 0.0
 
 
 class BatchLost(Envelope, frozen=True, array_like=True):
