--- a/mangoramp/policy/hedging.py
+++ b/mangoramp/policy/hedging.py
@@ -12,10 +12,7 @@
 
 RETRY_RATIO = 0.1  # retries per read
 HEDGE_RATIO = 0.05  # hedged attempts per read
-RETRY_BURST = 20.0  # failures until an outlier is ejected, at 100 reads per second
-# A large fleet has many instances with few reads each; bursts at all of them would
-# exceed the ratio of the fleet for minutes.
-HEDGE_BURST = 2.0
+BURST = 20.0  # failures until an outlier is ejected, at 100 reads per second
 MIN_HEDGE_DELAY_S = 0.01  # most statements are answered by then
 MAX_HEDGE_OBJECTIVE_SHARE = 0.5  # leaves the other half to the second attempt
 MAX_LATENCIES = 128
@@ -29,14 +26,13 @@
 
     Args:
         ratio: Additional attempts per read.
-        burst: The most additional attempts that accumulate.
-        level: Additional attempts that are available at the start.
+        burst: The most additional attempts that accumulate; available at the start.
     """
 
-    def __init__(self, ratio: float, *, burst: float, level: float = 0.0) -> None:
+    def __init__(self, ratio: float, burst: float = BURST) -> None:
         self._ratio = ratio
         self._burst = burst
-        self._level = level
+        self._level = burst
 
     def record_read(self) -> None:
         """Add a read's share to the budget."""
--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -16,9 +16,7 @@
 from ..events import SERVER_WEIGHT_RAISED, SERVER_WEIGHT_REDUCED, emit
 from ..policy.ejection import WeightStep
 from ..policy.hedging import (
-    HEDGE_BURST,
     HEDGE_RATIO,
-    RETRY_BURST,
     RETRY_RATIO,
     AttemptBudget,
     LatencyWindow,
@@ -135,21 +133,21 @@
 
     def record_read(self, group: GroupState) -> None:
         """Count a read, which adds to its group's budgets."""
-        self._retry_budget(group.name).record_read()
-        self._hedge_budget(group.name).record_read()
+        _budget(self._retry_budgets, group.name, RETRY_RATIO).record_read()
+        _budget(self._hedge_budgets, group.name, HEDGE_RATIO).record_read()
         if group.outliers is not None:
             group.outliers.record_read()
 
     def try_acquire_retry(self, group: str) -> bool:
         """Return whether a failed read may run again at another server; count it."""
-        if not self._retry_budget(group).try_acquire():
+        if not _budget(self._retry_budgets, group, RETRY_RATIO).try_acquire():
             return False
         self._retries.inc()
         return True
 
     def try_acquire_hedge(self, group: str) -> bool:
         """Return whether the budget allows a hedged read, and take it."""
-        return self._hedge_budget(group).try_acquire()
+        return _budget(self._hedge_budgets, group, HEDGE_RATIO).try_acquire()
 
     def record_hedge(self, outcome: str) -> None:
         """Count a hedged read by what became of its second attempt."""
@@ -217,22 +215,19 @@
                 # The average holds the answers from when it was slow.
                 server.latency_s = min(server.latency_s, step.latency_s)
 
-    def _retry_budget(self, group: str) -> AttemptBudget:
-        if group not in self._retry_budgets:
-            self._retry_budgets[group] = AttemptBudget(
-                RETRY_RATIO, burst=RETRY_BURST, level=RETRY_BURST
-            )
-        return self._retry_budgets[group]
-
-    def _hedge_budget(self, group: str) -> AttemptBudget:
-        if group not in self._hedge_budgets:
-            self._hedge_budgets[group] = AttemptBudget(HEDGE_RATIO, burst=HEDGE_BURST)
-        return self._hedge_budgets[group]
-
     def _latency(self, server_id: str) -> LatencyWindow:
         return self._latencies.setdefault(server_id, LatencyWindow())
 
 
+def _budget(
+    budgets: dict[str, AttemptBudget], group: str, ratio: float
+) -> AttemptBudget:
+    found = budgets.get(group)
+    if found is None:
+        found = budgets[group] = AttemptBudget(ratio)
+    return found
+
+
 def _log_step(group: str, step: WeightStep) -> None:
     emit(
         SERVER_WEIGHT_REDUCED if step.is_down else SERVER_WEIGHT_RAISED,
