Explain where a request would go: GET /where and mangoramp where

An operator could see only afterwards, from logs, where a request went and why. An instance now answers GET /where from the decisions of the real path, and the command prints the answer.

Decisions that also change state are split: primary and find_primary, replicas and find_replicas, admit and would_admit, admit_probe and would_probe, try_acquire and wait_s of a bucket, the choice of homes and its application, the state of limits and predict, check_outage and predict_outage, check_backlog and predict_backlog. The real path calls the same code as before. The end of a home's suspicion is now recorded after each choice of homes, not while it is made.

Ruled out: a dry run of the real path on copies of its state, since pools hold sockets and futures that cannot be copied.

--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -16,6 +16,7 @@
 from .operators.output import ExitCode
 from .operators.status_command import add_status_command
 from .operators.table_commands import add_table_commands
+from .operators.where_command import add_where_command
 from .proxy import Proxy, run_until_stopped
 from .settings import ProxySettings, load_settings
 from .signals import install_two_stage_stop_handlers
@@ -58,6 +59,9 @@
     add_key_commands(commands.add_parser("keys", help="manage customers' keys"))
     add_status_command(commands.add_parser("status", help="show the fleet's state"))
     add_explain_command(commands.add_parser("explain", help="trace a request in logs"))
+    add_where_command(
+        commands.add_parser("where", help="explain where a request would go")
+    )
     add_load_command(commands.add_parser("load", help="send requests at a rate"))
     demo = commands.add_parser("demo", help="run a small fleet in this process")
     demo.set_defaults(run=_demo)
--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -71,6 +71,9 @@
     def capacity_state(self) -> CapacityState:
         """Which limit is binding and why."""
 
+    def predict_capacity(self) -> CapacityState:
+        """Return what ``capacity_state`` would be, without changing limits."""
+
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -175,13 +178,24 @@
     @property
     def capacity_state(self) -> CapacityState:
         """Which limit holds statements back from the server, and why."""
+        state = self._own_state()
+        if state is not None or self.reporter is None:
+            return state or CapacityState(Limit.NONE)
+        return self.reporter.capacity_state
+
+    def predict_capacity(self) -> CapacityState:
+        """Return what ``capacity_state`` would be, without changing limits."""
+        state = self._own_state()
+        if state is not None or self.reporter is None:
+            return state or CapacityState(Limit.NONE)
+        return self.reporter.predict_capacity()
+
+    def _own_state(self) -> CapacityState | None:
         if self.is_evacuated:
             return CapacityState(Limit.EVACUATED, "its failure domain is evacuated")
         if self.endpoint.is_draining:
             return CapacityState(Limit.DRAINING, "it is being drained")
-        if self.reporter is None:
-            return CapacityState(Limit.NONE)
-        return self.reporter.capacity_state
+        return None
 
     def begin_slow_start(self, reason: SlowStart) -> None:
         """Have the server's load increased gradually from now on."""
@@ -349,15 +363,19 @@
             server.begin_slow_start(SlowStart.PROMOTED)
             self.notify_changed()
 
-    def primary(self, now: float) -> Server | None:
-        """Return the server that is treated as the primary, None if there is none."""
+    def find_primary(self, now: float) -> Server | None:
+        """Return what :meth:`primary` would return, without logging a change."""
         candidates = [
             s
             for s in self.servers.values()
             if s.primary_since != NO_REVISION
             and now - s.not_primary_at > NOT_PRIMARY_HOLD_S
         ]
-        found = max(candidates, key=lambda s: s.primary_since, default=None)
+        return max(candidates, key=lambda s: s.primary_since, default=None)
+
+    def primary(self, now: float) -> Server | None:
+        """Return the server that is treated as the primary, None if there is none."""
+        found = self.find_primary(now)
         if found is not None and found.id != self._primary_id:
             self._primary_id = found.id
             emit(
@@ -370,7 +388,10 @@
 
     def replicas(self, now: float) -> list[Server]:
         """Return the servers that may serve reads, except the primary."""
-        primary = self.primary(now)
+        return self.find_replicas(self.primary(now))
+
+    def find_replicas(self, primary: Server | None) -> list[Server]:
+        """Return the servers that may serve reads beside a primary."""
         return [
             s
             for s in self.servers.values()
--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -80,6 +80,19 @@
         self.spent[customer] = self.spent.get(customer, 0) + 1
         return 0.0
 
+    def wait_s(self, customer: str, now: float) -> float:
+        """Return what :meth:`admit` would return, without charging an operation.
+
+        Args:
+            customer: The customer.
+            now: The time, in seconds.
+        """
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return 0.0
+        wait_s = bucket.wait_s(now, self._usable_part(bucket))
+        return wait_s if math.isfinite(wait_s) else MAX_RETRY_AFTER_S
+
     def may_hedge(self, customer: str, now: float) -> bool:
         """Return whether at least half of a customer's burst is left.
 
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -157,7 +157,7 @@
     def is_primary_unreachable(self, group: str) -> bool:
         """Whether a group's primary is unreachable from here but not from elsewhere."""
         now = self._servers.clock()
-        primary = self._servers.group(group).primary(now)
+        primary = self._servers.group(group).find_primary(now)
         if primary is None or primary.failing_since is None or primary.is_evacuated:
             return False
         reach = Reachability(
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -47,6 +47,7 @@
 from .serving.admission import AdmissionControl
 from .serving.batches import BatchMessage
 from .serving.executor import Executor
+from .serving.explainer import Explainer
 from .serving.gateway import Gateway
 from .serving.homes import Homes
 from .serving.operation import Ticket
@@ -195,7 +196,16 @@
         )
         self._listener = Listener(self.gateway.open)
         self.registry.register(InstanceCollector(self))
-        self._readiness = ReadinessServer(lambda: self.is_ready, self.registry)
+        explainer = Explainer(
+            self.gateway,
+            executor,
+            self.homes,
+            rate_wait_s=lambda customer: self.limits.wait_s(customer, boot_time()),
+            is_ready=lambda: self.is_ready,
+        )
+        self._readiness = ReadinessServer(
+            lambda: self.is_ready, self.registry, explainer.explain_named
+        )
         self._is_stopping = False
         self._started_at = boot_time()
         self._tasks: list[asyncio.Task[None]] = []
--- a/mangoramp/policy/_rendezvous.py
+++ b/mangoramp/policy/_rendezvous.py
@@ -54,6 +54,16 @@
         joins or changes its capacity, only the subjects that it loses or gains are
         reassigned.
     """
+    return next(iter(weighted_rendezvous_order(subject, members)), None)
+
+
+def weighted_rendezvous_order(subject: str, members: Mapping[str, float]) -> list[str]:
+    """Order members as :func:`weighted_rendezvous` selects them if the first leave.
+
+    Args:
+        subject: The key to assign.
+        members: The capacities by member; those that are not positive are left out.
+    """
 
     def score(member: str) -> tuple[float, bytes]:
         hashed = weight(subject, member)
@@ -61,4 +71,4 @@
         return members[member] / -math.log(unit), hashed
 
     positive = (member for member, capacity in members.items() if capacity > 0)
-    return max(positive, key=score, default=None)
+    return sorted(positive, key=score, reverse=True)
--- a/mangoramp/policy/admission.py
+++ b/mangoramp/policy/admission.py
@@ -82,6 +82,11 @@
         self._waits: tuple[float, ...] = ()
         self._reported_at = -math.inf
 
+    @property
+    def reported_at(self) -> float:
+        """The earliest time to which the report applies, in seconds."""
+        return self._reported_at
+
     def record(self, waits: Sequence[float], now: float) -> None:
         """Record the expected waits.
 
@@ -113,8 +118,14 @@
 
     def is_probe(self) -> bool:
         """Count a statement to be rejected; return whether it is to be sent instead."""
+        is_next = self.is_next_probe
         self._rejected += 1
-        return self._rejected % PROBE_INTERVAL == 0
+        return is_next
+
+    @property
+    def is_next_probe(self) -> bool:
+        """Whether the next statement to be rejected is sent instead."""
+        return (self._rejected + 1) % PROBE_INTERVAL == 0
 
 
 def retry_after_s(ahead_s: float, rng: random.Random) -> float:
--- a/mangoramp/policy/cold_limit.py
+++ b/mangoramp/policy/cold_limit.py
@@ -102,6 +102,14 @@
         self._settle(now)
         return self._count + requests <= self._usable_part
 
+    def would_have_room(self, requests: int, now: float) -> bool:
+        """Return what :meth:`has_room` would return, without any change."""
+        is_usable = self._usable_part < self.part and now >= self._usable_at
+        part = self.part if is_usable else self._usable_part
+        oldest_at = now - WINDOW_S - WINDOW_MARGIN_S
+        expired = sum(sent for sent_at, sent in self._sent if sent_at <= oldest_at)
+        return self._count - expired + requests <= part
+
     def wait_s(self, requests: int, now: float) -> float:
         """Return the seconds until requests may be sent if nothing else is sent.
 
--- a/mangoramp/policy/ejection.py
+++ b/mangoramp/policy/ejection.py
@@ -163,25 +163,42 @@
         record = self._records.get(server_id)
         if record is None or not record.level:
             return True
+        is_admitted = self.would_admit(server_id)
         record.credit += WEIGHTS[record.level]
-        if record.credit < 1.0:
-            return False
-        record.credit -= 1.0
-        self._record_sent(record, now)
-        return True
+        if is_admitted:
+            record.credit -= 1.0
+            self._record_sent(record, now)
+        return is_admitted
+
+    def would_admit(self, server_id: str) -> bool:
+        """Return what :meth:`admit` would return, without counting a read."""
+        record = self._records.get(server_id)
+        if record is None or not record.level:
+            return True
+        return record.credit + WEIGHTS[record.level] >= 1.0
 
     def admit_probe(self, server_id: str, now: float) -> bool:
         """Return whether a read is sent to an outlier to measure it again."""
+        is_probe = self.would_probe(server_id, now)
+        if is_probe:
+            self._record_sent(self._records[server_id], now)
+        return is_probe
+
+    def would_probe(self, server_id: str, now: float, *, new_reads: int = 0) -> bool:
+        """Return what :meth:`admit_probe` would return, without counting a probe.
+
+        Args:
+            server_id: The server's id.
+            now: The current time, in seconds.
+            new_reads: Reads that would be counted before.
+        """
         record = self._records.get(server_id)
         if record is None or not record.level:
             return False
         passed_s = now - record.probed_at
-        is_share_due = record.reads_since * WEIGHTS[-1] >= 1.0
+        is_share_due = (record.reads_since + new_reads) * WEIGHTS[-1] >= 1.0
         is_due = passed_s >= PROBE_INTERVAL_S and is_share_due
-        if not is_due and passed_s < MAX_PROBE_INTERVAL_S:
-            return False
-        self._record_sent(record, now)
-        return True
+        return is_due or passed_s >= MAX_PROBE_INTERVAL_S
 
     def retain(self, server_ids: Collection[str]) -> None:
         """Drop the records of servers that left the group."""
--- a/mangoramp/policy/homes.py
+++ b/mangoramp/policy/homes.py
@@ -14,7 +14,12 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from ._rendezvous import rendezvous_order, weight, weighted_rendezvous
+from ._rendezvous import (
+    rendezvous_order,
+    weight,
+    weighted_rendezvous,
+    weighted_rendezvous_order,
+)
 
 RESERVED_PART = 0.1  # of a server's connections, for instances not known yet
 MIN_CONNECTIONS_PER_INSTANCE = 2  # an open transaction would block the only one
@@ -209,15 +214,21 @@
 
     def home_of(self, customer: str) -> str | None:
         """Return the home of a customer's connections, None if there are no homes."""
+        return home_for(customer, self._weights_for(customer))
+
+    def order_of(self, customer: str) -> list[str]:
+        """Return the home of a customer's connections and its runners-up, in order."""
+        return weighted_rendezvous_order(customer, self._weights_for(customer))
+
+    def _weights_for(self, customer: str) -> Mapping[str, float]:
         share = self._shares.get(customer, 0.0)
         if share > self._max_share:
-            return home_for(customer, self._strong)
-        weights = {
+            return self._strong
+        return {
             name: weight
             for name, weight in self._weights.items()
             if share <= self._max_shares.get(name, math.inf)
         }
-        return home_for(customer, weights)
 
 
 def _rate_shares(rates: Mapping[str, float | None]) -> dict[str, float]:
--- a/mangoramp/policy/placement.py
+++ b/mangoramp/policy/placement.py
@@ -82,20 +82,28 @@
         None if no replica that may get the read is likely to have reached the position.
     """
     suitable = [
-        r for r in replicas if not r.is_suspect and _likely_shows(r, need, need_age_s)
+        r for r in replicas if not r.is_suspect and likely_shows(r, need, need_age_s)
     ]
-    suitable.sort(key=_expected_s)
+    suitable.sort(key=expected_s)
     probed = next((r for r in suitable if admit_probe(r.id)), None)
     return probed or next((r for r in suitable if admit(r.id)), None)
 
 
-def _likely_shows(replica: Replica, need: Position, need_age_s: float) -> bool:
+def likely_shows(replica: Replica, need: Position, need_age_s: float) -> bool:
+    """Return whether a replica has probably reached a position.
+
+    Args:
+        replica: The replica.
+        need: The position.
+        need_age_s: The least time for which the primary has held it, in seconds.
+    """
     if replica.last_position is not None and replica.last_position >= need:
         return True
     return need_age_s >= replica.lag_s
 
 
-def _expected_s(replica: Replica) -> tuple[float, str]:
+def expected_s(replica: Replica) -> tuple[float, str]:
+    """Return the seconds until a replica's answer is expected, and its id."""
     service_s = replica.latency_s * (1 + replica.busy / replica.slots)
     open_s = 0.0 if replica.has_connection else OPEN_CONNECTION_S
     penalty_s = 0.0 if replica.is_preferred else NOT_PREFERRED_S
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -68,11 +68,23 @@
             0 if it was admitted, else the seconds until it might be.
         """
         self._refill(now, part)
-        if self._level >= 1.0:
+        wait_s = self.wait_s(now, part)
+        if wait_s == 0:
             self._spend(instance, 1.0, now)
+        return wait_s
+
+    def wait_s(self, now: float, part: float) -> float:
+        """Return what :meth:`try_acquire` would return, without any change.
+
+        Args:
+            now: The current time, in seconds.
+            part: The part of the limits that the instances in touch may use.
+        """
+        level = self._level_after(now, part)
+        if level >= 1.0:
             return 0.0
         usable_rate = self._rate * part
-        return (1.0 - self._level) / usable_rate if usable_rate > 0 else math.inf
+        return (1.0 - level) / usable_rate if usable_rate > 0 else math.inf
 
     def record_remote_use(
         self, instance: str, count: float, now: float, part: float
@@ -125,8 +137,12 @@
         }
 
     def _refill(self, now: float, part: float) -> None:
+        if now > self._level_at:
+            self._level = self._level_after(now, part)
+            self._level_at = now
+
+    def _level_after(self, now: float, part: float) -> float:
         if now <= self._level_at:
-            return
+            return self._level
         gained = self._rate * part * (now - self._level_at)
-        self._level = min(self._burst * part, self._level + gained)
-        self._level_at = now
+        return min(self._burst * part, self._level + gained)
--- a/mangoramp/policy/wait_queue.py
+++ b/mangoramp/policy/wait_queue.py
@@ -115,6 +115,25 @@
             customer = ""
         return min(self._waiters, key=self._sort_key(now, customer), default=None)
 
+    def predict(
+        self,
+        customer: str,
+        *,
+        priority: int,
+        due_at: float,
+        deadline: float,
+        now: float,
+    ) -> tuple[int, float]:
+        """Return a new request's place and its wait, without adding the request.
+
+        Returns:
+            The number of requests before it and the expected wait in seconds.
+        """
+        new = Waiter(customer, priority, due_at, deadline, self._last_number + 1)
+        key = self._sort_key(now, "")
+        ahead = sum(key(waiter) < key(new) for waiter in self._waiters)
+        return ahead, ahead * self.interval_s
+
     def find_unservable(self, now: float) -> list[tuple[Waiter, float]]:
         """Return the requests that would miss their deadline at the current rate.
 
--- a/mangoramp/serving/admission.py
+++ b/mangoramp/serving/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 import random
 from collections import defaultdict
@@ -10,7 +11,7 @@
 from prometheus_client import CollectorRegistry, Counter
 
 from ..control.group import GroupState, Server
-from ..errors import Code, Step
+from ..errors import Code, Fault, FaultError, Step
 from ..events import ADMISSION_REJECTED, emit
 from ..policy.admission import (
     INITIAL_VACANCY_S,
@@ -21,7 +22,7 @@
 )
 from ..policy.revision import NO_REVISION
 from .batches import BatchMessage, BatchNotSent, BatchRun, LoadHint, RunBatch
-from .operation import Operation, refused_error
+from .operation import Operation
 
 if TYPE_CHECKING:
     from .servers import Servers
@@ -31,6 +32,9 @@
 MIN_SILENCE_S = 0.25  # a server that resets its connections is back sooner
 
 
+_NO_BACKLOG = Backlog()
+
+
 class AdmissionControl:
     """Estimates which statements cannot be served before their deadline.
 
@@ -84,13 +88,26 @@
         remaining_s = self._observe(group, now).remaining_s(now)
         if remaining_s <= op.deadline - now:
             return
-        raise refused_error(
-            Code.NO_SERVER,
-            f"the primary is expected back in {remaining_s:.1f} s",
-            Step.ROUTE,
-            peer=group.name,
-            retry_after_s=self._reject(op, "outage", group.name, remaining_s),
-        )
+        retry_s = self._reject(op, "outage", group.name, remaining_s)
+        raise FaultError(_outage_fault(group, remaining_s, retry_s))
+
+    def predict_outage(self, op: Operation, group: GroupState) -> Fault | None:
+        """Return the fault that :meth:`check_outage` would raise, without any effect.
+
+        Its retry time has no jitter.
+        """
+        if not self.is_enabled:
+            return None
+        now = self._servers.clock()
+        silence = copy.deepcopy(self._silences.get(group.name, OutageEstimate()))
+        no_vacancy = OutageEstimate(INITIAL_VACANCY_S)
+        vacancy = copy.deepcopy(self._vacancies.get(group.name, no_vacancy))
+        self._record_state(group, group.find_primary(now), silence, vacancy, now)
+        estimate = vacancy if silence.began_at is None else silence
+        remaining_s = estimate.remaining_s(now)
+        if remaining_s <= op.deadline - now:
+            return None
+        return _outage_fault(group, remaining_s, remaining_s)
 
     def check_backlog(self, op: Operation, server: Server, home: str) -> None:
         """Reject a statement if the backlog that its home reported outlasts its time.
@@ -107,23 +124,56 @@
         """
         if not self.is_enabled:
             return
-        now = self._servers.clock()
-        priority = op.route.priority
         group = self._servers.group(op.route.group)
+        is_primary = server is group.primary(self._servers.clock())
+        wait_s = self._late_backlog_s(op, server, home, group, is_primary)
+        if wait_s is None or self._probes.is_probe():
+            return
+        retry_s = self._reject(op, "backlog", server.id, wait_s)
+        raise FaultError(_backlog_fault(server, wait_s, retry_s))
+
+    def predict_backlog(self, op: Operation, server: Server, home: str) -> Fault | None:
+        """Return the fault that :meth:`check_backlog` would raise, without any effect.
+
+        Its retry time has no jitter.
+        """
+        group = self._servers.groups.get(op.route.group)
+        if not self.is_enabled or group is None:
+            return None
+        is_primary = server is group.find_primary(self._servers.clock())
+        wait_s = self._late_backlog_s(op, server, home, group, is_primary)
+        if wait_s is None or self._probes.is_next_probe:
+            return None
+        return _backlog_fault(server, wait_s, wait_s)
+
+    def backlog_age_s(self, home: str, server: Server) -> float | None:
+        """Return the age of a home's last report on a server in seconds, None if none.
+
+        Args:
+            home: The home.
+            server: The server.
+        """
+        backlog = self._backlogs.get((home, server.id))
+        if backlog is None:
+            return None
+        return self._servers.clock() - backlog.reported_at
+
+    def _late_backlog_s(
+        self,
+        op: Operation,
+        server: Server,
+        home: str,
+        group: GroupState,
+        is_primary: bool,
+    ) -> float | None:
+        """Return the wait at a home in seconds, None if an operation has the time."""
+        now = self._servers.clock()
         # A read that found a replica may also find another one or the primary.
-        is_primary = server is group.primary(now)
         choices = (server,) if is_primary else tuple(group.servers.values())
-        wait_s = min(self._backlogs[home, s.id].wait_s(priority, now) for s in choices)
+        backlogs = (self._backlogs.get((home, s.id), _NO_BACKLOG) for s in choices)
+        wait_s = min(b.wait_s(op.route.priority, now) for b in backlogs)
         left = op.deadline - now - server.latency_s
-        if wait_s <= max(0.0, left) or self._probes.is_probe():
-            return
-        raise refused_error(
-            Code.OVERLOADED,
-            f"statements that are ahead of it take {wait_s:.2f} s",
-            Step.QUEUE,
-            peer=server.id,
-            retry_after_s=self._reject(op, "backlog", server.id, wait_s),
-        )
+        return wait_s if wait_s > max(0.0, left) else None
 
     def record_late(
         self, op: Operation, server: Server, detail: str, wait_s: float
@@ -205,6 +255,20 @@
     def _observe(self, group: GroupState, now: float) -> OutageEstimate:
         silence, vacancy = self._silences[group.name], self._vacancies[group.name]
         primary = group.primary(now)
+        self._record_state(group, primary, silence, vacancy, now)
+        if primary is not None and primary.failing_since is None:
+            self._reported_silences.pop(group.name, None)
+        return vacancy if silence.began_at is None else silence
+
+    def _record_state(
+        self,
+        group: GroupState,
+        primary: Server | None,
+        silence: OutageEstimate,
+        vacancy: OutageEstimate,
+        now: float,
+    ) -> None:
+        """Record the state of a group's primary in estimates."""
         if primary is None:
             # A primary that has just declined its role has a successor already.
             has_declined = any(
@@ -215,7 +279,6 @@
         elif primary.failing_since is None:
             silence.record_up(now)
             vacancy.record_up(now)
-            self._reported_silences.pop(group.name, None)
         elif (
             primary.failures >= MIN_FAILURES
             and now - primary.failing_since >= MIN_SILENCE_S
@@ -223,7 +286,6 @@
             # The home has noticed the silence before an instance without traffic.
             reported_at = self._reported_silences.get(group.name, now)
             silence.record_down(min(primary.failing_since, reported_at))
-        return vacancy if silence.began_at is None else silence
 
     def _reject(
         self, op: Operation, reason: str, peer: str, ahead_s: float, detail: str = ""
@@ -244,3 +306,17 @@
             retry_after_s=round(retry_s, 3),
         )
         return retry_s
+
+
+def _outage_fault(group: GroupState, remaining_s: float, retry_s: float) -> Fault:
+    message = f"the primary is expected back in {remaining_s:.1f} s"
+    return Fault(
+        Code.NO_SERVER, message, Step.ROUTE, peer=group.name, retry_after_s=retry_s
+    )
+
+
+def _backlog_fault(server: Server, wait_s: float, retry_s: float) -> Fault:
+    message = f"statements that are ahead of it take {wait_s:.2f} s"
+    return Fault(
+        Code.OVERLOADED, message, Step.QUEUE, peer=server.id, retry_after_s=retry_s
+    )
--- a/mangoramp/serving/capacity.py
+++ b/mangoramp/serving/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -53,6 +54,9 @@
             None if cold servers of the group are not limited.
         """
 
+    def known_cold_part(self, server: Server) -> int | None:
+        """Return ``cold_part`` by the holders as last known, without updating them."""
+
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
@@ -157,6 +161,14 @@
         now = self._clock()
         return min(self.cold.wait_s(requests, now), max(0.0, self._cold_end() - now))
 
+    def predict_cold_wait_s(self, requests: int) -> float:
+        """Return ``cold_wait_s`` after the next refresh, without any change."""
+        now = self._clock()
+        cold = copy.deepcopy(self._cold_predicted(now))
+        if cold is None:
+            return 0.0
+        return min(cold.wait_s(requests, now), max(0.0, self._cold_end() - now))
+
     def check_cold(self, requests: int, deadline: float) -> None:
         """Reject a batch that the cold limit does not allow before its deadline.
 
@@ -268,14 +280,21 @@
     def state(self, in_flight: int) -> CapacityState | None:
         """Return which of these limits is binding, None if none is."""
         self.refresh()
+        return self.predict(in_flight)
+
+    def predict(self, in_flight: int) -> CapacityState | None:
+        """Return what :meth:`state` would return, without starting or ending limits."""
         now = self._clock()
-        if self.cold is not None and not self.cold.has_room(1, now):
+        cold = self._cold_predicted(now)
+        if cold is not None and not cold.would_have_room(1, now):
             left_s = self._cold_end() - now
             return CapacityState(
-                Limit.COLD, f"{self.cold.part} requests/s for {left_s:.1f} s more"
+                Limit.COLD, f"{cold.part} requests/s for {left_s:.1f} s more"
             )
-        if self.pace is not None and not self.pace.may_send(in_flight, now):
-            pace = self.pace
+        pace = self.pace
+        if self._server.slow_starts != self._slow_starts:
+            pace = self._new_pace()
+        if pace is not None and not pace.may_send(in_flight, now):
             return CapacityState(
                 Limit.PACE,
                 f"{pace.limit:.2f} of {pace.full_share:.0f} in flight, "
@@ -283,19 +302,34 @@
             )
         return None
 
-    def _start_pace(self, reason: SlowStart) -> None:
+    def _cold_predicted(self, now: float) -> ColdLimit | None:
+        """Return the cold limit after the next refresh, None if there is none."""
+        if now >= self._cold_end():
+            return None
+        part = self._source.known_cold_part(self._server)
+        if part is None or self.cold is not None:
+            return self.cold if part is not None else None
+        return self._new_cold(part, now)
+
+    def _new_pace(self) -> Pace | None:
         source, server = self._source, self._server
         share = source.slot_share(server)
         if not source.is_paced or share >= self._limit:
-            self.pace = None
-            return
+            return None
         usual_s = source.usual_latency_s(server)
-        self.pace = Pace(PaceStart(share, float(self._limit), usual_s))
+        return Pace(PaceStart(share, float(self._limit), usual_s))
+
+    def _start_pace(self, reason: SlowStart) -> None:
+        server = self._server
+        self.pace = self._new_pace()
+        if self.pace is None:
+            return
+        usual_s = self._source.usual_latency_s(server)
         emit(
             PACE_STARTED,
             server=server.id,
             reason=reason,
-            share=round(share, 2),
+            share=round(self._source.slot_share(server), 2),
             full_share=self._limit,
             usual_s=round(usual_s, 4) if usual_s is not None else None,
         )
@@ -330,11 +364,14 @@
         else:
             self._start_cold(part, now)
 
-    def _start_cold(self, part: int, now: float) -> None:
+    def _new_cold(self, part: int, now: float) -> ColdLimit:
         # The server counts what another holder, or this one before the server was known
         # to be cold, sent within the last second.
         usable_at = self._source.holder_since + WINDOW_S if self._is_new else now + 1.0
-        self.cold = ColdLimit(part, usable_at)
+        return ColdLimit(part, usable_at)
+
+    def _start_cold(self, part: int, now: float) -> None:
+        self.cold = self._new_cold(part, now)
         emit(
             COLD_LIMIT_STARTED,
             server=self._server.id,
--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..control.group import GroupState, Server
-from ..errors import Code, Step
+from ..errors import Code, FaultError, Step
 from ..events import Event, emit
 from ..sessions.session import Session
 from ..sessions.statement import Execute, Read, Write
@@ -26,7 +26,7 @@
     SessionContext,
 )
 from .operation import DEFAULT_RETRY_AFTER_S, Operation, over_rate_error, refused_error
-from .pool import EVACUATED_REASON, NoConnectionError, Urgency
+from .pool import EVACUATED_REASON, NoConnectionError, ServerPool, Urgency
 from .server_health import record_no_connection, recording_outcome
 from .servers import Servers
 from .workload import ONE_REQUEST, Workload
@@ -58,7 +58,7 @@
         admission: AdmissionControl | None = None,
     ) -> None:
         self.servers = servers
-        self._admission = admission or AdmissionControl(servers)
+        self.admission = admission or AdmissionControl(servers)
         self._charge = admit
         self._homes = homes
         self.clock = servers.clock
@@ -67,7 +67,7 @@
     @property
     def reserves_primaries(self) -> bool:
         """Whether reads that replicas can serve leave the primary to other work."""
-        return self._admission.is_enabled
+        return self.admission.is_enabled
 
     @property
     def has_own_connections(self) -> bool:
@@ -109,16 +109,10 @@
             is_deferrable,
         )
         if self._homes is not None and self._homes.is_out_of_reach:
-            raise refused_error(
-                Code.NO_SERVER,
-                "no instance that holds connections is in reach",
-                Step.ROUTE,
-                peer=server.id,
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-            )
+            raise out_of_reach_error(server)
         home = self._homes.home_of(op.customer) if self._homes else None
         if home is not None and self._homes is not None:
-            self._admission.check_backlog(op, server, home)
+            self.admission.check_backlog(op, server, home)
             return RemoteLease(
                 server,
                 home,
@@ -197,7 +191,7 @@
                 reason,
                 Step.QUEUE,
                 peer=server.id,
-                retry_after_s=self._admission.record_late(op, server, reason, wait_s),
+                retry_after_s=self.admission.record_late(op, server, reason, wait_s),
             )
         emit(retry_event, id=op.request_id, server=server.id, reason=reason)
         await self.back_off(op)
@@ -271,27 +265,62 @@
             now = self.clock()
             self.check_time(op, group)
             server = group.primary(now)
-            if server is not None and not server.may_send(now):
-                raise refused_error(
-                    Code.NO_SERVER,
-                    "the primary's failure domain is being evacuated",
-                    Step.ROUTE,
-                    peer=server.id,
-                    retry_after_s=EVACUATED_RETRY_AFTER_S,
-                )
-            if server is not None and self._is_usable(server, op.customer, now):
+            if self._check_primary(server, op, group, self.servers.pool):
+                assert server is not None
                 return server
-            if self._is_primary_unreachable(group.name):
-                raise refused_error(
-                    Code.NO_SERVER,
-                    "the primary is out of reach of this instance",
-                    Step.ROUTE,
-                    peer=server.id if server is not None else group.name,
-                    retry_after_s=DEFAULT_RETRY_AFTER_S,
-                )
-            self._admission.check_outage(op, group)
+            self.admission.check_outage(op, group)
             await group.wait_for_change(min(GROUP_POLL_S, op.deadline - now))
 
+    def predict_primary(self, op: Operation, group: GroupState) -> Server | None:
+        """Return the primary that :meth:`primary` would return, without any effect.
+
+        Returns:
+            None if the operation would wait for a primary.
+
+        Raises:
+            FaultError: The operation would be rejected.
+        """
+        server = group.find_primary(self.clock())
+        if self._check_primary(server, op, group, self.servers.find_pool):
+            return server
+        fault = self.admission.predict_outage(op, group)
+        if fault is not None:
+            raise FaultError(fault)
+        return None
+
+    def _check_primary(
+        self,
+        server: Server | None,
+        op: Operation,
+        group: GroupState,
+        pool_of: Callable[[Server], ServerPool | None],
+    ) -> bool:
+        """Return whether a group's primary, if it has one, is usable.
+
+        Raises:
+            FaultError: It will not be usable from here in time.
+        """
+        now = self.clock()
+        if server is not None and not server.may_send(now):
+            raise refused_error(
+                Code.NO_SERVER,
+                "the primary's failure domain is being evacuated",
+                Step.ROUTE,
+                peer=server.id,
+                retry_after_s=EVACUATED_RETRY_AFTER_S,
+            )
+        if server is not None and _is_usable(server, op.customer, now, pool_of):
+            return True
+        if self._is_primary_unreachable(group.name):
+            raise refused_error(
+                Code.NO_SERVER,
+                "the primary is out of reach of this instance",
+                Step.ROUTE,
+                peer=server.id if server is not None else group.name,
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+        return False
+
     async def primary_for_read(
         self, op: Operation, *, is_deferrable: bool
     ) -> Server | None:
@@ -311,7 +340,8 @@
         if is_deferrable:
             now = self.clock()
             server = self.servers.group(op.route.group).primary(now)
-            if server is None or not self._is_usable(server, op.customer, now):
+            pool_of = self.servers.pool
+            if server is None or not _is_usable(server, op.customer, now, pool_of):
                 await self.back_off(op)
                 return None
         return await self.primary(op)
@@ -338,10 +368,28 @@
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
 
-    def _is_usable(self, server: Server, customer: str, now: float) -> bool:
-        if not server.is_suspect(now):
-            return True
-        return self.servers.pool(server).has_idle(customer) and server.failures < 2
+
+def _is_usable(
+    server: Server,
+    customer: str,
+    now: float,
+    pool_of: Callable[[Server], ServerPool | None],
+) -> bool:
+    if not server.is_suspect(now):
+        return True
+    pool = pool_of(server)
+    return pool is not None and pool.has_idle(customer) and server.failures < 2
+
+
+def out_of_reach_error(server: Server) -> FaultError:
+    """Return the error for a statement whose customer has no home in reach."""
+    return refused_error(
+        Code.NO_SERVER,
+        "no instance that holds connections is in reach",
+        Step.ROUTE,
+        peer=server.id,
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
 
 
 def writes(session: Session, statement: Read | Write | Execute) -> bool:
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -114,14 +114,33 @@
             return Failure(_not_ready_fault())
         route = known.routes.get(session.database)
         if route is None:
-            message = "no route has this database"
-            return Failure(Fault(Code.GROUP_UNKNOWN, message, Step.ROUTE))
+            return Failure(_unknown_database_fault())
         customer = known.customer_by_key.get(session.key)
         if customer is None and not route.open_to_all:
             message = "the key is not in force"
             return Failure(Fault(Code.KEY_UNKNOWN, message, Step.KEY))
         return Success((route, customer or ANONYMOUS_CUSTOMER))
 
+    def resolve_customer(self, database: str, customer: str) -> Result[Route, Fault]:
+        """Find the route that a customer's sessions for a database have.
+
+        Args:
+            database: The name of the database.
+            customer: The customer's name, ``ANONYMOUS_CUSTOMER`` for callers without a
+                key.
+        """
+        known = self._deployment()
+        if known is None:
+            return Failure(_not_ready_fault())
+        route = known.routes.get(database)
+        if route is None:
+            return Failure(_unknown_database_fault())
+        is_anonymous = customer == ANONYMOUS_CUSTOMER and route.open_to_all
+        if customer not in known.customers and not is_anonymous:
+            message = "no customer has this name"
+            return Failure(Fault(Code.KEY_UNKNOWN, message, Step.KEY))
+        return Success(route)
+
     @property
     def version(self) -> int:
         """The version of the current configuration, 0 before the first one."""
@@ -406,6 +425,10 @@
     raise FaultError(Fault(Code.BAD_REQUEST, statement.reason, Step.PARSE))
 
 
+def _unknown_database_fault() -> Fault:
+    return Fault(Code.GROUP_UNKNOWN, "no route has this database", Step.ROUTE)
+
+
 def _not_ready_fault() -> Fault:
     return Fault(
         Code.NO_SERVER,
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -134,17 +134,46 @@
         now = self._clock()
         if now - self._chosen_at >= HOMES_REFRESH_S:
             self._chosen_at = now
-            self._update(
-                choose_homes(
-                    self._candidates(),
-                    self._servers.min_connections,
-                    self._servers.min_slots,
-                    self._servers.failure_domains,
-                    has_majority=self._has_majority(),
-                )
-            )
+            self._update(self._choose())
+            self._evict_unsuspected()
         return self._chosen
 
+    def predict_order(self, customer: str) -> list[str]:
+        """Return a customer's home and runners-up, without applying a change of homes.
+
+        Returns:
+            The names in order; empty if no home is in reach or there are no homes.
+        """
+        if self.is_direct:
+            return []
+        if self._clock() - self._chosen_at < HOMES_REFRESH_S:
+            return self._customer_homes.order_of(customer)
+        homes = CustomerHomes(self._choose(), self._servers.rates)
+        return homes.order_of(customer)
+
+    @property
+    def name(self) -> str:
+        """The name of this instance."""
+        return self._name
+
+    @property
+    def chosen_at(self) -> float:
+        """When the homes were last chosen, in seconds."""
+        return self._chosen_at
+
+    def heard_at(self, name: str) -> float:
+        """Return when a message from an instance was last received, in seconds."""
+        return self._heard_at(name)
+
+    def _choose(self) -> dict[str, int]:
+        return choose_homes(
+            self._candidates(),
+            self._servers.min_connections,
+            self._servers.min_slots,
+            self._servers.failure_domains,
+            has_majority=self._has_majority(),
+        )
+
     @property
     def customers(self) -> frozenset[str]:
         """The customers whose connections this instance holds for all others."""
@@ -319,10 +348,11 @@
             return False
         passed_s = self._clock() - since
         is_heard = self._heard_at(name) > since
-        if passed_s < MIN_SUSPECT_S or (not is_heard and passed_s < MAX_SUSPECT_S):
-            return True
-        del self._suspected_at[name]
-        return False
+        return passed_s < MIN_SUSPECT_S or (not is_heard and passed_s < MAX_SUSPECT_S)
+
+    def _evict_unsuspected(self) -> None:
+        for name in [n for n in self._suspected_at if not self._is_suspect(n)]:
+            del self._suspected_at[name]
 
     async def answer(self, message: Envelope) -> BatchMessage:
         """Handle a request from another instance."""
--- a/mangoramp/serving/limits.py
+++ b/mangoramp/serving/limits.py
@@ -88,6 +88,13 @@
             return None
         if self._servers.clock() - self._updated_at >= HOLDERS_REFRESH_S:
             self.update_holders()
+        return self.known_cold_part(server)
+
+    def known_cold_part(self, server: Server) -> int | None:
+        """Return ``cold_part`` by the holders as last known, without updating them."""
+        group = self._group(server)
+        if group is None or group.cold_rate <= 0:
+            return None
         bounds = self.bounds
         limit = cold_limit(group.cold_rate, bounds.cold_overage, bounds.cold_slack)
         return cold_part(limit, self._holders, self._name, server.id)
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -105,8 +105,15 @@
     def capacity_state(self) -> CapacityState:
         """Which limit is binding and why."""
         state = self.capacity.state(self._active) if self.capacity is not None else None
-        if state is not None:
-            return state
+        return state or self._connection_state()
+
+    def predict_capacity(self) -> CapacityState:
+        """Return what ``capacity_state`` would be, without changing limits."""
+        capacity = self.capacity
+        state = capacity.predict(self._active) if capacity is not None else None
+        return state or self._connection_state()
+
+    def _connection_state(self) -> CapacityState:
         if self._share is not None and self._active >= self._share:
             return CapacityState(Limit.SHARE, f"{self._share} statements in flight")
         if not self._window.has_room(self._active):
@@ -147,6 +154,26 @@
         """
         return self._waiting.queue.waits_by_class(self.clock())
 
+    def predict_wait(
+        self, customer: str, urgency: Urgency, requests: int
+    ) -> tuple[int, float]:
+        """Return the place and wait of a new request in the queue, without adding it.
+
+        Returns:
+            The number of requests before it and the expected wait in seconds.
+        """
+        now = self.clock()
+        ahead, wait_s = self._waiting.queue.predict(
+            customer,
+            priority=urgency.priority,
+            due_at=now + urgency.due_s,
+            deadline=now + urgency.timeout_s,
+            now=now,
+        )
+        if self.capacity is not None:
+            wait_s = max(wait_s, self.capacity.predict_cold_wait_s(requests))
+        return ahead, wait_s
+
     def set_share(
         self,
         limit: int | None,
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -27,7 +27,7 @@
 )
 from .operation import Operation, Ticket, outcome_unknown_error
 from .pool import NoConnectionError
-from .replica_choice import ReadNeed, ReplicaChooser
+from .replica_choice import ReadNeed, ReplicaChooser, ReplicaPrediction
 from .server_health import ServerHealth
 from .workload import workload_of
 
@@ -122,6 +122,10 @@
         """Choose a replica for a read; None if the read needs the primary."""
         return self._chooser.choose(op, excluded)
 
+    def predict(self, op: Operation) -> ReplicaPrediction:
+        """Choose the replica for the first attempt of a read, without any effect."""
+        return self._chooser.predict(op)
+
     def is_deferrable(self, op: Operation, tried: set[str]) -> bool:
         """Return whether a read is to leave the primary to work that only it can run.
 
--- a/mangoramp/serving/replica_choice.py
+++ b/mangoramp/serving/replica_choice.py
@@ -3,14 +3,49 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..control.deployment import ReadRule
 from ..control.group import GroupState, Server
+from ..policy.ejection import OutlierDetector
 from ..policy.placement import Replica, choose_replica, preferred_replica
 from ..policy.position import Position
 from .executor import Executor
 from .operation import Operation
+from .pool import ServerPool
+
+
+@dataclass(frozen=True, slots=True)
+class _Access:
+    """How a choice looks up what it needs, with or without an effect on it.
+
+    Attributes:
+        primary: Returns a group's primary.
+        pool: Returns a server's pool, None if there is none yet.
+        admit: Returns whether a server, given its id, may get the read.
+        admit_probe: Returns whether an outlier gets the read to be measured again.
+    """
+
+    primary: Callable[[GroupState], Server | None]
+    pool: Callable[[Server], ServerPool | None]
+    admit: Callable[[OutlierDetector, str], bool]
+    admit_probe: Callable[[OutlierDetector, str], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaPrediction:
+    """The choice of a replica for a read that is not sent.
+
+    Attributes:
+        chosen: The replica, None if the read needs the primary.
+        need: The freshness that the read requires, None if only the primary has it.
+        candidates: The replicas that were compared.
+    """
+
+    chosen: Server | None = None
+    need: ReadNeed | None = None
+    candidates: tuple[Replica, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,28 +90,65 @@
             excluded: The ids of servers to exclude.
             is_probe_allowed: Whether an outlier may get the read to be measured again.
         """
+        now = self._clock()
+        access = _Access(
+            primary=lambda group: group.primary(now),
+            pool=self._servers.pool,
+            admit=lambda outliers, i: outliers.admit(i, now),
+            admit_probe=lambda outliers, i: (
+                is_probe_allowed and outliers.admit_probe(i, now)
+            ),
+        )
         group = self._servers.group(op.route.group)
+        found = self._choose(op, group, excluded, access, now)
+        if found.chosen is None or found.need is None:
+            return None
+        return found.chosen, found.need
+
+    def predict(self, op: Operation) -> ReplicaPrediction:
+        """Choose the replica for the first attempt of a read, without any effect."""
         now = self._clock()
+        access = _Access(
+            primary=lambda group: group.find_primary(now),
+            pool=self._servers.find_pool,
+            admit=lambda outliers, i: outliers.would_admit(i),
+            # The read itself counts before its replica is chosen.
+            admit_probe=lambda outliers, i: outliers.would_probe(i, now, new_reads=1),
+        )
+        group = self._servers.groups.get(op.route.group)
+        if group is None:
+            return ReplicaPrediction()
+        return self._choose(op, group, set(), access, now)
+
+    def _choose(
+        self,
+        op: Operation,
+        group: GroupState,
+        excluded: set[str],
+        access: _Access,
+        now: float,
+    ) -> ReplicaPrediction:
         need = self.need(op, group)
         if need is None:
-            return None
-        replicas = group.replicas(now)
+            return ReplicaPrediction()
+        replicas = group.find_replicas(access.primary(group))
         preferred = preferred_replica(op.customer, [s.id for s in replicas])
         servers = {s.id: s for s in replicas if s.id not in excluded}
         candidates = [
-            self._candidate(s, op.customer, s.id == preferred, now)
+            self._candidate(s, access.pool(s), op.customer, s.id == preferred, now)
             for s in servers.values()
         ]
         found = self._choose_admitted(
-            candidates, need, op, group, bool(excluded), is_probe_allowed
+            candidates, need, op, group, bool(excluded), access
         )
         if found is None and not op.ticket.is_hedge and group.outliers is not None:
-            if self.avoids_primary(group, op.customer, now):
+            if self._avoids_primary(group, op.customer, now, access):
                 found = choose_replica(candidates, need.position, need.age_s)
-            if found is None and self._is_primary_bad(group, now):
+            if found is None and self._is_primary_bad(group, now, access):
                 # The replica itself refuses the read if it does not show the position.
                 found = choose_replica(candidates, need.position, math.inf)
-        return (servers[found.id], need) if found is not None else None
+        chosen = servers[found.id] if found is not None else None
+        return ReplicaPrediction(chosen, need, tuple(candidates))
 
     def _choose_admitted(
         self,
@@ -85,10 +157,10 @@
         op: Operation,
         group: GroupState,
         is_repeated: bool,
-        is_probe_allowed: bool,
+        access: _Access,
     ) -> Replica | None:
         """Choose a replica; outliers get their share, and no second attempts."""
-        outliers, now = group.outliers, self._clock()
+        outliers = group.outliers
         if outliers is None:
             return choose_replica(candidates, need.position, need.age_s)
         if is_repeated or op.ticket.is_hedge:
@@ -102,29 +174,44 @@
             candidates,
             need.position,
             need.age_s,
-            admit=lambda i: outliers.admit(i, now),
-            admit_probe=lambda i: is_probe_allowed and outliers.admit_probe(i, now),
+            admit=lambda i: access.admit(outliers, i),
+            admit_probe=lambda i: access.admit_probe(outliers, i),
         )
 
     def avoids_primary(self, group: GroupState, customer: str, now: float) -> bool:
         """Return whether reads that a replica can serve do not go to the primary."""
-        primary = group.primary(now)
-        if primary is None or self._is_primary_bad(group, now):
+        access = _Access(
+            primary=lambda group: group.primary(now),
+            pool=self._servers.pool,
+            admit=lambda outliers, i: True,
+            admit_probe=lambda outliers, i: False,
+        )
+        return self._avoids_primary(group, customer, now, access)
+
+    def _avoids_primary(
+        self, group: GroupState, customer: str, now: float, access: _Access
+    ) -> bool:
+        primary = access.primary(group)
+        if primary is None or self._is_primary_bad(group, now, access):
             return True
-        return not self.has_capacity(primary, customer)
+        return not self._has_capacity(primary, customer, access)
 
-    def _is_primary_bad(self, group: GroupState, now: float) -> bool:
-        primary = group.primary(now)
+    def _is_primary_bad(self, group: GroupState, now: float, access: _Access) -> bool:
+        primary = access.primary(group)
         if primary is None or primary.is_suspect(now):
             return True
         return group.outliers is not None and group.outliers.is_outlier(primary.id)
 
     def has_capacity(self, server: Server, customer: str) -> bool:
         """Return whether a server could run a customer's read without a wait."""
-        if self._executor.has_own_connections:
-            return self._servers.pool(server).has_capacity(customer)
-        # The home knows its connections and checks them.
-        return server.busy < server.endpoint.slots
+        has_pool = self._executor.has_own_connections
+        pool = self._servers.pool(server) if has_pool else None
+        return _has_capacity(server, pool, customer)
+
+    def _has_capacity(self, server: Server, customer: str, access: _Access) -> bool:
+        has_pool = self._executor.has_own_connections
+        pool = access.pool(server) if has_pool else None
+        return _has_capacity(server, pool, customer)
 
     def need(self, op: Operation, group: GroupState) -> ReadNeed | None:
         """Return the freshness that a read needs; None if only the primary has it."""
@@ -144,19 +231,24 @@
         return need
 
     def _candidate(
-        self, server: Server, customer: str, is_preferred: bool, now: float
+        self,
+        server: Server,
+        pool: ServerPool | None,
+        customer: str,
+        is_preferred: bool,
+        now: float,
     ) -> Replica:
-        pool = self._servers.pool(server)
         # The connections of a home are unknown here; the preferred replica is assumed
         # to have one.
         is_own = self._executor.has_own_connections
-        has_connection = pool.has_idle(customer) if is_own else is_preferred
+        has_idle = pool is not None and pool.has_idle(customer)
+        has_connection = has_idle if is_own else is_preferred
         return Replica(
             id=server.id,
             last_position=server.last_position,
             lag_s=server.lag_s,
             latency_s=server.latency_s,
-            busy=server.busy + pool.waiting,
+            busy=server.busy + (pool.waiting if pool is not None else 0),
             slots=server.endpoint.slots,
             is_near=server.endpoint.failure_domain == self._failure_domain,
             has_connection=has_connection,
@@ -170,3 +262,10 @@
         if self._judges_answers and has_connection and server.failures < 2:
             return False
         return server.is_suspect(now) or now < server.full_until
+
+
+def _has_capacity(server: Server, pool: ServerPool | None, customer: str) -> bool:
+    if pool is not None:
+        return pool.has_capacity(customer)
+    # The home, or a pool that is created later, knows the connections and checks them.
+    return server.busy < server.endpoint.slots
--- a/mangoramp/serving/servers.py
+++ b/mangoramp/serving/servers.py
@@ -103,6 +103,11 @@
         self._pools[server.id] = _PoolEntry(server, pool)
         return pool
 
+    def find_pool(self, server: Server) -> ServerPool | None:
+        """Return the connection pool of a server, None if there is none yet."""
+        entry = self._pools.get(server.id)
+        return entry.pool if entry is not None and entry.server is server else None
+
     def _create_pool(self, server: Server) -> ServerPool:
         limit = self._limit(server.endpoint.group)
         has_pins = self._features.load_control
