where: leave out limits and queues that only the customer's home knows

An instance that is not the customer's home showed its own limit of 0 connections as 'all 0 are in use'. It now tells that the home knows the limit and keeps the queue. A read without a provably recent position says so instead of 'only the primary can'. Measured: tests/test_where.py passes.

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -178,19 +178,20 @@
     @property
     def capacity_state(self) -> CapacityState:
         """Which limit holds statements back from the server, and why."""
-        state = self._own_state()
+        state = self.own_state()
         if state is not None or self.reporter is None:
             return state or CapacityState(Limit.NONE)
         return self.reporter.capacity_state
 
     def predict_capacity(self) -> CapacityState:
         """Return what ``capacity_state`` would be, without changing limits."""
-        state = self._own_state()
+        state = self.own_state()
         if state is not None or self.reporter is None:
             return state or CapacityState(Limit.NONE)
         return self.reporter.predict_capacity()
 
-    def _own_state(self) -> CapacityState | None:
+    def own_state(self) -> CapacityState | None:
+        """Return the limit that holds for all instances, None if there is none."""
         if self.is_evacuated:
             return CapacityState(Limit.EVACUATED, "its failure domain is evacuated")
         if self.endpoint.is_draining:
--- a/mangoramp/operators/where_command.py
+++ b/mangoramp/operators/where_command.py
@@ -120,8 +120,8 @@
     if found.queue is not None:
         queue = found.queue
         print(f"queue      {queue.ahead} ahead, wait {queue.wait_s:.3f} s")
-    else:
-        print("queue      kept elsewhere or not reached")
+    elif found.rejection is None and home.home != found.instance:
+        print(f"queue      kept by {home.home}")
     if found.rejection is not None:
         rejection = found.rejection
         print(f"rejected   {rejection.code} at {rejection.step}: {rejection.reason}")
@@ -134,7 +134,7 @@
 
 
 def _server_row(server: ServerFacts) -> tuple[str, ...]:
-    limit = server.limit
+    limit = server.limit or "known to the home"
     if server.limit_reason:
         limit = f"{limit} ({server.limit_reason})"
     return (
--- a/mangoramp/serving/explainer.py
+++ b/mangoramp/serving/explainer.py
@@ -12,8 +12,8 @@
 
 from returns.result import Failure, Result, Success
 
-from ..control.deployment import Route
-from ..control.group import GroupState, Limit, Server
+from ..control.deployment import ReadRule, Route
+from ..control.group import CapacityState, GroupState, Limit, Server
 from ..errors import Code, Fault, FaultError, Step
 from ..policy.placement import Replica, expected_s, likely_shows
 from ..sessions.session import Session
@@ -45,6 +45,7 @@
     Attributes:
         order: The customer's home and runners-up, empty if there are none.
         choice: The choice of a replica.
+        primary_reason: Why only the primary may get it, if so.
         server: The server that would get it.
         queue: Its place in the queue.
         verdict: What would happen.
@@ -53,6 +54,7 @@
 
     order: list[str]
     choice: ReplicaPrediction
+    primary_reason: str = "only the primary can run this"
     server: Server | None = None
     queue: QueueFacts | None = None
     verdict: Verdict = Verdict.SENT
@@ -122,6 +124,8 @@
         is_read = request_class is RequestClass.READ
         choice = self._gateway.reader.predict(op) if is_read else ReplicaPrediction()
         path = _Path(self._homes.predict_order(op.customer), choice)
+        if is_read and op.route.rule is not ReadRule.PRIMARY:
+            path.primary_reason = "no position of the primary proves the data's age"
         group = self._servers.groups.get(op.route.group)
         try:
             if self._homes.is_direct:
@@ -229,7 +233,7 @@
         for server in group.servers.values():
             replica = compared.get(server.id)
             pool = self._servers.find_pool(server)
-            state = server.predict_capacity()
+            state = self._limit_of(server, path)
             weight = group.outliers.weight(server.id) if group.outliers else 1.0
             yield ServerFacts(
                 id=server.id,
@@ -244,12 +248,18 @@
                 slots=server.endpoint.slots,
                 weight=weight,
                 is_evacuated=server.is_evacuated,
-                limit=state.limit.value,
-                limit_reason=state.reason,
+                limit=state.limit.value if state is not None else None,
+                limit_reason=state.reason if state is not None else "",
                 waiting=pool.waiting if pool is not None else 0,
                 answer_age_s=_age(server.last_answer_at, now),
             )
 
+    def _limit_of(self, server: Server, path: _Path) -> CapacityState | None:
+        """Return the binding limit, None if only the customer's home knows it."""
+        if self._homes.is_direct or path.order[:1] == [self._homes.name]:
+            return server.predict_capacity()
+        return server.own_state()
+
     def _ages(self, group: GroupState | None, path: _Path) -> Iterator[Age]:
         now = self._executor.clock()
         sample = group.samples.latest if group is not None else None
@@ -284,13 +294,13 @@
         if server is not primary:
             yield "it is expected to answer first"
         elif need is None:
-            yield "only the primary can run this"
+            yield path.primary_reason
         else:
             yield "no replica may get the read"
     elif server is primary:
         yield "a replica can run this" if path.choice.chosen else "not usable"
     elif replica is None or need is None:
-        yield "not compared" if need else "only the primary can run this"
+        yield "not compared" if need else path.primary_reason
     elif not likely_shows(replica, need.position, need.age_s):
         yield f"it has probably not applied what is {need.age_s:.3f} s old"
     elif path.server is not None and not replica.is_suspect:
--- a/mangoramp/serving/explanation.py
+++ b/mangoramp/serving/explanation.py
@@ -78,7 +78,8 @@
         slots: Statements that it runs concurrently.
         weight: Its share of the reads, below 1 for an outlier.
         is_evacuated: Whether its failure domain is evacuated.
-        limit: The binding limit of this instance's connections to it.
+        limit: The binding limit on requests to it, None if only the customer's home
+            knows it.
         limit_reason: The figures of the limit, empty for none.
         waiting: Requests that wait for a connection here.
         answer_age_s: Seconds since its last answer, None if there was none.
@@ -96,7 +97,7 @@
     slots: int
     weight: float
     is_evacuated: bool
-    limit: str
+    limit: str | None
     limit_reason: str
     waiting: int
     answer_age_s: float | None
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -268,10 +268,12 @@
     def test_a_customer_with_a_home_elsewhere(self):
         site = Site(instances=20)
         for customer in CUSTOMERS:
-            home = site.explain(customer=customer).home
+            found = site.explain(customer=customer)
+            home = found.home
             real = site.homes.home_of(customer) or "a"
             assert (home.is_direct, home.home) == (False, real)
             assert real not in home.runners_up
+            assert ({s.limit for s in found.candidates} == {None}) is (real != "a")
             left = {n: s for n, s in site.homes.strengths.items() if n != real}
             following = CustomerHomes(left, site.servers.rates).home_of(customer)
             assert home.runners_up[0] == following
