--- a/mangoramp/operators/where_command.py
+++ b/mangoramp/operators/where_command.py
@@ -29,7 +29,7 @@
 def add_where_command(parser: argparse.ArgumentParser) -> None:
     """Add the options of the command."""
     parser.add_argument(
-        *("--instance", "-i"),
+        "--instance",
         required=True,
         type=_address,
         metavar="HOST:PORT",
@@ -38,7 +38,7 @@
     parser.add_argument("--database", required=True, metavar="NAME")
     parser.add_argument("--customer", required=True, metavar="NAME")
     parser.add_argument(
-        *("--class", "-c"),
+        "--class",
         dest="request_class",
         choices=[c.value for c in RequestClass],
         default=RequestClass.READ.value,
