--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -209,7 +209,7 @@
         pools = world.servers.pools()
         assert all(pool.server.busy == 0 for pool in pools)
         # Every attempt has returned its connection, the losers' included.
-        assert all(pool.connection_count == len(pool._idle) for pool in pools)
+        assert all(pool.leased == 0 for pool in pools)
 
     @pytest.mark.parametrize(
         ("p95_s", "delay_s"),
--- a/tests/test_slot_shares.py
+++ b/tests/test_slot_shares.py
@@ -276,10 +276,10 @@
             for _ in range(3):
                 holder.shares.tick()
                 await asyncio.sleep(REPORT_INTERVAL_S)
-            with_share = holder.pool._share
+            with_share = holder.pool.share
             world.homes = []
             holder.shares.tick()
-            return with_share, holder.pool._share
+            return with_share, holder.pool.share
 
         with_share, without = run_virtual(run())
         assert with_share is not None
