Play bad answers and cold servers in the soak test

New faults: a server fails a part of its statements, or resets the connection at each of them, for 1 to 4 s; a server restarts and reports itself cold for 4 s. Each run ends with two cold starts without other faults, of the primary and of a replica. Half of the seeds (seed % 4 above 1) have contracts = ["health", "pressure"]; all have cold_per_s 20, cold_overage 1.5 and cold_slack 5, so a limit of 35.

Check: a cold server gets at most 35 begins, statements and commits in any second, summed over all instances. Without other faults this counts from its start. Beside other faults it counts once the store, its way and the instances were undisturbed for 1 s, as an instance that is paused or cannot reach the store may not know of the start; what was held up on its way to the server is left out, since only requests sent and arrived within a second count.

Found while doing so: a stand-in crashed only once. TCPServer.stop returns at once the second time, so a second crash left the port open, and the restart failed with "address already in use", which the soak did not show. Both are mended: a server crashes as often as asked, and an error of a fault ends the run. A run that ends by an error no longer hangs because its callers go on.

--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -27,8 +28,8 @@
 )
 from ..sessions.reply import SessionState
 from ..sessions.statement import Execute, Shape
-
-HOST = "127.0.0.1"
+from ._ports import HOST
+from .server_faults import ServerFaults as ServerFaults
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,28 +63,6 @@
     in_transaction: bool
 
 
-@dataclass(slots=True)
-class ServerFaults:
-    """Fault injection settings of a server.
-
-    Attributes:
-        drop_answers_to: Command types of the next answers to drop, one per answer.
-        refusals: Refusals sent for the next statements instead of running them.
-        is_unresponsive: Whether the server reads requests but does not answer them.
-        statement_s: Duration of each statement, in seconds.
-        resets_statements: Whether the server closes the connection when it gets a
-            statement, although it accepts connections.
-        max_connections: Maximum number of open connections.
-    """
-
-    drop_answers_to: list[type] = field(default_factory=list)
-    refusals: list[Refusal] = field(default_factory=list)
-    is_unresponsive: bool = False
-    statement_s: float = 0.0
-    resets_statements: bool = False
-    max_connections: int = 100
-
-
 class WireGroup:
     """The servers of a group and their shared log.
 
@@ -148,6 +127,10 @@
         applied: Number of log entries that the server has applied.
         is_replication_paused: Whether replication to this server is paused.
         accepted_connections: Number of connections accepted since the start.
+        start_count: Number of starts; each is a new start in the registry.
+        cold_until: When the server stops to report itself cold, on the monotonic clock.
+        request_times: When each begin, statement and commit arrived, on the monotonic
+            clock; a cold server must get few.
         last_request_at: When the last message from an instance arrived, on the
             monotonic clock; an evacuated server must get none.
     """
@@ -160,7 +143,11 @@
         self.applied = 0
         self.is_replication_paused = False
         self.accepted_connections = 0
+        self.start_count = 1
+        self.cold_until = 0.0
+        self.request_times: list[float] = []
         self.last_request_at = float("-inf")
+        self.rng = random.Random(server_id)
         self._last_port = 0
         self._streams: set[IOStream] = set()
 
@@ -191,9 +178,24 @@
         """The number of open connections."""
         return len(self._streams)
 
+    @property
+    def cold_remaining_ms(self) -> int:
+        """Milliseconds for which the server still reports itself cold."""
+        return max(0, round(1000 * (self.cold_until - time.monotonic())))
+
+    def begin_cold_start(self, cold_s: float) -> None:
+        """Report a new start, after which the server is cold.
+
+        Args:
+            cold_s: Seconds for which it is cold.
+        """
+        self.start_count += 1
+        self.cold_until = time.monotonic() + cold_s
+
     def crash(self) -> None:
         """Stop listening and close all connections."""
         self._last_port = self.port if self._sockets else self._last_port
+        self._stopped = False  # a TCPServer stops only once, but may crash again
         self.stop()
         self._sockets.clear()
         self.reset_connections()
@@ -250,6 +252,8 @@
         )
         while True:
             command = wire_server.decode_command(await self._read())
+            if isinstance(command, OpenTransaction | RunFor | CommitFor):
+                self._server.request_times.append(self._server.last_request_at)
             await self._handle_command(command)
 
     async def _read(self) -> bytes:
@@ -282,6 +286,10 @@
         faults = self._server.faults
         if isinstance(command, RunFor | CommitFor) and faults.refusals:
             return faults.refusals.pop(0)
+        if isinstance(command, RunFor) and self._server.rng.random() < (
+            faults.failed_part
+        ):
+            return Refusal.FAILED
         after = getattr(command, "after", None)
         if after is not None and self._server.visible_position < after:
             return Refusal.BEHIND
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,10 +8,8 @@
 import argparse
 import asyncio
 import contextlib
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -19,10 +17,13 @@
 
 from tornado.tcpclient import TCPClient
 
-from mangoramp.serving.command import CommitFor, Refusal, RunFor
-from mangoramp.standins._ports import HOST, free_ports
+from mangoramp.standins._ports import HOST
 
 from .relay import Relay
+from .soak_answers import AnswerChecker
+from .soak_cold import COLD_S, NOTICE_S, SERVICE, SETTLE_S, ColdSpell, Disturbances
+from .soak_faults import FAULTS, ZONES
+from .soak_instance import InstanceProcess
 from .wire_world import GROUP, SERVERS, Caller, World, configuration
 
 INSTANCES = 3
@@ -31,138 +32,8 @@
 ANSWER_TIMEOUT_S = 6.0  # longer than any statement timeout
 FEW_CONNECTIONS = 6  # too few to be split among three instances
 EVACUATION_S = 2.0  # from an evacuation until the servers get no more requests
-ZONES = {server_id: f"zone-i{n}" for n, server_id in enumerate(SERVERS)}
 RECOVERY_S = 4.0  # from the last fault until callers must be served again
-NOT_RUN_CODES = frozenset(
-    {"BUSY", "ABORTED", "BEHIND", "READONLY", "MISDIRECT", "TOOMANY"}
-)
-SETTINGS = """
-node_name = "{name}"
-ip = "{host}"
-zone = "{zone}"
-internal_ports = [{peers}, {peers}]
-bootstrap = {first}
-seeds = []
-[listen_addresses]
-front = "{host}:{callers}"
-ready = "{host}:{health}"
-[platform]
-address = "{host}:{store}"
-[cloud]
-address = "{host}:{promotion}"
-[bounds]
-grace_s = 3
-stable_window_ms = 1000
-config_apply_ms = 2000
-evacuate_ms = 2000
-"""
-
-
-class InstanceProcess:
-    """An instance that runs as a separate process."""
-
-    def __init__(self, folder, name, store, promotion):
-        self.name = name
-        self._folder = folder
-        self.ports = free_ports(3)
-        self._service_ports = (store, promotion)
-        self._process = None
-        self._start_count = 0
-
-    def start(self):
-        callers, health, peers = self.ports
-        path = self._folder / f"{self.name}.toml"
-        store, promotion = self._service_ports
-        path.write_text(
-            SETTINGS.format(
-                name=self.name,
-                zone=f"zone-{self.name}",
-                host=HOST,
-                peers=peers,
-                callers=callers,
-                health=health,
-                store=store,
-                promotion=promotion,
-                first="true" if self._start_count == 0 else "false",
-            )
-        )
-        self._start_count += 1
-        with (self._folder / f"{self.name}.log").open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "mangoramp.serve"],
-                env=os.environ | {"MANGORAMP_BOOT": str(path)},
-                stdout=log,
-                stderr=log,
-            )
-
-    @property
-    def is_running(self):
-        return self._process is not None and self._process.poll() is None
-
-    def send_signal(self, number):
-        if self.is_running:
-            self._process.send_signal(number)
-
-    async def wait_ended(self):
-        while self.is_running:
-            await asyncio.sleep(0.02)
-
-    def kill(self):
-        if self.is_running:
-            self._process.send_signal(signal.SIGCONT)
-            self._process.kill()
-            self._process.wait()
-
-
-class AnswerChecker:
-    """Checks the answers that callers received against the servers' log and runs."""
-
-    def __init__(self, group):
-        self.group = group
-        self.answers = {}
-        self.violations = []
-        self.acknowledged_ticks = []
-        self.served_reads = 0
-        self.last_served_at = 0.0
-
-    def check_writes(self):
-        counts = {}
-        for commit in self.group.all_commits:
-            for item, _ in commit.items:
-                counts[item] = counts.get(item, 0) + 1
-        for item, answer in self.answers.items():
-            found = counts.get(item, 0)
-            if found > 1:
-                self.violations.append(f"{item} was committed {found} times")
-            if answer == "DONE" and found == 0:
-                self.violations.append(f"{item} was acknowledged and never committed")
-            if answer in NOT_RUN_CODES and found:
-                self.violations.append(f"{item} was refused as {answer} and committed")
-
-    def check_runs(self):
-        for run in self.group.runs:
-            if run.customer != "alpha":
-                self.violations.append(f"{run.request_id} ran for {run.customer}")
-            caller = run.request_id.split("-")[0]
-            values = dict(run.values).get("who", "")
-            if values not in ("", caller):
-                self.violations.append(f"{run.request_id} ran with values of {values}")
-            if run.shape is not None and run.shape.text != f"shape-{caller}":
-                self.violations.append(f"{run.request_id} ran {run.shape.text}")
-
-    def is_stale(self, shown, before):
-        """Return whether a read misses a clock write acknowledged before a given time.
-
-        Concurrent writes of two callers are ordered by their positions in the log.
-        """
-        indexes = {}
-        for index, commit in enumerate(self.group.log):
-            indexes |= {value: index for key, value in commit.items if key == "clock"}
-        acknowledged = [
-            v for at, v in self.acknowledged_ticks if at <= before and v in indexes
-        ]
-        newest = max((indexes[v] for v in acknowledged), default=-1)
-        return indexes.get(shown, -1) < newest
+CONTRACTS = '"health", "pressure"'  # in the settings of half of the seeds
 
 
 class Soak(World):
@@ -178,6 +49,9 @@
         self.relays = {}
         self.store_relay = Relay(lambda: self._store_port)
         self.evacuated = set()
+        self.paused = []
+        self.cold_spells = []
+        self.disturbances = Disturbances(self)
         self._clock = 0
         self._version = 0
         self._is_over = False
@@ -194,7 +68,11 @@
             self.list_server(server_id)
         for number in range(INSTANCES):
             process = InstanceProcess(
-                self.folder, f"i{number}", self.store_relay.port, self._promotion_port
+                self.folder,
+                f"i{number}",
+                self.store_relay.port,
+                self._promotion_port,
+                CONTRACTS if self._seed % 4 >= 2 else "",
             )
             self.processes.append(process)
             process.start()
@@ -210,9 +88,9 @@
     def configure(self):
         """Publish the next configuration; odd seeds get few connections and homes."""
         self._version += 1
-        limited = {"services": [{"name": GROUP, "max_connections": FEW_CONNECTIONS}]}
-        changes = limited if self._seed % 2 else {}
-        self.put("config", "main", configuration(self._version, **changes))
+        few = {"max_connections": FEW_CONNECTIONS} if self._seed % 2 else {}
+        services = [{"name": GROUP} | SERVICE | few]
+        self.put("config", "main", configuration(self._version, services=services))
 
     def list_server(self, server_id, **changes):
         relay = self.relays.get(server_id)
@@ -228,9 +106,47 @@
             self.evacuated.discard(zone)
         self.put("evacuations", zone, {} if is_evacuated else None)
 
+    async def restart_cold(self, server, down_s, notice_s=NOTICE_S):
+        """Crash a server and restart it cold; return when it is cold no more."""
+        if server.cold_remaining_ms:
+            return
+        server.crash()
+        await asyncio.sleep(down_s)
+        server.begin_cold_start(COLD_S)
+        self.list_server(server.id)
+        self.cold_spells.append(
+            ColdSpell(server, time.monotonic(), server.cold_until, notice_s)
+        )
+        server.restart()
+        await asyncio.sleep(COLD_S)
+        self.list_server(server.id)
+
     async def play(self, seconds):
-        callers = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
-        await asyncio.sleep(1.5)
+        tasks = [asyncio.ensure_future(self._run_caller(n)) for n in range(CALLERS)]
+        tasks.append(asyncio.ensure_future(self.disturbances.run()))
+        try:
+            await asyncio.sleep(1.5)
+            await self._inject_faults(seconds)
+            self._clear_faults()
+            await asyncio.sleep(RECOVERY_S)
+            for server_id in (self.group.primary, self._pick_replica()):
+                await self.restart_cold(self.group.servers[server_id], 0.5, 0.0)
+                await asyncio.sleep(SETTLE_S)
+            recovered_at = await self._evacuate_primary()
+        finally:
+            self._is_over = True
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self.checker.check_writes()
+        self.checker.check_runs()
+        for spell in self.cold_spells:
+            self.checker.violations += self.disturbances.check(spell)
+        if self.checker.last_served_at < recovered_at:
+            self.checker.violations.append("no caller was served after the last fault")
+        return self.checker.violations
+
+    async def _inject_faults(self, seconds):
         deadline = time.monotonic() + seconds
         running = set()
         while time.monotonic() < deadline:
@@ -238,23 +154,16 @@
             self.faults.append(fault.__name__)
             running.add(asyncio.ensure_future(fault(self)))
             await asyncio.sleep(self.rng.uniform(0.1, 1.2))
-        _, unfinished = await asyncio.wait(running, timeout=ANSWER_TIMEOUT_S)
+        ended, unfinished = await asyncio.wait(running, timeout=ANSWER_TIMEOUT_S)
         # A fault that is still active would restart its process after the run.
         for fault in unfinished:
             fault.cancel()
         await asyncio.gather(*unfinished, return_exceptions=True)
-        self._clear_faults()
-        await asyncio.sleep(RECOVERY_S)
-        recovered_at = await self._evacuate_primary()
-        self._is_over = True
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
-        self.checker.check_writes()
-        self.checker.check_runs()
-        if self.checker.last_served_at < recovered_at:
-            self.checker.violations.append("no caller was served after the last fault")
-        return self.checker.violations
+        for fault in ended:
+            fault.result()  # an error of the test itself must not pass unseen
+
+    def _pick_replica(self):
+        return self.rng.choice([i for i in SERVERS if i != self.group.primary])
 
     async def _evacuate_primary(self):
         """Check an evacuation without other faults; return when its bound was over."""
@@ -280,6 +189,9 @@
             server.applied = len(self.group.log)
             server.faults.is_unresponsive = False
             server.faults.statement_s = 0.0
+            server.faults.failed_part = 0.0
+            server.faults.resets_statements = False
+        self.paused.clear()
         for process in self.processes:
             process.send_signal(signal.SIGCONT)
             if not process.is_running:
@@ -375,6 +287,15 @@
         if fields[0] == "DONE":
             self.checker.last_served_at = time.monotonic()
 
+    def cold_report(self):
+        """Return how many cold starts were checked, and the most requests in a second.
+
+        The run ends with two of them, without other faults.
+        """
+        checked = [s for s in self.cold_spells if self.disturbances.checked(s)]
+        most = max((self.disturbances.most_in_a_second(s) for s in checked), default=0)
+        return f"{len(checked)} of {len(self.cold_spells)} cold starts, most {most}"
+
     def pick_process(self):
         return self.rng.choice(self.processes)
 
@@ -385,186 +306,11 @@
         return self.rng.choice((self.store_relay, *self.relays.values()))
 
 
-async def kill(soak):
-    process = soak.pick_process()
-    process.kill()
-    await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
-    process.start()
-
-
-async def kill_all(soak):
-    for process in soak.processes:
-        process.kill()
-    await asyncio.sleep(0.3)
-    for process in soak.processes:
-        if not process.is_running:
-            process.start()
-
-
-async def stop(soak):
-    process = soak.pick_process()
-    process.send_signal(signal.SIGTERM)
-    await process.wait_ended()
-    process.start()
-
-
-async def send_sighup(soak):
-    soak.pick_process().send_signal(signal.SIGHUP)
-
-
-async def pause(soak):
-    process = soak.pick_process()
-    process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
-    process.send_signal(signal.SIGCONT)
-
-
-async def crash_server(soak):
-    server = soak.pick_server()
-    server.crash()
-    await asyncio.sleep(soak.rng.uniform(0.3, 3.0))
-    server.restart()
-
-
-async def stall_server(soak):
-    server = soak.pick_server()
-    server.faults.is_unresponsive = True
-    await asyncio.sleep(soak.rng.uniform(0.2, 2.0))
-    server.faults.is_unresponsive = False
-
-
-async def drop_answers(soak):
-    kinds = soak.rng.choices((RunFor, CommitFor), k=4)
-    soak.group.servers[soak.group.primary].faults.drop_answers_to.extend(kinds)
-
-
-async def refuse(soak):
-    refusals = soak.rng.choices((Refusal.BUSY, Refusal.FAILED, Refusal.TIMEOUT), k=4)
-    soak.pick_server().faults.refusals.extend(refusals)
-
-
-async def pause_replication(soak):
-    server = soak.pick_server()
-    if server.is_primary:
-        return
-    server.is_replication_paused = True
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    server.is_replication_paused = False
-    server.applied = len(soak.group.log)
-
-
-async def slow_down_server(soak):
-    server = soak.pick_server()
-    server.faults.statement_s = 0.1
-    await asyncio.sleep(1.5)
-    server.faults.statement_s = 0.0
-
-
-async def drain_primary(soak):
-    leader = soak.group.primary
-    soak.list_server(leader, state="draining")
-    await asyncio.sleep(2.0)
-    soak.list_server(leader)
-
-
-async def reset_connections(soak):
-    soak.pick_relay().reset_connections()
-
-
-async def drop_data(soak):
-    relay = soak.pick_relay()
-    relay.dropped_directions = set(
-        soak.rng.choice((("out",), ("back",), ("out", "back")))
-    )
-    await asyncio.sleep(soak.rng.uniform(0.3, 2.5))
-    relay.dropped_directions = set()
-
-
-async def delay(soak):
-    relay = soak.pick_relay()
-    relay.delay_s = soak.rng.uniform(0.01, 0.3)
-    await asyncio.sleep(1.5)
-    relay.delay_s = 0.0
-
-
-async def stop_store(soak):
-    soak.platform.faults.down = True
-    soak.platform.notify_watches()
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    soak.platform.faults.down = False
-
-
-async def expire_store_history(soak):
-    soak.platform.faults.forget = 10**9
-    soak.platform.notify_watches()
-    await asyncio.sleep(0.5)
-    soak.platform.faults.forget = 0
-
-
-async def restore_store(soak):
-    copy = soak.platform.take_copy()
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    soak.platform.faults.down = True
-    soak.platform.notify_watches()
-    await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
-    soak.platform.restore(copy)
-    soak.platform.faults.down = False
-    # The operators and the servers write again what they wrote before.
-    await asyncio.sleep(soak.rng.uniform(0.0, 1.0))
-    soak.configure()
-    for server_id in SERVERS:
-        soak.list_server(server_id)
-    for zone in ZONES.values():
-        soak.set_evacuated(zone, zone in soak.evacuated)
-
-
-async def evacuate(soak):
-    zone = ZONES[soak.rng.choice(SERVERS)]
-    if zone in soak.evacuated:
-        return
-    soak.set_evacuated(zone, True)
-    await asyncio.sleep(soak.rng.uniform(0.1, 4.0))
-    soak.set_evacuated(zone, False)
-
-
-async def drop_store_answers(soak):
-    soak.platform.faults.lose_answers += 3
-
-
-async def configure(soak):
-    soak.configure()
-
-
-FAULTS = (
-    kill,
-    kill_all,
-    stop,
-    send_sighup,
-    pause,
-    crash_server,
-    stall_server,
-    drop_answers,
-    refuse,
-    pause_replication,
-    slow_down_server,
-    drain_primary,
-    reset_connections,
-    drop_data,
-    delay,
-    stop_store,
-    expire_store_history,
-    restore_store,
-    drop_store_answers,
-    configure,
-    evacuate,
-)
-
-
 async def soak_once(seed, seconds, folder):
-    """Run one seed; return the violations, the number of reads and the faults."""
+    """Run one seed; return violations, number of reads, faults and cold starts."""
     async with Soak(seed, folder) as soak:
         violations = await soak.play(seconds)
-        return violations, soak.checker.served_reads, soak.faults
+        return violations, soak.checker.served_reads, soak.faults, soak.cold_report()
 
 
 def main():
@@ -580,12 +326,13 @@
     failed = 0
     for seed in range(first, first + args.seeds):
         with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-            violations, reads, faults = asyncio.run(
+            violations, reads, faults, cold = asyncio.run(
                 soak_once(seed, args.seconds, folder)
             )
             print(
-                f"seed {seed}: {reads} reads, {len(faults)} faults,"
-                f" {violations or 'ok'}"
+                f"seed {seed}: {reads} reads, {len(faults)} faults, {cold},"
+                f" {violations or 'ok'}",
+                flush=True,
             )
             if violations:
                 failed += 1
--- /dev/null
+++ b/tests/soak_instance.py
@@ -0,0 +1,91 @@
+"""An instance of the soak test, which runs as a process."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+
+from mangoramp.standins._ports import HOST, free_ports
+
+SETTINGS = """
+node_name = "{name}"
+ip = "{host}"
+zone = "{zone}"
+internal_ports = [{peers}, {peers}]
+bootstrap = {first}
+seeds = []
+contracts = [{contracts}]
+[listen_addresses]
+front = "{host}:{callers}"
+ready = "{host}:{health}"
+[platform]
+address = "{host}:{store}"
+[cloud]
+address = "{host}:{promotion}"
+[bounds]
+grace_s = 3
+stable_window_ms = 1000
+config_apply_ms = 2000
+evacuate_ms = 2000
+cold_overage = 1.5
+cold_slack = 5
+"""
+
+
+class InstanceProcess:
+    """An instance that runs as a separate process."""
+
+    def __init__(self, folder, name, store, promotion, contracts):
+        self.name = name
+        self._contracts = contracts
+        self._folder = folder
+        self.ports = free_ports(3)
+        self._service_ports = (store, promotion)
+        self._process = None
+        self._start_count = 0
+
+    def start(self):
+        callers, health, peers = self.ports
+        path = self._folder / f"{self.name}.toml"
+        store, promotion = self._service_ports
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                zone=f"zone-{self.name}",
+                host=HOST,
+                peers=peers,
+                callers=callers,
+                health=health,
+                store=store,
+                promotion=promotion,
+                contracts=self._contracts,
+                first="true" if self._start_count == 0 else "false",
+            )
+        )
+        self._start_count += 1
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "mangoramp.serve"],
+                env=os.environ | {"MANGORAMP_BOOT": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def is_running(self):
+        return self._process is not None and self._process.poll() is None
+
+    def send_signal(self, number):
+        if self.is_running:
+            self._process.send_signal(number)
+
+    async def wait_ended(self):
+        while self.is_running:
+            await asyncio.sleep(0.02)
+
+    def kill(self):
+        if self.is_running:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,96 @@
+"""Guards against a soak test that overlooks faults or does not inject them."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from .soak_cold import LIMIT, ColdSpell, Disturbances
+from .wire_world import HOST, SERVERS, World, server_entry
+
+
+def spell(times, *, notice_s=0.0):
+    server = SimpleNamespace(id="s1", request_times=times)
+    return ColdSpell(server, 10.0, 14.0, notice_s)
+
+
+def burst(first, count, seconds=0.5):
+    return [first + seconds * n / count for n in range(count)]
+
+
+class TestColdCheck:
+    """The limit is 35 requests in any second."""
+
+    def test_finds_one_request_too_many(self):
+        assert LIMIT == 35
+        found = Disturbances(None).check(spell(burst(11.8, 36)))
+        assert found == ["s1 was cold and got 36 requests in a second"]
+        assert not Disturbances(None).check(spell(burst(11.8, 35)))
+
+    def test_requests_of_a_warm_server_do_not_count(self):
+        times = burst(8.0, 90) + burst(10.1, 35) + burst(14.1, 90)
+        assert not Disturbances(None).check(spell(times))
+
+    def test_counts_from_the_notice_after_the_last_disturbance(self):
+        """The instances may learn of the cold start only when the store is back."""
+        disturbances = Disturbances(None)
+        disturbances._store += [10.5, 11.2, 13.9]
+        late = spell([], notice_s=1.0)
+        assert disturbances.known_at(late) == 12.2
+        assert not disturbances.check(spell(burst(11.0, 90), notice_s=1.0))
+        assert disturbances.check(spell(burst(12.3, 36), notice_s=1.0))
+
+    def test_ignores_what_was_held_up_on_the_way(self):
+        disturbances = Disturbances(None)
+        disturbances._path += [(12.0, "s1"), (13.0, "s2")]
+        assert not disturbances.check(spell(burst(12.1, 90)))
+        assert disturbances.check(spell(burst(13.1, 36)))
+
+    def test_allows_for_requests_that_were_read_late(self):
+        """Else a busy machine would fail the run: they arrived before the others."""
+        times = burst(11.8, 20, 0.0) + burst(12.7, 35, 0.0)
+        disturbances = Disturbances(None)
+        assert disturbances.check(spell(times))
+        disturbances._lags += [(11.5, 0.3), (11.8, 0.15), (12.7, 0.0)]
+        assert not disturbances.check(spell(times))
+        disturbances._lags[:] = [(11.2, 0.3), (11.3, 0.0), (11.5, 0.0), (11.8, 0.0)]
+        assert disturbances.check(spell(times))
+
+
+class TestStandIn:
+    async def test_fails_a_part_of_the_statements_and_runs_none_of_them(self):
+        async with World() as world:
+            caller = await world.caller()
+            primary = world.group.servers["s1"]
+            primary.faults.failed_part = 0.5
+            answers = [(await caller.ask(f"WRITE a {n}"))[0] for n in range(40)]
+            done = sum(a.startswith("DONE") for a in answers)
+            assert 8 <= done <= 32
+            assert len(world.group.all_commits) == done
+
+    async def test_a_server_crashes_more_than_once(self):
+        async with World() as world:
+            server = world.group.servers["s2"]
+            for _ in range(3):
+                port = server.port
+                server.crash()
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(HOST, port)
+                server.restart()
+                assert server.port == port
+
+    async def test_a_cold_start_is_a_new_start_in_the_registry(self):
+        async with World() as world:
+            world.group.servers["s2"].begin_cold_start(3.0)
+            entry = server_entry(world.group, "s2")
+            assert entry["born"] == 2
+            assert 2500 < entry["cold_remaining_ms"] <= 3000
+            assert server_entry(world.group, "s3")["cold_remaining_ms"] == 0
+
+    async def test_counts_begins_statements_and_commits(self):
+        async with World() as world:
+            caller = await world.caller()
+            for text in ("BEGIN", "WRITE a 1", "COMMIT"):
+                assert (await caller.ask(text))[0].startswith("DONE")
+            counts = [len(world.group.servers[i].request_times) for i in SERVERS]
+            assert counts == [3, 0, 0]
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -62,10 +62,10 @@
         "version": "v1",
         "slots": 2,
         "state": "ready",
-        "cold_remaining_ms": 0,
+        "cold_remaining_ms": server.cold_remaining_ms,
         "db_role": "primary" if server.is_primary else "replica",
         "sequence": 1,
-        "born": 1,
+        "born": server.start_count,
     }
     return base | changes
 
