Simplify wake-ups, eviction and the choice of replicas

Cause: reading the change again. Each wake-up searched the queue for the next waiter twice, also where no share limits a server; eviction asked for each idle connection whether the server may be used; ReplicaChooser had three forms of has_capacity and built the same lookups twice; Server.evacuated_at was used nowhere.

Change: without a share the first search is left out; the check is made once per eviction; one _has_capacity and one _access; the property is removed. Behaviour is the same: without a share every waiter is in it, and evacuation and clock do not change within one eviction.

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -147,11 +147,6 @@
         """Whether its failure domain is evacuated."""
         return self.evacuation is not None
 
-    @property
-    def evacuated_at(self) -> float | None:
-        """When this instance learned of the evacuation, None without one."""
-        return self.evacuation.since if self.evacuation is not None else None
-
     def may_send(self, now: float, *, in_transaction: bool = False) -> bool:
         """Return whether an evacuation, if any, still allows a request to it.
 
--- a/mangoramp/serving/connections.py
+++ b/mangoramp/serving/connections.py
@@ -169,9 +169,9 @@
         Of the customers that have another home now, one connection is closed.
         """
         now = self._clock()
+        is_usable = self._server.may_send(now)
         for idle in self._in_order_of_eviction():
-            may_send = self._server.may_send(self._clock(), in_transaction=False)
-            is_old = now - idle.since >= MAX_IDLE_S or not may_send
+            is_old = now - idle.since >= MAX_IDLE_S or not is_usable
             if not idle.conn.is_open or is_old or self.count > self.limit:
                 self._evict(idle)
         for idle in self._in_order_of_eviction()[:1]:
--- a/mangoramp/serving/replica_choice.py
+++ b/mangoramp/serving/replica_choice.py
@@ -91,14 +91,7 @@
             is_probe_allowed: Whether an outlier may get the read to be measured again.
         """
         now = self._clock()
-        access = _Access(
-            primary=lambda group: group.primary(now),
-            pool=self._servers.pool,
-            admit=lambda outliers, i: outliers.admit(i, now),
-            admit_probe=lambda outliers, i: (
-                is_probe_allowed and outliers.admit_probe(i, now)
-            ),
-        )
+        access = self._access(now, is_probe_allowed=is_probe_allowed)
         group = self._servers.group(op.route.group)
         found = self._choose(op, group, excluded, access, now)
         if found.chosen is None or found.need is None:
@@ -120,6 +113,17 @@
             return ReplicaPrediction()
         return self._choose(op, group, set(), access, now)
 
+    def _access(self, now: float, *, is_probe_allowed: bool = False) -> _Access:
+        """Return how a real request looks up what it needs."""
+        return _Access(
+            primary=lambda group: group.primary(now),
+            pool=self._servers.pool,
+            admit=lambda outliers, i: outliers.admit(i, now),
+            admit_probe=lambda outliers, i: (
+                is_probe_allowed and outliers.admit_probe(i, now)
+            ),
+        )
+
     def _choose(
         self,
         op: Operation,
@@ -180,13 +184,7 @@
 
     def avoids_primary(self, group: GroupState, customer: str, now: float) -> bool:
         """Return whether reads that a replica can serve do not go to the primary."""
-        access = _Access(
-            primary=lambda group: group.primary(now),
-            pool=self._servers.pool,
-            admit=lambda outliers, i: True,
-            admit_probe=lambda outliers, i: False,
-        )
-        return self._avoids_primary(group, customer, now, access)
+        return self._avoids_primary(group, customer, now, self._access(now))
 
     def _avoids_primary(
         self, group: GroupState, customer: str, now: float, access: _Access
@@ -194,7 +192,7 @@
         primary = access.primary(group)
         if primary is None or self._is_primary_bad(group, now, access):
             return True
-        return not self._has_capacity(primary, customer, access)
+        return not self._has_capacity(primary, customer, access.pool)
 
     def _is_primary_bad(self, group: GroupState, now: float, access: _Access) -> bool:
         primary = access.primary(group)
@@ -204,14 +202,19 @@
 
     def has_capacity(self, server: Server, customer: str) -> bool:
         """Return whether a server could run a customer's read without a wait."""
-        has_pool = self._executor.has_own_connections
-        pool = self._servers.pool(server) if has_pool else None
-        return _has_capacity(server, pool, customer)
+        return self._has_capacity(server, customer, self._servers.pool)
 
-    def _has_capacity(self, server: Server, customer: str, access: _Access) -> bool:
-        has_pool = self._executor.has_own_connections
-        pool = access.pool(server) if has_pool else None
-        return _has_capacity(server, pool, customer)
+    def _has_capacity(
+        self,
+        server: Server,
+        customer: str,
+        pool_of: Callable[[Server], ServerPool | None],
+    ) -> bool:
+        pool = pool_of(server) if self._executor.has_own_connections else None
+        if pool is not None:
+            return pool.has_capacity(customer)
+        # The home, or a pool that is created later, checks its connections itself.
+        return server.busy < server.endpoint.slots
 
     def need(self, op: Operation, group: GroupState) -> ReadNeed | None:
         """Return the freshness that a read needs; None if only the primary has it."""
@@ -262,10 +265,3 @@
         if self._judges_answers and has_connection and server.failures < 2:
             return False
         return server.is_suspect(now) or now < server.full_until
-
-
-def _has_capacity(server: Server, pool: ServerPool | None, customer: str) -> bool:
-    if pool is not None:
-        return pool.has_capacity(customer)
-    # The home, or a pool that is created later, knows the connections and checks them.
-    return server.busy < server.endpoint.slots
--- a/mangoramp/serving/wake_ups.py
+++ b/mangoramp/serving/wake_ups.py
@@ -111,6 +111,8 @@
             self._timer.cancel()
 
     def _may_wake(self, customer: str, in_flight: int) -> bool:
+        if self._limits.share is None:
+            return True  # saves the search for the next waiter, who is woken anyway
         waiter = self._waiting.queue.next_waiter(self._clock(), customer)
         if waiter is None:
             return False
