Keep the platform's field name out of the core; one fake connection in the tests

Endpoint and the stand-in spelled the platform's field for the time that a server stays cold. It is cold_left_s (cold_left_ms at the stand-in) now; only platform/ and what imitates the registry's entry use the field's name.

test_handover and test_pace each had the same fake connection; both use tests/fake_connection.py. No assertion changed but for the attribute's name.

--- a/mangoramp/control/endpoint.py
+++ b/mangoramp/control/endpoint.py
@@ -19,7 +19,7 @@
         is_primary: Whether it reports itself as its group's primary.
         started_ms: Start time in Unix milliseconds; 0 if not reported.
         sequence: The number of reports of its process up to this entry.
-        cold_remaining_s: Seconds that it stayed cold when it wrote this entry.
+        cold_left_s: Seconds that it stayed cold when it wrote this entry.
     """
 
     id: str
@@ -31,7 +31,7 @@
     is_primary: bool
     started_ms: int = 0
     sequence: int = 0
-    cold_remaining_s: float = 0.0
+    cold_left_s: float = 0.0
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -200,7 +200,7 @@
 
     def apply_entry(self, endpoint: Endpoint, now: float) -> None:
         """Apply a registry entry of the same process."""
-        remaining_s = endpoint.cold_remaining_s
+        remaining_s = endpoint.cold_left_s
         cold_until = now + remaining_s if remaining_s > 0 else float("-inf")
         if endpoint.age_key == self.endpoint.age_key and self.cold_until > now:
             # A copy of the same entry that arrives later shows no later end.
--- a/mangoramp/platform/registry.py
+++ b/mangoramp/platform/registry.py
@@ -46,5 +46,5 @@
         is_primary=entry.db_role == "primary",
         started_ms=entry.born,
         sequence=entry.sequence,
-        cold_remaining_s=entry.cold_remaining_ms / 1000,
+        cold_left_s=entry.cold_remaining_ms / 1000,
     )
--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -179,7 +179,7 @@
         return len(self._streams)
 
     @property
-    def cold_remaining_ms(self) -> int:
+    def cold_left_ms(self) -> int:
         """Milliseconds for which the server still reports itself cold."""
         return max(0, round(1000 * (self.cold_until - time.monotonic())))
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -108,7 +108,7 @@
 
     async def restart_cold(self, server, down_s, notice_s=NOTICE_S):
         """Crash a server and restart it cold; return when it is cold no more."""
-        if server.cold_remaining_ms:
+        if server.cold_left_ms:
             return
         server.crash()
         await asyncio.sleep(down_s)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,9 +7,9 @@
 from mangoramp.control.group import Server
 from mangoramp.policy.handover import HANDOVER_S, Handover
 from mangoramp.policy.homes import connections_of_home, home_for
-from mangoramp.serving.command import ConnectionContext
 from mangoramp.serving.pool import NoConnectionError, ServerPool, Urgency
 
+from .fake_connection import Connection
 from .virtual_time import run
 
 CUSTOMERS = [f"c{n}" for n in range(87)]
@@ -17,17 +17,6 @@
 HANDSHAKE_S, STATEMENT_S = 0.012, (0.003, 0.019)
 
 
-class Connection:
-    """A connection; pools use connections as keys."""
-
-    def __init__(self):
-        self.context = ConnectionContext()
-        self.is_open = True
-
-    def close(self):
-        self.is_open = False
-
-
 class Backend:
     """A server with few slots; a handshake occupies one like a statement."""
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -13,10 +13,11 @@
 from mangoramp.policy.cold_limit import Holders
 from mangoramp.policy.pace import Pace, PaceChange, PaceStart
 from mangoramp.policy.revision import Revision
-from mangoramp.serving.command import ConnectionContext, OpenRefusedError
+from mangoramp.serving.command import OpenRefusedError
 from mangoramp.serving.pool import NoConnectionError, Urgency
 from mangoramp.serving.servers import Servers
 
+from .fake_connection import Connection
 from .pace_world import CASES, Additive, Unlimited, World
 
 URGENCY = Urgency(priority=1, due_s=0.5, timeout_s=2.0)
@@ -24,15 +25,6 @@
 HOMES = ("h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8")
 
 
-class Connection:
-    def __init__(self):
-        self.context = ConnectionContext()
-        self.is_open = True
-
-    def close(self):
-        self.is_open = False
-
-
 class Connector:
     def __init__(self):
         self.refusals = []
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -104,7 +104,7 @@
     def test_reads_an_entry(self):
         entry = self.ENTRY.replace('"cold_remaining_ms":0', '"cold_remaining_ms":1500')
         endpoint = decode_endpoint("s1", entry.encode())
-        assert endpoint.cold_remaining_s == 1.5
+        assert endpoint.cold_left_s == 1.5
         assert endpoint.address == ("10.0.0.1", 80)
         assert not endpoint.is_primary
 
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -62,7 +62,7 @@
         "version": "v1",
         "slots": 2,
         "state": "ready",
-        "cold_remaining_ms": server.cold_remaining_ms,
+        "cold_remaining_ms": server.cold_left_ms,
         "db_role": "primary" if server.is_primary else "replica",
         "sequence": 1,
         "born": server.start_count,
