Do not hold requests back while an unreachable server accepts no connection

Cause: an attempt to open a connection lasts up to 2 s (0.5 s without any answer), whatever the wait of the request that needs it: a read that may wait 0.1 s for a replica waited for it, and a home did not answer its caller's instance in time.

Change: a request waits for the opening of a connection only until its own deadline. The attempt goes on; the connection serves a later request, a failure counts against the server. The server is avoided for 0.25 s meanwhile.

Ruled out: cancelling the attempt (a slow server would never get one open).

--- a/mangoramp/serving/connections.py
+++ b/mangoramp/serving/connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 from collections.abc import Callable
 
 from ..control.group import Server
@@ -101,11 +103,12 @@
         self._evict(self._in_order_of_eviction()[0])
         return True
 
-    async def open(self, customer: str) -> ServerConnection:
-        """Open a connection for a customer.
+    def start_opening(self, customer: str) -> asyncio.Task[ServerConnection]:
+        """Start to open a connection for a customer.
 
-        Raises:
-            OpenRefusedError: The server refused it or was not reached.
+        Returns:
+            The attempt, which raises ``OpenRefusedError`` if the server refused it or
+            was not reached.
         """
         self.count += 1
         self._opening += 1
@@ -113,18 +116,23 @@
         self._opening_new += is_new
         self.opened += 1
         endpoint = self._server.endpoint
-        try:
-            conn = await self._connector.open(
+        opening = asyncio.ensure_future(
+            self._connector.open(
                 endpoint.id, endpoint.group, endpoint.address, customer
             )
-        except BaseException:
+        )
+        opening.add_done_callback(functools.partial(self._end_opening, is_new))
+        return opening
+
+    def _end_opening(
+        self, is_new: bool, opening: asyncio.Task[ServerConnection]
+    ) -> None:
+        self._opening -= 1
+        self._opening_new -= is_new
+        if opening.cancelled() or opening.exception() is not None:
             self.count -= 1
-            raise
-        finally:
-            self._opening -= 1
-            self._opening_new -= is_new
-        self._full_delay_s = SERVER_FULL_DELAY_S
-        return conn
+        else:
+            self._full_delay_s = SERVER_FULL_DELAY_S
 
     def record_refusal(self, exc: OpenRefusedError) -> bool:
         """Record that a connection could not be opened.
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from ..control.group import CapacityState, Limit, Server
+from ..events import TASK_FAILED, emit
 from ..policy.handover import Handover
 from ..policy.wait_queue import MAX_CLASSES, Waiter
 from .capacity import Capacity
 from .command import Connector, OpenRefusedError, Refusal, ServerConnection
 from .connections import Connections
-from .in_flight import InFlightLimits
+from .in_flight import InFlight, InFlightLimits
 from .pins import Pins
 from .urgency import NoConnectionError as NoConnectionError
 from .urgency import Urgency as Urgency
@@ -20,6 +22,8 @@
 from .workload import ONE_REQUEST, Workload
 
 EVACUATED_WAIT_S = 0.1  # then the successor of an evacuated primary may lead
+SLOW_OPENING_AVOIDED_S = 0.25  # then an attempt that gets no answer has almost failed
+SLOW_OPENING_REASON = "the server takes too long to accept a connection"
 EVACUATED_REASON = "its failure domain is being evacuated"
 
 
@@ -313,7 +317,7 @@
             self._check_reserve(urgency, waiter)
             if waiter is not None or self._may_overtake():
                 conn = await self._try_acquire(
-                    customer, urgency.priority, work.requests
+                    customer, urgency.priority, work.requests, deadline
                 )
                 if conn is not None:
                     self._record_handover(urgency)
@@ -352,46 +356,105 @@
         return not len(self._waiting) or not self._limits.is_limited()
 
     async def _try_acquire(
-        self, customer: str, priority: int, requests: int
+        self, customer: str, priority: int, requests: int, deadline: float
     ) -> ServerConnection | None:
         in_flight = self._limits.enter(priority, requests)
         if in_flight is None:
             return None
         connections = self._connections
-        conn: ServerConnection | None = None
-        try:
-            conn = connections.take_idle(customer)
-            if conn is None and connections.may_open(customer):
-                conn = await self._open(customer) if connections.make_room() else None
-        except OpenRefusedError as exc:
-            self._handle_open_refused(exc)
-        finally:
-            if conn is None:
-                in_flight.cancel()
+        conn = connections.take_idle(customer)
+        if conn is None and connections.may_open(customer) and connections.make_room():
+            conn = await self._open_before(deadline, customer, in_flight)
+        elif conn is None:
+            in_flight.cancel()
         if conn is not None:
             in_flight.hold(conn)
         return conn
 
-    def _check_cold(self, requests: int, deadline: float) -> None:
-        self._limits.update_cold_interval()
-        self._wake_ups.update_min_interval()
-        self._limits.check_cold(requests, deadline)
+    async def _open_before(
+        self, deadline: float, customer: str, in_flight: InFlight
+    ) -> ServerConnection | None:
+        """Open a connection; one that is not open in time is kept for later requests.
+
+        An unreachable server does not answer the attempt for far longer than a request
+        may wait, so that the request would be late for another server.
 
-    async def _open(self, customer: str) -> ServerConnection:
+        Returns:
+            None if the server is full.
+
+        Raises:
+            NoConnectionError: There is no connection before the deadline.
+        """
         is_new = self._connections.is_new(customer)
+        opening = self._connections.start_opening(customer)
         try:
-            conn = await self._connections.open(customer)
+            await asyncio.wait((opening,), timeout=max(0.0, deadline - self.clock()))
+        except asyncio.CancelledError:
+            opening.cancel()
+            self._record_not_opened(in_flight)
+            raise
+        if not opening.done():
+            self.server.full_until = self.clock() + SLOW_OPENING_AVOIDED_S
+            opening.add_done_callback(
+                functools.partial(self._keep_opened, customer, is_new, in_flight)
+            )
+            raise NoConnectionError(SLOW_OPENING_REASON, is_reachable=True)
+        try:
+            conn = opening.result()
+        except OpenRefusedError as exc:
+            self._record_not_opened(in_flight)
+            self._handle_open_refused(exc)
+            return None
         except BaseException:
-            self._wake_ups.wake_next()
-            if self._limits.is_limited():
-                # Once this attempt is no longer in flight.
-                asyncio.get_running_loop().call_soon(self._wake_ups.wake_next)
+            self._record_not_opened(in_flight)
             raise
+        self._record_opened(is_new)
+        return conn
+
+    def _keep_opened(
+        self,
+        customer: str,
+        is_new: bool,
+        in_flight: InFlight,
+        opening: asyncio.Task[ServerConnection],
+    ) -> None:
+        """Keep a connection that no request waits for any more, or record a failure."""
+        exc = None if opening.cancelled() else opening.exception()
+        if opening.cancelled() or exc is not None:
+            self._record_not_opened(in_flight)
+        else:
+            in_flight.cancel()
+            self._record_opened(is_new)
+            self._connections.put_back(
+                opening.result(), customer, is_closing=self._wake_ups.is_closed
+            )
+            self._wake_ups.wake_next(customer)
+        if isinstance(exc, OpenRefusedError):
+            try:
+                self._handle_open_refused(exc)
+            except NoConnectionError as refused:
+                if not refused.is_reachable:
+                    self.server.record_failure(self.clock(), str(refused))
+        elif exc is not None:
+            emit(TASK_FAILED, task="open connection", reason=repr(exc))
+
+    def _record_opened(self, is_new: bool) -> None:
         if is_new:
             # Statements of other new customers wait until they may open one.
             self._wake_ups.wake_next()
         self._limits.record_opened()
-        return conn
+
+    def _record_not_opened(self, in_flight: InFlight) -> None:
+        self._wake_ups.wake_next()
+        if self._limits.is_limited():
+            # Once this attempt is no longer in flight.
+            asyncio.get_running_loop().call_soon(self._wake_ups.wake_next)
+        in_flight.cancel()
+
+    def _check_cold(self, requests: int, deadline: float) -> None:
+        self._limits.update_cold_interval()
+        self._wake_ups.update_min_interval()
+        self._limits.check_cold(requests, deadline)
 
     def _handle_open_refused(self, exc: OpenRefusedError) -> None:
         is_full = self._connections.record_refusal(exc)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -5,7 +5,7 @@
 
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
-from mangoramp.serving.command import ConnectionContext
+from mangoramp.serving.command import ConnectionContext, OpenRefusedError
 from mangoramp.serving.pool import NoConnectionError, ServerPool, Urgency
 
 SOON = Urgency(priority=1, due_s=0.2, timeout_s=0.5)
@@ -26,9 +26,10 @@
         return Connection(customer)
 
 
-def pool(limit):
+def pool(limit, connector=None):
     endpoint = Endpoint("s1", "orders", ("host", 1), "a", 2, False, True)
-    return ServerPool(Server(endpoint), Connector(), time.monotonic, limit=limit)
+    connector = connector or Connector()
+    return ServerPool(Server(endpoint), connector, time.monotonic, limit=limit)
 
 
 async def use(found, customer, held_s, done, urgency=SOON):
@@ -86,3 +87,58 @@
             await waiter
         found.release(conn, "a")
         assert found.connection_count == 0
+
+
+class SlowConnector(Connector):
+    """Accepts a connection, or fails it, after a time far above a request's wait."""
+
+    def __init__(self, error=None):
+        self.error = error
+
+    async def open(self, server_id, group, address, customer):
+        await asyncio.sleep(0.2)
+        if self.error is not None:
+            raise self.error
+        return Connection(customer)
+
+
+class TestSlowOpening:
+    """A server that does not answer an attempt must not hold a request back."""
+
+    URGENCY = Urgency(priority=1, due_s=0.2, timeout_s=0.05)
+
+    async def try_acquire(self, found):
+        started = time.monotonic()
+        with pytest.raises(NoConnectionError) as refusal:
+            await found.acquire("a", self.URGENCY)
+        assert time.monotonic() - started < 0.15
+        return refusal.value
+
+    async def test_a_request_waits_no_longer_than_it_may(self):
+        found = pool(2, SlowConnector())
+        assert (await self.try_acquire(found)).is_reachable
+        assert found.server.full_until > time.monotonic()
+
+    async def test_the_connection_serves_a_later_request(self):
+        found = pool(2, SlowConnector())
+        await self.try_acquire(found)
+        assert found.in_flight == 1
+        await asyncio.sleep(0.25)
+        assert found.has_idle("a")
+        assert found.in_flight == 0
+        assert (await found.acquire("a", self.URGENCY)).customer == "a"
+        assert found.opened == 1
+
+    async def test_a_failure_counts_against_the_server(self):
+        found = pool(2, SlowConnector(OpenRefusedError("no route")))
+        await self.try_acquire(found)
+        await asyncio.sleep(0.25)
+        assert found.server.failures == 1
+        assert found.connection_count == found.in_flight == 0
+
+    async def test_a_pool_that_was_closed_keeps_no_connection(self):
+        found = pool(2, SlowConnector())
+        await self.try_acquire(found)
+        found.close()
+        await asyncio.sleep(0.25)
+        assert found.connection_count == 0
