Do not charge a customer's earlier operations when its home changes

Cause: homes report a customer's operations only while it is near its limit. An instance that became home then refused the customer for seconds although it was within its limit.

Change: a count that was not reported within the last second reduces the copy to half of the burst at most, as the home reports below that. Later counts are deducted as before.

--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -5,11 +5,10 @@
 import math
 
 from ..events import RATE_REFUSED, emit
-from ..policy.quota import COLD_START_FILL, SharedBucket
+from ..policy.quota import COLD_START_FILL, NEAR_LIMIT_FRACTION, SharedBucket
 from .deployment import Customer, Deployment
 from .peers import Peers
 
-NEAR_LIMIT_FRACTION = 0.5  # of the burst; above it, late reports overrun no limit
 MAX_RETRY_AFTER_S = 60.0  # for a customer that may run nothing at all
 
 
@@ -118,12 +117,25 @@
         }
 
     def record_peer_spent(
-        self, peer: str, customer: str, count: int, now: float
+        self, peer: str, customer: str, count: int, now: float, *, is_recent: bool
     ) -> None:
-        """Charge the operations that a peer admitted."""
+        """Charge the operations that a peer admitted.
+
+        Args:
+            peer: The peer.
+            customer: The customer.
+            count: The number of operations.
+            now: The time, in seconds.
+            is_recent: Whether all of them were admitted a short time ago.
+        """
         bucket = self._buckets.get(customer)
-        if bucket is not None:
-            bucket.record_remote_use(peer, count, now, self._usable_part(bucket))
+        if bucket is None:
+            return
+        part = self._usable_part(bucket)
+        if is_recent:
+            bucket.record_remote_use(peer, count, now, part)
+        else:
+            bucket.record_earlier_use(peer, count, now, part)
 
     def _usable_part(self, bucket: SharedBucket) -> float:
         return bucket.usable_part(
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -12,7 +12,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -38,6 +38,7 @@
 LIVENESS_INTERVALS = 3.2  # tolerates two lost reports
 MAX_FLAT_INSTANCES = 12  # up to this many, hubs would save few messages
 MAX_STAMP = 2**30
+MAX_COUNT_GAP_S = 1.0  # between two counts of a customer; longer than lost reports
 SNAPSHOT_TTL_S = 0.05  # half of URGENT_INTERVAL_S
 MAX_REPORT_BYTES = 60_000  # below the maximum size of a UDP datagram
 
@@ -136,6 +137,7 @@
         address: The address it reports from.
         last_report_at: When that report arrived, in seconds.
         heard_received_at: When its last report with ``heard`` arrived, in seconds.
+        spent_received_at: When each customer's count last arrived, in seconds.
         is_silent: Whether it was logged as silent.
     """
 
@@ -143,6 +145,7 @@
     address: Address
     last_report_at: float
     heard_received_at: float
+    spent_received_at: dict[str, float] = field(default_factory=dict)
     is_silent: bool = False
 
 
@@ -185,8 +188,9 @@
         failure_domain: The failure domain this instance runs in.
 
     Attributes:
-        on_spent: Called with a peer, a customer and the number of operations that the
-            peer admitted since its last report.
+        on_spent: Called with a peer, a customer, the number of operations that the peer
+            admitted since it last reported the customer, and whether that was a short
+            time ago.
         on_report: Called with each report accepted.
         has_news: Whether new revisions have to be sent to nearby peers soon.
         is_direct: Returns whether every instance needs the counts of all others.
@@ -202,7 +206,9 @@
         failure_domain: str = "",
     ) -> None:
         self.peers: dict[str, Peer] = {}
-        self.on_spent: Callable[[str, str, int], None] = lambda peer, customer, n: None
+        self.on_spent: Callable[[str, str, int, bool], None] = (
+            lambda peer, customer, n, is_recent: None
+        )
         self.on_report: Callable[[Report], None] = lambda report: None
         self.has_news = False
         self.is_direct: Callable[[], bool] = lambda: False
@@ -582,7 +588,7 @@
             emit(PEER_REACHABLE, peer=report.name, address=addr[0])
         # A silent peer was limited to the part of the rate that was reserved for it.
         if not was_silent:
-            self._record_spent(known if is_same_process else None, report)
+            self._record_spent(known if is_same_process else None, report, now)
         if report.is_leaving:
             self._departed.add(sender)
             self._rosters.record_departure(report.name, report.incarnation)
@@ -590,12 +596,16 @@
             self._addresses.pop(report.name, None)
             return
         heard_received_at = now
+        spent_received_at = dict.fromkeys(report.spent, now)
         if is_same_process and known is not None:
+            spent_received_at = known.spent_received_at | spent_received_at
             if report.heard is None:
                 heard_received_at = known.heard_received_at
             report = _merge_reports(report, known.report)
         address = (addr[0], addr[1])
-        self.peers[report.name] = Peer(report, address, now, heard_received_at)
+        self.peers[report.name] = Peer(
+            report, address, now, heard_received_at, spent_received_at
+        )
         self._rosters.record_report(
             _member(report, address),
             report.failure_domain,
@@ -621,7 +631,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _record_spent(self, known: Peer | None, report: Report) -> None:
+    def _record_spent(self, known: Peer | None, report: Report, now: float) -> None:
         # The first report of an unknown instance may include operations that were
         # admitted long ago.
         if known is None and report.name not in self.peers:
@@ -629,8 +639,15 @@
         previous = known.report.spent if known is not None else {}
         for customer, count in report.spent.items():
             increase = count - previous.get(customer, 0)
-            if increase > 0:
-                self.on_spent(report.name, customer, increase)
+            if increase <= 0:
+                continue
+            # Homes report a customer only while it is near its limit.
+            is_recent = (
+                known is None
+                or now - known.spent_received_at.get(customer, float("-inf"))
+                <= MAX_COUNT_GAP_S
+            )
+            self.on_spent(report.name, customer, increase, is_recent)
 
     def _is_nearby(self, peer: Peer) -> bool:
         return peer.report.failure_domain == self._failure_domain
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -436,8 +436,12 @@
         self.limits.apply_deployment(deployment, boot_time())
         self.gateway.abort_idle_transactions()
 
-    def _on_peer_spent(self, peer: str, customer: str, count: int) -> None:
-        self.limits.record_peer_spent(peer, customer, count, boot_time())
+    def _on_peer_spent(
+        self, peer: str, customer: str, count: int, is_recent: bool
+    ) -> None:
+        self.limits.record_peer_spent(
+            peer, customer, count, boot_time(), is_recent=is_recent
+        )
 
     def _acquire_ticket(self, customer: str, request_id: str) -> float:
         return self.limits.admit(customer, boot_time(), request_id)
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -14,6 +14,7 @@
 
 EVEN_PART = 0.2  # of the rate is split evenly, so that no instance's part is zero
 USAGE_AVERAGING_S = 4.0  # longer than an instance is usually out of touch
+NEAR_LIMIT_FRACTION = 0.5  # of the burst; above it, late reports overrun no limit
 COLD_START_FILL = 0.25  # of the burst is available at a start after unknown usage
 
 
@@ -100,6 +101,24 @@
         self._refill(now, part)
         self._spend(instance, count, now)
 
+    def record_earlier_use(
+        self, instance: str, count: float, now: float, part: float
+    ) -> None:
+        """Deduct operations that another instance admitted at an unknown time.
+
+        An instance reports a customer that comes near its limit. What it admitted long
+        before that has been refilled since, so that it is not deducted here either.
+
+        Args:
+            instance: The instance that admitted the operations.
+            count: The number of operations.
+            now: The current time, in seconds.
+            part: The part of the limits that the instances in touch may use.
+        """
+        self._refill(now, part)
+        recent = self._level - NEAR_LIMIT_FRACTION * self._burst
+        self._spend(instance, min(count, max(0.0, recent)), now)
+
     def usable_part(self, heard: Collection[str], everyone: Collection[str]) -> float:
         """Return the part of the limits that the reachable instances may use together.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
         self.peers = Peers(
             "a", self.report, lambda: {}, lambda: self.now, random.Random(1)
         )
-        self.peers.on_spent = lambda peer, customer, n: self.spent.append(n)
+        self.peers.on_spent = lambda peer, customer, n, is_recent: self.spent.append(n)
         self.number = 0
 
     def report(self, incarnation, number):
