Add mangoramp losses: rank why statements were late or not served

On-call engineers could trace one request, but not see what callers lost over a stretch of logs. The command ranks the reasons of refused, failed and late statements by count and prints a timeline.

--- a/mangoramp/cli.py
+++ b/mangoramp/cli.py
@@ -13,6 +13,7 @@
 from .load import add_load_command
 from .operators.explain import add_explain_command
 from .operators.key_commands import add_key_commands
+from .operators.losses import add_losses_command
 from .operators.output import ExitCode
 from .operators.status_command import add_status_command
 from .operators.table_commands import add_table_commands
@@ -59,6 +60,9 @@
     add_key_commands(commands.add_parser("keys", help="manage customers' keys"))
     add_status_command(commands.add_parser("status", help="show the fleet's state"))
     add_explain_command(commands.add_parser("explain", help="trace a request in logs"))
+    add_losses_command(
+        commands.add_parser("losses", help="rank why statements were late or refused")
+    )
     add_where_command(
         commands.add_parser("where", help="explain where a request would go")
     )
--- a/mangoramp/operators/explain.py
+++ b/mangoramp/operators/explain.py
@@ -62,14 +62,11 @@
     request_id: str = ""
 
 
-def parse_log_lines(
-    texts: Iterable[str], *, default_instance: str
-) -> Iterator[LogLine]:
+def parse_records(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
     """Parse a log; text that is not a complete log line is skipped.
 
     Args:
         texts: The lines; other text may stand before the JSON object.
-        default_instance: The instance of lines without one.
     """
     for text in texts:
         start = text.find('{"')
@@ -77,8 +74,20 @@
             record = json.loads(text[start:]) if start >= 0 else None
         except ValueError:
             continue
-        if not isinstance(record, dict) or not isinstance(record.get("event"), int):
-            continue
+        if isinstance(record, dict) and isinstance(record.get("event"), int):
+            yield record
+
+
+def parse_log_lines(
+    texts: Iterable[str], *, default_instance: str
+) -> Iterator[LogLine]:
+    """Parse a log like :func:`parse_records`.
+
+    Args:
+        texts: The lines; other text may stand before the JSON object.
+        default_instance: The instance of lines without one.
+    """
+    for record in parse_records(texts):
         yield _line(record, default_instance)
 
 
