Serve as soon as a peer has told what it knows after a start

Change: reports are sent when the first list of instances arrives, and the answer of a peer is looked at when it arrives.

--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -119,6 +119,7 @@
     Attributes:
         is_catching_up: Whether this process has just started, so that a watcher does
             not wait for the store either.
+        on_fetched: Called after updates from a peer have been applied.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         self._fetched_at = float("-inf")
         self._refreshed_from: set[str] = set()
         self.is_catching_up = True
+        self.on_fetched: Callable[[], None] = lambda: None
         self._has_fetched = False
         self._rounds = 0
         self._excluded_peers: set[str] = set()
@@ -288,6 +290,7 @@
         self._refreshed_from.add(peer)
         # The revision of an entry that was deleted in between is known only from here.
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
+        self.on_fetched()
 
     def _apply(self, news: News) -> None:
         self._cluster_state.record_departed(news.departed)
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -217,6 +217,7 @@
         self._has_instance_list = False
         self._client.on_restored = self._on_store_restored
         self._instance_list.on_refreshed = self._on_instances_refreshed
+        self._news_fetcher.on_fetched = self._check_caught_up
 
     @property
     def is_ready(self) -> bool:
@@ -392,8 +393,12 @@
         self._instance_list.on_store_restored()
 
     def _on_instances_refreshed(self) -> None:
+        is_first = not self._has_instance_list
         self._has_instance_list = True
         self._share_connections()
+        if is_first:
+            # Instances that start together learn of each other without a delay.
+            self.peers.send()
 
     def _share_connections(self) -> None:
         instances = len(self.peers.known_instances) if self._has_instance_list else 0
