Notice a cut failure domain also at instances without statements of their own

Cause: a zone cut leaves callers with 503 for four seconds.

Change: while an instance does not hear from most of the others, it probes the primaries' hosts (a TCP connection, nothing sent, so no slot is used). Two failures over 0.5 s count as out of reach; a path that failed is probed until it works, also without callers.

Ruled out: taking a lost majority alone as a cut (a mass failure of instances looks the same).

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -21,7 +21,7 @@
 from ..platform.promotion import PromotionClient, PromotionOutcome
 from ..policy._rendezvous import rendezvous_order
 from ..policy.fencing import fencing_token
-from ..policy.isolation import Reachability, is_cut_off, is_unreachable_here
+from ..policy.isolation import Reachability, is_unreachable_here
 from ..policy.revision import NO_REVISION, Revision
 from ..policy.succession import (
     Evidence,
@@ -150,9 +150,9 @@
         return found
 
     @property
-    def is_cut_off(self) -> bool:
-        """Whether too many primaries are unreachable from here to serve callers."""
-        return is_cut_off([self.is_primary_unreachable(g) for g in self._watches])
+    def watched_groups(self) -> Collection[str]:
+        """The groups whose primaries are monitored."""
+        return self._watches.keys()
 
     def is_primary_unreachable(self, group: str) -> bool:
         """Whether a group's primary is unreachable from here but not from elsewhere."""
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -20,6 +20,7 @@
 from .control.limits import CustomerLimits
 from .control.load_reports import LoadReports
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
+from .control.path_prober import PathProber
 from .control.peers import Peers, Report
 from .control.promoter import Promoter
 from .control.settings import Address, InstanceSettings
@@ -35,12 +36,13 @@
 )
 from .instance_metrics import InstanceCollector
 from .platform.client import PlatformClient
-from .platform.connection import WireConnector
+from .platform.connection import WireConnector, probe_host
 from .platform.feed import Feed
 from .platform.listener import Listener
 from .platform.promotion import PromotionClient
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
+from .policy.isolation import is_cut_off
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
 from .proxies.links import Links
@@ -133,6 +135,12 @@
             lambda: self.cluster_state.deployment,
             judges_statements=cfg.features.server_health,
         )
+        self._path_prober = PathProber(
+            self.servers,
+            lambda: self.peers.has_majority,
+            lambda: not self.peers.is_flat and not self.peers.is_hub,
+            probe_host,
+        )
         self._links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
         self._news_fetcher = NewsFetcher(
@@ -170,7 +178,7 @@
         self.servers.holders = lambda: self.homes.holders
         executor = Executor(
             self.servers,
-            self._promoter.is_primary_unreachable,
+            self._is_primary_unreachable,
             self.homes,
             self._acquire_ticket,
             self._admission,
@@ -234,7 +242,15 @@
 
     @property
     def _is_cut_off(self) -> bool:
-        return self._promoter.is_cut_off or self.homes.is_out_of_reach
+        groups = self._promoter.watched_groups
+        is_lost = [self._is_primary_unreachable(group) for group in groups]
+        return is_cut_off(is_lost) or self.homes.is_out_of_reach
+
+    def _is_primary_unreachable(self, group: str) -> bool:
+        """Whether a group's primary is unreachable from here but not from elsewhere."""
+        return self._promoter.is_primary_unreachable(
+            group
+        ) or self._path_prober.is_primary_lost(group)
 
     async def start(self) -> None:
         """Open the listening sockets and start the background tasks."""
@@ -248,6 +264,7 @@
             self.peers.run,
             self._instance_list.run,
             self._promoter.run,
+            self._path_prober.run,
             self._run_housekeeping,
             self._link_server.run,
         ):
--- a/mangoramp/platform/connection.py
+++ b/mangoramp/platform/connection.py
@@ -131,6 +131,27 @@
         return wire.decode_status(answer.rows[0])
 
 
+async def probe_host(address: tuple[str, int], timeout_s: float) -> bool:
+    """Return whether a host answers a connection attempt, be it with a refusal.
+
+    Nothing is sent, so that the server spends no slot on it.
+
+    Args:
+        address: The host and port of a server.
+        timeout_s: Timeout in seconds.
+    """
+    stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    try:
+        async with asyncio.timeout(timeout_s):
+            await stream.connect(address)
+    except (OSError, TimeoutError):
+        # The stream keeps the attempt's own error and raises another one.
+        return isinstance(stream.error, ConnectionRefusedError)
+    finally:
+        stream.close()
+    return True
+
+
 async def _read_line(stream: IOStream) -> bytes:
     line: bytes = await stream.read_until(
         wire.LINE_END, max_bytes=wire.MAX_MESSAGE_BYTES
--- a/mangoramp/policy/isolation.py
+++ b/mangoramp/policy/isolation.py
@@ -1,16 +1,21 @@
 """Detection that this instance is cut off from servers that other instances reach.
 
 Without it, callers would still be routed to an instance that cannot serve them while
-other instances could.
+other instances could. The platform's balancer sends callers to another failure domain
+only once all instances of theirs are out of rotation, so that the last instance to
+notice counts, also one that sends no statements to the servers itself.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 MIN_SILENCE_S = 0.5  # covers several lost packets in a row and a failed reconnect
 MIN_FAILURES = 2
+MAX_UNPROBED_S = 0.3  # a statement usually shows within this time that a path works
+PROBE_INTERVAL_S = 0.25  # two probes within MIN_SILENCE_S
 REPORT_AGE_ERROR_S = 0.3  # the age of a report is known to within one report interval
 
 
@@ -59,3 +64,57 @@
         lost: For each group, whether its primary is unreachable from here only.
     """
     return 2 * sum(lost) >= len(lost) > 0
+
+
+class PathEvidence:
+    """What probes have shown of the path to one server.
+
+    Only instances without a majority begin to probe: those that lost most of the others
+    are either cut off, or the others have failed and the servers are in reach.
+    """
+
+    def __init__(self) -> None:
+        self._failing_since: float | None = None
+        self._failures = 0
+        self._probed_at = -math.inf
+
+    def must_probe(self, now: float, *, heard_s: float, majority: bool) -> bool:
+        """Return whether to probe the path now.
+
+        A path that failed is probed until it works again.
+
+        Args:
+            now: The time in seconds.
+            heard_s: Seconds since the server last answered this instance.
+            majority: Whether most of the instances are reachable.
+        """
+        if now - self._probed_at < PROBE_INTERVAL_S:
+            return False
+        is_failing = self._failing_since is not None
+        return is_failing or (not majority and heard_s > MAX_UNPROBED_S)
+
+    def record_start(self, now: float) -> None:
+        """Record that a probe was sent."""
+        self._probed_at = now
+
+    def record_result(self, sent_at: float, *, is_reached: bool) -> None:
+        """Record the result of a probe.
+
+        Args:
+            sent_at: When the probe was sent, in seconds.
+            is_reached: Whether the server's host answered, be it with a refusal.
+        """
+        if is_reached:
+            self._failing_since = None
+            self._failures = 0
+            return
+        self._failures += 1
+        if self._failing_since is None:
+            self._failing_since = sent_at
+
+    def is_lost(self, now: float) -> bool:
+        """Return whether the path fails for so long that the server is out of reach."""
+        since = self._failing_since
+        if since is None or self._failures < MIN_FAILURES:
+            return False
+        return now - since >= MIN_SILENCE_S
