--- a/mangoramp/control/path_prober.py
+++ b/mangoramp/control/path_prober.py
@@ -25,8 +25,8 @@
         servers: The servers.
         has_majority: Returns whether most of the instances are reachable.
         is_follower: Returns whether this instance is one of many without duties.
-        probe: Returns whether the host at an address answers within a timeout in
-            seconds.
+        probe: Returns whether the server at an address accepts a connection within a
+            timeout in seconds.
     """
 
     def __init__(
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -123,8 +123,8 @@
 )
 SLOT_SHARE_CHANGED = Event(340, "INFO", "share of a server's concurrency changed")
 LOAD_REPORTS_OFF = Event(341, "ERROR", "load reports to other homes not possible")
-PATH_LOST = Event(342, "WARNING", "host of a primary does not answer probes")
-PATH_RECOVERED = Event(343, "INFO", "host of a primary answers probes again")
+PATH_LOST = Event(342, "WARNING", "primary accepts no connection from here")
+PATH_RECOVERED = Event(343, "INFO", "primary accepts connections from here again")
 PINNED_EXPIRED = Event(328, "WARNING", "pinned connection dropped")
 CONNECTION_REFUSED = Event(415, "INFO", "connection to a database server refused")
 SERVER_WEIGHT_REDUCED = Event(
--- a/mangoramp/platform/connection.py
+++ b/mangoramp/platform/connection.py
@@ -132,9 +132,10 @@
 
 
 async def probe_host(address: tuple[str, int], timeout_s: float) -> bool:
-    """Return whether a host answers a connection attempt, be it with a refusal.
+    """Return whether a server accepts a connection.
 
-    Nothing is sent, so that the server spends no slot on it.
+    Nothing is sent, so that the server spends no slot on it. A refusal may come from
+    a cut on the way, so that it shows nothing.
 
     Args:
         address: The host and port of a server.
@@ -145,8 +146,7 @@
         async with asyncio.timeout(timeout_s):
             await stream.connect(address)
     except (OSError, TimeoutError):
-        # The stream keeps the attempt's own error and raises another one.
-        return isinstance(stream.error, ConnectionRefusedError)
+        return False
     finally:
         stream.close()
     return True
--- a/mangoramp/policy/isolation.py
+++ b/mangoramp/policy/isolation.py
@@ -102,7 +102,7 @@
 
         Args:
             sent_at: When the probe was sent, in seconds.
-            is_reached: Whether the server's host answered, be it with a refusal.
+            is_reached: Whether the server accepted a connection.
         """
         if is_reached:
             self._failing_since = None
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -151,11 +151,12 @@
             sock.listen(1)
             yield sock.getsockname()
 
-    async def test_a_listening_host_answers(self, address):
+    async def test_a_server_that_accepts_is_reached(self, address):
         assert await probe_host(address, 1.0)
 
-    async def test_a_refusal_is_an_answer(self):
+    async def test_a_refusal_shows_nothing(self):
+        """Guards against a cut that resets connections and seems to be none."""
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
             address = sock.getsockname()
-        assert await probe_host(address, 1.0)
+        assert not await probe_host(address, 1.0)
