Ask again for a second attempt of an overdue read

Cause: a read whose answer was overdue asked once for a second attempt.

Change: it asks again after the same delay until the first attempt has ended.

--- a/mangoramp/serving/hedged_reads.py
+++ b/mangoramp/serving/hedged_reads.py
@@ -50,10 +50,12 @@
         """
         tasks = [asyncio.create_task(first)]
         try:
-            await asyncio.wait(tasks, timeout=delay_s)
-            second = None if tasks[0].done() else start_second()
-            if second is None:
-                return await tasks[0], None
+            second = None
+            while second is None:
+                done, _ = await asyncio.wait(tasks, timeout=delay_s)
+                if done:
+                    return await tasks[0], None
+                second = start_second()
             tasks.append(asyncio.create_task(second))
             return await self._first_good(tasks)
         except asyncio.CancelledError:
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -1,5 +1,6 @@
 """What callers get while a server misbehaves, on the real path in virtual time."""
 
+import asyncio
 import random
 from types import SimpleNamespace
 
@@ -14,6 +15,7 @@
     LatencyWindow,
     hedge_delay_s,
 )
+from mangoramp.serving.hedged_reads import HedgeOutcome, Hedger
 
 from .health_world import (
     OBJECTIVE_S,
@@ -317,3 +319,25 @@
         assert allowed == [True] * 5 + [False] * 5
         assert limits.may_hedge("c", 5.0)
         assert limits.may_hedge("free", 0.0)
+
+
+class TestDeniedSecondAttempt:
+    async def test_is_asked_for_again_while_the_first_has_no_answer(self):
+        """Guards against a read that waits for its timeout since no server was free."""
+        answer = object()
+        asked = []
+
+        async def wait_for_ever():
+            await asyncio.sleep(60.0)
+
+        async def answer_at_once():
+            return answer
+
+        def start_second():
+            asked.append(asyncio.get_running_loop().time())
+            return answer_at_once() if len(asked) == 3 else None
+
+        async with asyncio.timeout(1.0):
+            found = await Hedger().run(wait_for_ever(), 0.01, start_second)
+        assert found == (answer, HedgeOutcome.WON)
+        assert len(asked) == 3
