Grant after a restart of all what the rate tolerance covers

Cause: after a restart of all instances nobody knows what a customer used, and a quarter of its burst was granted.

Change: the platform's tolerance for a window (overage and slack, from the settings) covers two restarts; half of it is granted if that is more than a quarter of the burst.

--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -5,7 +5,12 @@
 import math
 
 from ..events import RATE_REFUSED, emit
-from ..policy.quota import COLD_START_FILL, NEAR_LIMIT_FRACTION, SharedBucket
+from ..policy.quota import (
+    NEAR_LIMIT_FRACTION,
+    RateTolerance,
+    SharedBucket,
+    restart_fill,
+)
 from .deployment import Customer, Deployment
 from .peers import Peers
 
@@ -19,13 +24,22 @@
         name: This instance's name.
         peers: The other instances.
         is_first_start: Whether no operation was admitted before this process started.
+        tolerance: By how much a customer may exceed its limit, None for not at all.
     """
 
-    def __init__(self, name: str, peers: Peers, *, is_first_start: bool) -> None:
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        *,
+        is_first_start: bool,
+        tolerance: RateTolerance | None = None,
+    ) -> None:
         self.spent: dict[str, int] = {}
         self._name = name
         self._peers = peers
-        self._fill = 1.0 if is_first_start else COLD_START_FILL
+        self._is_first_start = is_first_start
+        self._tolerance = tolerance or RateTolerance()
         self._buckets: dict[str, SharedBucket] = {}
         self._limits: dict[str, Customer] = {}
 
@@ -42,12 +56,17 @@
             bucket = self._buckets.get(customer.name)
             if bucket is None:
                 self._buckets[customer.name] = SharedBucket(
-                    customer.rate, customer.burst, now=now, fill=self._fill
+                    customer.rate, customer.burst, now=now, fill=self._fill(customer)
                 )
                 continue
             part = self._usable_part(bucket)
             bucket.resize(customer.rate, customer.burst, now, part)
 
+    def _fill(self, customer: Customer) -> float:
+        if self._is_first_start or customer.rate is None:
+            return 1.0
+        return restart_fill(customer.rate, customer.burst, self._tolerance)
+
     def admit(self, customer: str, now: float, request_id: str) -> float:
         """Charge one operation to a customer's rate limit.
 
--- a/mangoramp/control/settings.py
+++ b/mangoramp/control/settings.py
@@ -17,6 +17,8 @@
         draining_s: Seconds after which a draining server gets no new work.
         grace_s: Seconds between the stop signal and the end of the process.
         rate_window_s: Length of the window for a customer's rate limit, in seconds.
+        rate_overage: Part by which the operations of a window may exceed the limit.
+        rate_slack: Operations by which they may exceed it in addition.
         evacuation_s: Seconds after which the servers of an evacuated failure domain
             get no more requests; 0 if evacuations are not supported.
         cold_overage: Factor by which a cold server's request rate may be exceeded.
@@ -28,6 +30,8 @@
     draining_s: float = 7.0
     grace_s: float = 6.0
     rate_window_s: float = 5.0
+    rate_overage: float = 0.0
+    rate_slack: float = 0.0
     evacuation_s: float = 0.0
     cold_overage: float = 0.0
     cold_slack: float = 0.0
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -43,6 +43,7 @@
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
 from .policy.isolation import is_cut_off
+from .policy.quota import RateTolerance
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
 from .proxies.links import Links
@@ -111,7 +112,12 @@
             cfg.failure_domain,
         )
         self.limits = CustomerLimits(
-            cfg.name, self.peers, is_first_start=cfg.is_first_start
+            cfg.name,
+            self.peers,
+            is_first_start=cfg.is_first_start,
+            tolerance=RateTolerance(
+                cfg.bounds.rate_window_s, cfg.bounds.rate_overage, cfg.bounds.rate_slack
+            ),
         )
         self._client = PlatformClient(cfg.store_url)
         self._promotion_client = PromotionClient(cfg.promotion_url)
--- a/mangoramp/platform/settings.py
+++ b/mangoramp/platform/settings.py
@@ -28,6 +28,8 @@
     drain_ms: float = 7000
     grace_s: float = 6
     quota_window_s: float = 5
+    quota_overage: float = 0
+    quota_slack: float = 0
     evacuate_ms: float = 0  # 0 or absent: evacuations are not supported
     cold_overage: float = 0
     cold_slack: float = 0
@@ -121,6 +123,8 @@
         draining_s=raw.drain_ms / 1000,
         grace_s=raw.grace_s,
         rate_window_s=raw.quota_window_s,
+        rate_overage=max(0.0, raw.quota_overage),
+        rate_slack=max(0.0, raw.quota_slack),
         evacuation_s=max(0.0, raw.evacuate_ms / 1000),
         cold_overage=raw.cold_overage,
         cold_slack=raw.cold_slack,
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -11,11 +11,50 @@
 
 import math
 from collections.abc import Collection
+from dataclasses import dataclass
 
 EVEN_PART = 0.2  # of the rate is split evenly, so that no instance's part is zero
 USAGE_AVERAGING_S = 4.0  # longer than an instance is usually out of touch
 NEAR_LIMIT_FRACTION = 0.5  # of the burst; above it, late reports overrun no limit
 COLD_START_FILL = 0.25  # of the burst is available at a start after unknown usage
+RESTART_TOLERANCE_PART = 0.5  # all instances may restart twice within a window
+
+
+@dataclass(frozen=True, slots=True)
+class RateTolerance:
+    """By how much the operations within any window may exceed a customer's limit.
+
+    Attributes:
+        window_s: Length of the window in seconds.
+        overage: Part of the limit.
+        slack: Operations in addition.
+    """
+
+    window_s: float = 0.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def operations(self, rate: float, burst: float) -> float:
+        """Return the operations in excess that a customer may run within a window."""
+        return self.overage * (rate * self.window_s + burst) + self.slack
+
+
+def restart_fill(rate: float, burst: float, tolerance: RateTolerance) -> float:
+    """Return the part of the burst that is available after a restart.
+
+    What was used before is unknown: the customer may have run all that it may. After
+    an outage its callers return at once, so that as much is admitted as the tolerance
+    covers for two restarts.
+
+    Args:
+        rate: Operations per second.
+        burst: The most operations that can accumulate.
+        tolerance: By how much the limit may be exceeded.
+    """
+    if burst <= 0:
+        return 0.0
+    tolerated = RESTART_TOLERANCE_PART * tolerance.operations(rate, burst)
+    return min(1.0, max(COLD_START_FILL, tolerated / burst))
 
 
 class SharedBucket:
--- a/tests/test_limit_takeover.py
+++ b/tests/test_limit_takeover.py
@@ -8,6 +8,7 @@
 from mangoramp.control.deployment import Customer, Deployment
 from mangoramp.control.limits import CustomerLimits
 from mangoramp.control.peers import Peers, Report
+from mangoramp.policy.quota import RateTolerance, restart_fill
 
 RATE = BURST = 90.0
 WINDOW_S = 5.0
@@ -122,3 +123,46 @@
         fleet.serve("a", per_s=150, for_s=1.0)
         fleet.serve("b", per_s=60, for_s=2.0)
         assert not fleet.refused
+
+
+class TestRestartOfAll:
+    """All instances restart at once; nobody knows what the customer used before."""
+
+    DOWN_S = 0.5
+
+    def restart(self, fleet):
+        fleet.now += self.DOWN_S
+        tolerance = RateTolerance(WINDOW_S, OVERAGE, SLACK)
+        for home in fleet.homes.values():
+            home.limits = CustomerLimits(
+                home.name, home.peers, is_first_start=False, tolerance=tolerance
+            )
+            home.limits.apply_deployment(fleet.deployment, fleet.now)
+
+    def test_callers_that_return_at_once_are_served(self):
+        """Guards against refusing callers that are far below their limit."""
+        fleet = Fleet()
+        fleet.serve("a", per_s=50, for_s=5.0)
+        self.restart(fleet)
+        # Those of the outage return together, within a tenth of a second.
+        fleet.serve("a", per_s=50 * (1 + self.DOWN_S * 10), for_s=0.1)
+        fleet.serve("a", per_s=50, for_s=2.0)
+        assert not fleet.refused
+
+    def test_the_limit_holds_over_two_restarts(self):
+        """Guards against a burst that each restart grants anew."""
+        fleet = Fleet()
+        fleet.serve("a", per_s=300, for_s=3.0)
+        for _ in range(2):
+            self.restart(fleet)
+            fleet.serve("a", per_s=300, for_s=1.0)
+        fleet.serve("a", per_s=300, for_s=3.0)
+        limit = RATE * WINDOW_S + BURST
+        assert fleet.most_in_window() <= limit * (1 + OVERAGE) + SLACK
+
+    @pytest.mark.parametrize(("rate", "burst"), [(19, 19), (90, 90), (400, 40), (5, 0)])
+    def test_the_burst_granted_is_covered_by_the_tolerance(self, rate, burst):
+        tolerance = RateTolerance(WINDOW_S, OVERAGE, SLACK)
+        granted = burst * restart_fill(rate, burst, tolerance)
+        covered = tolerance.operations(rate, burst) / 2
+        assert granted <= min(burst, covered) + 1e-9
