Keep no connection that was opened as its request was cancelled

If a request is cancelled in the turn in which its connection is opened, cancelling the attempt has no effect, and the connection stayed open and counted for good. The test fails without the change (one connection, not idle).

Change: the attempt's end is handled as that of one that takes too long.

--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -387,17 +387,17 @@
         """
         is_new = self._connections.is_new(customer)
         opening = self._connections.start_opening(customer)
+        keep = functools.partial(self._keep_opened, customer, is_new, in_flight)
         try:
             await asyncio.wait((opening,), timeout=max(0.0, deadline - self.clock()))
         except asyncio.CancelledError:
+            # It may just have been opened.
             opening.cancel()
-            self._record_not_opened(in_flight)
+            opening.add_done_callback(keep)
             raise
         if not opening.done():
             self.server.full_until = self.clock() + SLOW_OPENING_AVOIDED_S
-            opening.add_done_callback(
-                functools.partial(self._keep_opened, customer, is_new, in_flight)
-            )
+            opening.add_done_callback(keep)
             raise NoConnectionError(SLOW_OPENING_REASON, is_reachable=True)
         try:
             conn = opening.result()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -142,3 +142,24 @@
         found.close()
         await asyncio.sleep(0.25)
         assert found.connection_count == 0
+
+    async def test_a_cancelled_request_leaves_no_connection_behind(self):
+        """Guards against a connection that was opened as its request was cancelled."""
+        opened = asyncio.Event()
+
+        class EventConnector(Connector):
+            async def open(self, server_id, group, address, customer):
+                await opened.wait()
+                return Connection(customer)
+
+        found = pool(1, EventConnector())
+        request = asyncio.ensure_future(found.acquire("a", SOON))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        opened.set()
+        await asyncio.sleep(0)
+        request.cancel()
+        await asyncio.gather(request, return_exceptions=True)
+        await asyncio.sleep(0.01)
+        assert found.in_flight == 0
+        assert found.connection_count == found.has_idle("a")
