Do not probe paths in a process that has just started

Cause: found on reading. A process that has started hears from nobody for some 100 ms and would probe all primaries, after a restart of all at the moment when the servers still count the lost connections and refuse new ones.

Change: only an instance that heard most of the others before probes. One that starts inside a cut failure domain notices it as before, by its statements.

--- a/mangoramp/control/path_prober.py
+++ b/mangoramp/control/path_prober.py
@@ -42,6 +42,7 @@
         self._probe = probe
         self._paths: defaultdict[str, PathEvidence] = defaultdict(PathEvidence)
         self._lost: set[str] = set()
+        self._had_majority = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -62,6 +63,10 @@
         """Send the probes that are due."""
         now = self._servers.clock()
         majority = self._has_majority()
+        self._had_majority |= majority
+        # A process that has just started has not lost the others; after a restart of
+        # all, probes would compete for the servers' few connections.
+        has_lost_majority = self._had_majority and not majority
         primaries = self._primaries(now)
         for server_id in self._paths.keys() - primaries.keys():
             del self._paths[server_id]
@@ -69,7 +74,7 @@
         for server_id, server in primaries.items():
             path = self._paths[server_id]
             heard_s = now - server.last_answer_at
-            if path.must_probe(now, heard_s=heard_s, majority=majority):
+            if path.must_probe(now, heard_s=heard_s, majority=not has_lost_majority):
                 path.record_start(now)
                 task = asyncio.ensure_future(self._run_probe(server, path, now))
                 self._tasks.add(task)
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -35,8 +35,8 @@
 class World:
     """An instance that sends no statements to the servers itself."""
 
-    def __init__(self):
-        self.majority = True
+    def __init__(self, *, had_majority=True):
+        self.majority = had_majority
         self.network = Network()
         groups = {name: GroupState(name) for name in GROUPS}
         for number, (name, group) in enumerate(groups.items()):
@@ -50,6 +50,7 @@
         self.prober = PathProber(
             servers, lambda: self.majority, lambda: False, self.network.probe
         )
+        self.prober.check()
 
     @property
     def is_cut_off(self):
@@ -117,6 +118,16 @@
 
         assert not run(play())
 
+    def test_an_instance_that_has_just_started_probes_nothing(self):
+        """Guards against probes that take the servers' connections after a restart."""
+
+        async def play():
+            world = World(had_majority=False)
+            await world.play(3.0)
+            return world.network.probes
+
+        assert not run(play())
+
     def test_probes_are_spaced(self):
         async def play():
             world = World()
