Send reads again to replicas that may have caught up

Cause: a replica that refuses a read as behind gets a higher estimate of its lag (1.5 times the age that was asked for; a refused read-only transaction multiplied the estimate itself by 1.5). The estimate falls only by reads that the replica answers, and none is sent once it exceeds the age that routes allow.

Change: half a second after a refusal, a read may be sent to the replica again; the position that it requires is still checked by the server. A read that is answered then lowers the estimate at once. Transactions record the age that they asked for, and try the next server without a pause.

--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -23,6 +23,7 @@
 NOT_PRIMARY_HOLD_S = 0.5  # a role change reaches the registry within this time
 INITIAL_LAG_S = 0.1  # assumed until a replica's lag is known
 INITIAL_LATENCY_S = 0.01  # latency of a short statement
+LAG_RECHECK_S = 0.5  # a replica that has caught up gets reads again within this time
 SMOOTHING_FACTOR = 0.1  # moving average over about 10 statements
 MIN_FAILED_STATEMENTS = 5  # in a row; fewer happen after a reset of connections
 
@@ -96,6 +97,8 @@
         not_primary_at: When it last answered that it is not the primary.
         latency_s: Moving average of the statement latency, in seconds.
         lag_s: Estimated replication lag, in seconds.
+        behind_at: When it last refused a read as behind, in seconds; None if it has
+            shown an entry of that age since.
         busy: Statements of this process in flight at the server.
         evacuation: When requests to it end because its failure domain is evacuated,
             None if it is not.
@@ -123,6 +126,7 @@
     not_primary_at: float = float("-inf")
     latency_s: float = INITIAL_LATENCY_S
     lag_s: float = INITIAL_LAG_S
+    behind_at: float | None = None
     busy: int = 0
     evacuation: EvacuationTimes | None = None
     returned_at: float = float("-inf")
@@ -259,12 +263,22 @@
 
     def record_applied(self, entry_age_s: float) -> None:
         """Record that it has applied an entry of this age."""
-        if entry_age_s < self.lag_s:
-            self.lag_s += SMOOTHING_FACTOR * (entry_age_s - self.lag_s)
+        if entry_age_s >= self.lag_s:
+            return
+        if self.behind_at is not None:
+            # It has caught up; averaging would keep reads away from it for long.
+            self.lag_s, self.behind_at = entry_age_s, None
+            return
+        self.lag_s += SMOOTHING_FACTOR * (entry_age_s - self.lag_s)
 
-    def record_lag(self, entry_age_s: float) -> None:
+    def record_lag(self, entry_age_s: float, now: float) -> None:
         """Record that it has not applied an entry of this age yet."""
         self.lag_s = max(self.lag_s, 1.5 * entry_age_s)
+        self.behind_at = now
+
+    def is_recheck_due(self, now: float) -> bool:
+        """Return whether a read may show that it is no longer behind."""
+        return self.behind_at is not None and now - self.behind_at >= LAG_RECHECK_S
 
 
 class GroupState:
--- a/mangoramp/policy/placement.py
+++ b/mangoramp/policy/placement.py
@@ -31,6 +31,8 @@
         has_connection: Whether a connection of the caller's customer is free.
         is_preferred: Whether the customer's connections are kept at this replica.
         is_suspect: Whether the replica failed recently.
+        is_recheck_due: Whether it refused a read as behind, and long enough ago that it
+            may have caught up.
     """
 
     id: str
@@ -43,6 +45,7 @@
     has_connection: bool
     is_preferred: bool
     is_suspect: bool
+    is_recheck_due: bool = False
 
 
 def preferred_replica(customer: str, replicas: Collection[str]) -> str | None:
@@ -92,6 +95,9 @@
 def likely_shows(replica: Replica, need: Position, need_age_s: float) -> bool:
     """Return whether a replica has probably reached a position.
 
+    A replica that was behind may have caught up at any time since. Only a read shows
+    it, and one that comes too early costs a round trip, so that it is tried again.
+
     Args:
         replica: The replica.
         need: The position.
@@ -99,7 +105,7 @@
     """
     if replica.last_position is not None and replica.last_position >= need:
         return True
-    return need_age_s >= replica.lag_s
+    return need_age_s >= replica.lag_s or replica.is_recheck_due
 
 
 def expected_s(replica: Replica) -> tuple[float, str]:
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -239,7 +239,7 @@
         if answer.refusal is None:
             server.record_applied(need.age_s)
         elif answer.refusal is Refusal.BEHIND:
-            server.record_lag(need.age_s)
+            server.record_lag(need.age_s, self._clock())
         return await self._check_answer(op, server, answer, progress)
 
     async def _read_from_primary(
--- a/mangoramp/serving/replica_choice.py
+++ b/mangoramp/serving/replica_choice.py
@@ -257,6 +257,7 @@
             has_connection=has_connection,
             is_preferred=is_preferred,
             is_suspect=self._is_suspect(server, has_connection, now),
+            is_recheck_due=server.is_recheck_due(now),
         )
 
     def _is_suspect(self, server: Server, has_connection: bool, now: float) -> bool:
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -33,6 +33,7 @@
 from .lease import Lease
 from .operation import Operation, Ticket, aborted_error, outcome_unknown_error
 from .reading import REPLICA_CONNECTION_WAIT_S, Reader
+from .replica_choice import ReadNeed
 from .workload import workload_of
 
 ROLLBACK_TIMEOUT_S = 0.5  # on timeout the connection is closed, which also rolls back
@@ -235,11 +236,12 @@
         while True:
             self._executor.check_time(op, group)
             chosen = self._reader.choose(op, tried) if tx.read_only else None
+            need = chosen[1] if chosen is not None else None
             is_deferrable = False
             if chosen is not None:
-                server, need = chosen
+                server = chosen[0]
                 tried.add(server.id)
-                command = OpenTransaction(read_only=True, after=need.position)
+                command = OpenTransaction(read_only=True, after=chosen[1].position)
                 max_wait_s = REPLICA_CONNECTION_WAIT_S
             else:
                 if tx.read_only:
@@ -262,12 +264,16 @@
                 work=workload_of((command,)),
                 is_deferrable=is_deferrable,
             )
-            if lease is not None and await self._begin(op, lease, command):
+            if lease is not None and await self._begin(op, lease, command, need):
                 tx.lease = lease
                 return lease
 
     async def _begin(
-        self, op: Operation, lease: Lease, command: OpenTransaction
+        self,
+        op: Operation,
+        lease: Lease,
+        command: OpenTransaction,
+        need: ReadNeed | None,
     ) -> bool:
         server = lease.server
         asked_at = self._clock()
@@ -296,14 +302,17 @@
             if not command.read_only:
                 group = self._executor.servers.group(op.route.group)
                 group.record_position(asked_at, answer.position)
+            elif need is not None:
+                server.record_applied(need.age_s)
             return True
         if answer.state is not SessionState.IDLE:
             lease.discard()
         lease.release()
         if answer.refusal is Refusal.NOT_PRIMARY:
             server.not_primary_at = self._clock()
-        elif answer.refusal is Refusal.BEHIND and command.after is not None:
-            server.record_lag(server.lag_s)
+        elif answer.refusal is Refusal.BEHIND and need is not None:
+            server.record_lag(need.age_s, self._clock())
+            return False
         await self._executor.back_off(op)
         return False
 
--- a/tests/health_world.py
+++ b/tests/health_world.py
@@ -70,6 +70,8 @@
     slow_factor: float = 1.0
     drop_share: float = 0.0
     flap_period_s: float = 0.0
+    is_cut: bool = False
+    receives_nothing: bool = False
     start_s: float = 0.0
     end_s: float = float("inf")
 
@@ -84,6 +86,7 @@
         self.clock = clock
         self.slots = asyncio.Semaphore(SLOTS)
         self.runs = collections.Counter()
+        self.run_times = []
         self.connections = set()
 
     @property
@@ -93,9 +96,16 @@
     @property
     def is_down(self):
         period_s = self.faults.flap_period_s
-        return bool(
-            self.is_faulty and period_s and self.clock() % period_s < period_s / 2
-        )
+        flaps = period_s and self.clock() % period_s < period_s / 2
+        return bool(self.is_faulty and (flaps or self.faults.is_cut))
+
+    @property
+    def position(self):
+        """What it has of a log that grows by 1,000 entries per second."""
+        shown_at = self.clock()
+        if self.is_faulty and self.faults.receives_nothing:
+            shown_at = 100.0 + self.faults.start_s
+        return Position(1, int(1000 * shown_at))
 
     def is_hit(self, share):
         return self.is_faulty and self.rng.random() < share
@@ -104,6 +114,7 @@
         """Run a read; return whether it succeeded."""
         async with self.slots:
             self.runs[request_id] += 1
+            self.run_times.append(self.clock() - 100.0)
             factor = self.faults.slow_factor if self.is_faulty else 1.0
             await asyncio.sleep(factor * self.rng.uniform(*STATEMENT_S))
         if self.is_hit(self.faults.drop_share):
@@ -141,10 +152,14 @@
         return tuple([await self._answer(command) for command in batch])
 
     async def _answer(self, command):
-        position = Position(1, int(1000 * self.server.clock()))
+        position = self.server.position
+        after = getattr(command, "after", None)
+        if after is not None and after > position:
+            return Answer(SessionState.IDLE, position, refusal=Refusal.BEHIND)
         if not isinstance(command, RunFor):
             return Answer(SessionState.IDLE, position)
         is_good = await self.server.run(command.request_id)
+        position = self.server.position
         if self.server.is_down:
             raise ConnectionLostError("reset")
         if is_good:
@@ -208,6 +223,7 @@
         seed: Seed of arrivals, latencies and faults.
         rule: The read rule of the route.
         may_hedge: Whether the customers' limits allow hedged reads.
+        instances: The number of instances, which know nothing of each other.
     """
 
     def __init__(
@@ -222,6 +238,7 @@
         seed=1,
         rule=ReadRule.BOUNDED_AGE,
         may_hedge=lambda customer: True,
+        instances=1,
     ):
         self.faults = faults or {}
         self.parts = parts
@@ -233,6 +250,7 @@
         self.route = Route("d", GROUP, rule, 1.5, TIMEOUT_S, OBJECTIVE_S, 1)
         self.may_hedge = may_hedge
         self.outcomes = []
+        self.instances = instances
 
     def run(self):
         loop = VirtualLoop()
@@ -250,25 +268,29 @@
             name: Server(name, self.faults.get(name, Faults()), self.rng, clock)
             for name in self.names
         }
-        self.servers = Servers(Connector(self.played), clock)
-        self.servers.compares_answers = "ejection" in self.parts
-        self.servers.connection_limit = lambda group: 12
+        self.fleet = [self._build_instance(clock) for _ in range(self.instances)]
+        self.servers, self.health, self.reader = self.fleet[0]
+
+    def _build_instance(self, clock):
+        servers = Servers(Connector(self.played), clock)
+        servers.compares_answers = "ejection" in self.parts
+        servers.connection_limit = lambda group: 12
         for number, name in enumerate(self.names):
             endpoint = Endpoint(name, GROUP, ("h", 1), "a", SLOTS, False, number == 0)
-            self.servers.group(GROUP).update_endpoint(endpoint, Revision(0, 1))
-        self.health = None
+            servers.group(GROUP).update_endpoint(endpoint, Revision(0, 1))
+        health = None
         if self.parts:
-            self.health = ServerHealth(clock, self.may_hedge, CollectorRegistry())
+            health = ServerHealth(clock, self.may_hedge, CollectorRegistry())
             if "hedging" not in self.parts:
-                self.health.try_acquire_hedge = lambda group: False
+                health.try_acquire_hedge = lambda group: False
             if "retries" not in self.parts:
-                self.health.try_acquire_retry = lambda group: False
-        self.reader = Reader(Executor(self.servers), "a", self.health)
+                health.try_acquire_retry = lambda group: False
+        return servers, health, Reader(Executor(servers), "a", health)
 
     async def _run(self, clock):
         self._build(clock)
-        group = self.servers.group(GROUP)
-        samples = asyncio.ensure_future(self._sample(group))
+        groups = [servers.group(GROUP) for servers, _, _ in self.fleet]
+        samples = asyncio.ensure_future(self._sample(groups))
         reads = []
         started = clock()
         lowest = dict.fromkeys(self.names, 1.0)
@@ -286,10 +308,13 @@
         outliers = self.servers.group(GROUP).outliers
         return outliers.weight(name) if outliers is not None else 1.0
 
-    async def _sample(self, group):
+    async def _sample(self, groups):
+        """Tell the instances what the primary has, as the homes' answers do."""
+        primary = self.played["s0"]
         while True:
             now = self.clock()
-            group.record_position(now, Position(1, int(1000 * now)))
+            for group in groups if not primary.is_down else ():
+                group.record_position(now, primary.position)
             await asyncio.sleep(0.2)
 
     async def _read(self, number, started):
@@ -302,7 +327,10 @@
         )  # fmt: skip
         is_served = False
         with contextlib.suppress(FaultError):
-            answer = await self.reader.run(op, Read("READ a"))
+            reader = (
+                self.rng.choice(self.fleet)[2] if self.instances > 1 else self.reader
+            )
+            answer = await reader.run(op, Read("READ a"))
             is_served = bool(answer.signature)
         self.outcomes.append((now - started, is_served, self.clock() - now))
 
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -163,11 +163,12 @@
 
 
 def lag(site):
-    site.server("r").lag_s = 2.0
+    site.server("r").record_lag(2.0 / 1.5, site.now)
 
 
 def all_lag(site):
-    site.server("r").lag_s = site.server("s").lag_s = 5.0
+    for name in "rs":
+        site.server(name).record_lag(5.0 / 1.5, site.now)
 
 
 def fail_replica(site):
