Read the store only in watchers at the first start of a deployment

Change: the feed starts once the instances that start together are listed (within 2 s), and followers rely on their peers for 5 s at a first start, when no caller waits. Restarts are as before.

Ruled out: fewer watchers in each failure domain (one may fail and one be refused by the store).

--- a/mangoramp/control/instance_list.py
+++ b/mangoramp/control/instance_list.py
@@ -55,6 +55,8 @@
     Attributes:
         on_refreshed: Called after each successful refresh.
         has_refreshed: Set after the first attempt to list the instances.
+        has_settled: Set once the instances that started together are listed, or the
+            store did not answer.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self._listed_era = 0
         self._is_restored = asyncio.Event()
         self.has_refreshed = asyncio.Event()
+        self.has_settled = asyncio.Event()
         self.on_refreshed: Callable[[], None] = lambda: None
 
     def on_store_restored(self) -> None:
@@ -92,7 +95,9 @@
             # the same time. Too small a number of instances gives each too large a part
             # of the limits.
             while await self._refresh(allow_stale=False) is None:
+                self.has_settled.set()
                 await asyncio.sleep(REGISTER_RETRY_S * self._rng.uniform(0.5, 1.5))
+        self.has_settled.set()
         while True:
             await self._wait_for_refresh()
             is_listed = await self._refresh()
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -37,7 +37,7 @@
 from .instance_metrics import InstanceCollector
 from .platform.client import PlatformClient
 from .platform.connection import WireConnector, probe_host
-from .platform.feed import Feed
+from .platform.feed import PEERS_FIRST_S, Feed
 from .platform.listener import Listener
 from .platform.promotion import PromotionClient
 from .platform.readiness import ReadinessServer
@@ -70,6 +70,8 @@
 DUTY_RESTART_S = 0.5  # a task that failed starts again after this time
 CATCH_UP_S = 1.0  # a live peer reports within half of this time
 FIRST_LIST_TIMEOUT_S = 0.2  # the store usually answers within milliseconds
+FIRST_START_LIST_TIMEOUT_S = 2.0  # of a deployment; it has no callers yet
+FIRST_START_PEERS_S = 5.0  # its first configuration may be written seconds later
 LINK_CODEC = Codec(
     msgspec.msgpack.Encoder().encode,
     msgspec.msgpack.Decoder(BatchMessage | NewsMessage).decode,
@@ -131,6 +133,7 @@
             rng=rng,
             clock=boot_time,
             evacuations=self.evacuations if cfg.features.evacuation else None,
+            peers_first_s=FIRST_START_PEERS_S if cfg.is_first_start else PEERS_FIRST_S,
         )
         self._promoter = Promoter(
             cfg.name,
@@ -351,6 +354,12 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_LIST_TIMEOUT_S):
                 await self._instance_list.has_refreshed.wait()
+        if self.cfg.is_first_start:
+            # The first list has none of the instances that start together; without
+            # it, each would read all that the store holds.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_START_LIST_TIMEOUT_S):
+                    await self._instance_list.has_settled.wait()
         await self._feed.run()
 
     async def _run_housekeeping(self) -> None:
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -85,6 +85,8 @@
         rng: Source of the retry jitter.
         clock: Returns the current time in seconds.
         evacuations: Receives the changes of the evacuations, None to watch none.
+        peers_first_s: Seconds for which an instance that does not watch relies on its
+            peers alone after its start.
     """
 
     def __init__(
@@ -98,10 +100,12 @@
         rng: random.Random,
         clock: Callable[[], float],
         evacuations: EvacuationReceiver | None = None,
+        peers_first_s: float = PEERS_FIRST_S,
     ) -> None:
         self._client = client
         self._clock = clock
         self._started_at = clock()
+        self._peers_first_s = peers_first_s
         self._is_watcher = is_watcher
         self._receiver = receiver
         self._evacuations = evacuations
@@ -157,6 +161,7 @@
 
     async def run(self) -> None:
         """Run the watches until cancelled."""
+        self._started_at = self._clock()
         await asyncio.gather(
             self._recheck_registry(),
             self._recheck_evacuations(),
@@ -194,7 +199,7 @@
         is_known = receiver.has_deployment.is_set() and receiver.has_registry.is_set()
         if self._evacuations is not None:
             is_known = is_known and self._evacuations.is_known.is_set()
-        return not is_known and self._clock() - self._started_at >= PEERS_FIRST_S
+        return not is_known and self._clock() - self._started_at >= self._peers_first_s
 
     def _since(self, kind: str) -> int:
         revision = self._revisions[kind]
