Leave the rotation at once when no other failure domain is heard

Cause: the balancer sends the callers of a failure domain elsewhere only once all of its instances are out of rotation.

Change: a hub that has heard no other failure domain for 0.75 s tells its followers at once; instances then probe, and are not ready until a probe has shown that half of the primaries are in reach.

Ruled out: shorter time-outs of single hubs (a pause of nearly a second is no failure); taking the silence alone as a cut (survivors of a mass failure look the same; for them the doubt ends with the first probes, and the balancer removes an instance only after two failed checks).

--- a/mangoramp/control/path_prober.py
+++ b/mangoramp/control/path_prober.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..events import PATH_LOST, PATH_RECOVERED, TASK_FAILED, emit
-from ..policy.isolation import PROBE_INTERVAL_S, PathEvidence
+from ..policy.isolation import PROBE_INTERVAL_S, PathEvidence, is_cut_off
 from ..serving.servers import Servers
 from .group import Server
 from .settings import Address
@@ -24,6 +24,7 @@
     Args:
         servers: The servers.
         has_majority: Returns whether most of the instances are reachable.
+        is_isolated: Returns whether this failure domain has probably lost all others.
         is_follower: Returns whether this instance is one of many without duties.
         probe: Returns whether the server at an address accepts a connection within a
             timeout in seconds.
@@ -33,16 +34,19 @@
         self,
         servers: Servers,
         has_majority: Callable[[], bool],
+        is_isolated: Callable[[], bool],
         is_follower: Callable[[], bool],
         probe: Probe,
     ) -> None:
         self._servers = servers
         self._has_majority = has_majority
+        self._is_isolated = is_isolated
         self._is_follower = is_follower
         self._probe = probe
         self._paths: defaultdict[str, PathEvidence] = defaultdict(PathEvidence)
         self._lost: set[str] = set()
         self._had_majority = False
+        self._has_lost_majority = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -62,11 +66,11 @@
     def check(self) -> None:
         """Send the probes that are due."""
         now = self._servers.clock()
-        majority = self._has_majority()
+        majority = self._has_majority() and not self._is_isolated()
         self._had_majority |= majority
         # A process that has just started has not lost the others; after a restart of
         # all, probes would compete for the servers' few connections.
-        has_lost_majority = self._had_majority and not majority
+        self._has_lost_majority = self._had_majority and not majority
         primaries = self._primaries(now)
         for server_id in self._paths.keys() - primaries.keys():
             del self._paths[server_id]
@@ -74,12 +78,34 @@
         for server_id, server in primaries.items():
             path = self._paths[server_id]
             heard_s = now - server.last_answer_at
-            if path.must_probe(now, heard_s=heard_s, majority=not has_lost_majority):
+            if path.must_probe(
+                now, heard_s=heard_s, majority=not self._has_lost_majority
+            ):
                 path.record_start(now)
                 task = asyncio.ensure_future(self._run_probe(server, path, now))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether this instance may be cut off from half of the primaries.
+
+        It is so until probes have shown that it reaches them. The balancer removes an
+        instance only after two failed checks, so that a short doubt costs little, while
+        after a cut the callers are sent elsewhere sooner.
+        """
+        if not self._has_lost_majority:
+            return False
+        now = self._servers.clock()
+        return is_cut_off(
+            [
+                self._paths[server_id].is_unconfirmed(
+                    now, heard_s=now - server.last_answer_at
+                )
+                for server_id, server in self._primaries(now).items()
+            ]
+        )
+
     def is_primary_lost(self, group: str) -> bool:
         """Whether probes show that a group's primary is out of reach."""
         now = self._servers.clock()
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -27,7 +27,7 @@
 from ..policy import hubs
 from ..policy._rendezvous import rendezvous
 from ..policy.hubs import HubFields, HubMembership, Listed, Member
-from ..policy.isolation import has_majority
+from ..policy.isolation import has_majority, is_isolated
 from ..policy.revision import Revision
 from ..policy.watchers import WATCHERS_PER_DOMAIN, is_watcher
 from .settings import Address
@@ -66,6 +66,7 @@
         hub: What the membership of a large fleet needs, None between few instances.
         evacuations_at: Era and number of the newest revision of the evacuations that it
             knows, None if it knows none.
+        is_isolated: Whether it hears no other failure domain any more.
     """
 
     name: str
@@ -84,6 +85,7 @@
     era: int = 0
     hub: HubFields | None = None
     evacuations_at: tuple[int, int] | None = None
+    is_isolated: bool = False
 
     @property
     def registry_at(self) -> Revision:
@@ -226,6 +228,8 @@
         self._urgent_sent: dict[str, int] = {}
         self._sent_at = float("-inf")
         self._departed: set[tuple[str, int]] = set()
+        self._others_heard_at: float | None = None
+        self._was_isolated = False
         self._cached_snapshot = _Snapshot(
             float("-inf"), [], [], {}, {}, True, True, True
         )
@@ -377,6 +381,17 @@
         """Whether the live instances are a majority of the known ones."""
         return self._snapshot.has_majority
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this failure domain has probably lost all others.
+
+        Followers hear no other domain themselves; their source tells them.
+        """
+        if self.is_flat or self.is_hub:
+            return is_isolated(self._clock(), self._others_heard_at)
+        source = self.peers.get(self._rosters.source)
+        return source is not None and source.report.is_isolated
+
     @property
     def _snapshot(self) -> _Snapshot:
         now = self._clock()
@@ -474,6 +489,9 @@
             force: Whether to send full reports even if none is due.
         """
         now = self._clock()
+        if self.is_isolated != self._was_isolated:
+            self._was_isolated = not self._was_isolated
+            self.has_news |= self.is_hub
         if self.is_flat:
             self._send_flat(now, self._all_addresses(), force=force)
         else:
@@ -595,13 +613,31 @@
             self.peers.pop(report.name, None)
             self._addresses.pop(report.name, None)
             return
+        self._store_report(known if is_same_process else None, report, addr, now)
+        if not self.is_flat:
+            self._reply(report.name, now)
+        self.on_report(report)
+
+    def _store_report(
+        self, known: Peer | None, report: Report, addr: Address, now: float
+    ) -> None:
+        """Store an accepted report.
+
+        Args:
+            known: What the same process reported before, None if nothing.
+            report: The report.
+            addr: The address of its sender.
+            now: The current time, in seconds.
+        """
         heard_received_at = now
         spent_received_at = dict.fromkeys(report.spent, now)
-        if is_same_process and known is not None:
+        if known is not None:
             spent_received_at = known.spent_received_at | spent_received_at
             if report.heard is None:
                 heard_received_at = known.heard_received_at
             report = _merge_reports(report, known.report)
+        if report.failure_domain != self._failure_domain:
+            self._others_heard_at = now
         address = (addr[0], addr[1])
         self.peers[report.name] = Peer(
             report, address, now, heard_received_at, spent_received_at
@@ -612,9 +648,6 @@
             report.hub or HubFields(),
             now,
         )
-        if not self.is_flat:
-            self._reply(report.name, now)
-        self.on_report(report)
 
     def _reply(self, name: str, now: float) -> None:
         message = self._rosters.reply_to(name, now)
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -147,6 +147,7 @@
         self._path_prober = PathProber(
             self.servers,
             lambda: self.peers.has_majority,
+            lambda: self.peers.is_isolated,
             lambda: not self.peers.is_flat and not self.peers.is_hub,
             probe_host,
         )
@@ -242,7 +243,8 @@
         known = (
             self._has_caught_up.is_set() and self.cluster_state.has_registry.is_set()
         )
-        return known and not self._is_stopping and not self._is_cut_off
+        is_useful = not self._is_cut_off and not self._path_prober.is_in_doubt
+        return known and not self._is_stopping and is_useful
 
     @property
     def store_era(self) -> int:
@@ -383,6 +385,8 @@
     def _on_report(self, report: Report) -> None:
         self._news_fetcher.on_report(report)
         self._check_caught_up()
+        if report.is_isolated:
+            self._path_prober.check()
 
     def _check_caught_up(self) -> None:
         """Open to callers once no peer is known to have a newer configuration.
@@ -514,6 +518,7 @@
             version=self.cluster_state.version,
             era=self.cluster_state.registry_revision.era,
             evacuations_at=self._news_fetcher.evacuations_at,
+            is_isolated=self.peers.is_isolated,
         )
 
 
--- a/mangoramp/policy/isolation.py
+++ b/mangoramp/policy/isolation.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
+ISOLATION_S = 0.75  # two reports of each instance of the other domains are missing
 MIN_SILENCE_S = 0.5  # covers several lost packets in a row and a failed reconnect
 MIN_FAILURES = 2
 MAX_UNPROBED_S = 0.3  # a statement usually shows within this time that a path works
@@ -66,6 +67,20 @@
     return 2 * sum(lost) >= len(lost) > 0
 
 
+def is_isolated(now: float, others_heard_at: float | None) -> bool:
+    """Return whether this failure domain has probably lost all others.
+
+    Single instances fall silent for many reasons and are given more time. That all of
+    the other domains fall silent together is certain sooner.
+
+    Args:
+        now: The time in seconds.
+        others_heard_at: When a report from another failure domain last arrived, in
+            seconds; None if none ever did.
+    """
+    return others_heard_at is not None and now - others_heard_at >= ISOLATION_S
+
+
 class PathEvidence:
     """What probes have shown of the path to one server.
 
@@ -77,6 +92,16 @@
         self._failing_since: float | None = None
         self._failures = 0
         self._probed_at = -math.inf
+        self._reached_at = -math.inf
+
+    def is_unconfirmed(self, now: float, *, heard_s: float) -> bool:
+        """Return whether nothing has shown lately that the path works.
+
+        Args:
+            now: The time in seconds.
+            heard_s: Seconds since the server last answered this instance.
+        """
+        return min(heard_s, now - self._reached_at) > MIN_SILENCE_S
 
     def must_probe(self, now: float, *, heard_s: float, majority: bool) -> bool:
         """Return whether to probe the path now.
@@ -105,6 +130,7 @@
             is_reached: Whether the server accepted a connection.
         """
         if is_reached:
+            self._reached_at = max(self._reached_at, sent_at)
             self._failing_since = None
             self._failures = 0
             return
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -8,7 +8,7 @@
 from mangoramp.control.group import GroupState
 from mangoramp.control.path_prober import PathProber
 from mangoramp.platform.connection import probe_host
-from mangoramp.policy.isolation import PathEvidence, is_cut_off
+from mangoramp.policy.isolation import PathEvidence, is_cut_off, is_isolated
 from mangoramp.policy.revision import Revision
 
 from .virtual_time import run
@@ -37,6 +37,7 @@
 
     def __init__(self, *, had_majority=True):
         self.majority = had_majority
+        self.is_isolated = False
         self.network = Network()
         groups = {name: GroupState(name) for name in GROUPS}
         for number, (name, group) in enumerate(groups.items()):
@@ -48,7 +49,11 @@
             group=groups.__getitem__,
         )
         self.prober = PathProber(
-            servers, lambda: self.majority, lambda: False, self.network.probe
+            servers,
+            lambda: self.majority,
+            lambda: self.is_isolated,
+            lambda: False,
+            self.network.probe,
         )
         self.prober.check()
 
@@ -64,7 +69,8 @@
         end = loop.time() + for_s
         while loop.time() < end:
             await asyncio.sleep(step_s)
-            states.append((loop.time(), self.is_cut_off))
+            is_ready = not self.is_cut_off and not self.prober.is_in_doubt
+            states.append((loop.time(), self.is_cut_off, is_ready))
         task.cancel()
         return states
 
@@ -80,7 +86,7 @@
             return await world.play(3.0)
 
         states = run(play())
-        assert next(at for at, is_cut in states if is_cut) <= READINESS_BOUND_S
+        assert next(at for at, is_cut, _ in states if is_cut) <= READINESS_BOUND_S
 
     def test_it_serves_again_once_the_servers_are_in_reach(self):
         """Guards against an instance that stays out of rotation without callers."""
@@ -105,7 +111,7 @@
             world.majority = False
             return await world.play(3.0)
 
-        assert not any(is_cut for _, is_cut in run(play()))
+        assert not any(is_cut for _, is_cut, _ in run(play()))
 
     def test_a_majority_probes_nothing(self):
         """Guards against connections to all servers in normal operation."""
@@ -140,6 +146,39 @@
         assert all(b - a >= 0.25 - 1e-9 for a, b in zip(sent, sent[1:], strict=False))
 
 
+class TestIsolation:
+    """Guards against callers of a cut failure domain that wait for the last proof.
+
+    All of its instances must be out of rotation before its callers are sent elsewhere.
+    """
+
+    NOTICE_S = 0.15  # one check and a probe
+
+    def test_an_isolated_instance_leaves_at_once(self):
+        async def play():
+            world = World()
+            world.network.dropped = set(GROUPS)
+            world.is_isolated = True
+            return await world.play(3.0)
+
+        states = run(play())
+        assert not any(is_ready for at, _, is_ready in states if at > self.NOTICE_S)
+
+    def test_survivors_that_reach_the_servers_are_ready_again_at_once(self):
+        async def play():
+            world = World()
+            world.is_isolated = True
+            return await world.play(3.0)
+
+        states = run(play())
+        assert all(is_ready for at, _, is_ready in states if at > self.NOTICE_S)
+
+    def test_other_domains_that_fall_silent_together_are_noticed_early(self):
+        assert not is_isolated(10.0, None)
+        assert not is_isolated(10.0, 9.5)
+        assert is_isolated(10.0, 9.0)
+
+
 class TestEvidence:
     def test_one_lost_probe_proves_nothing(self):
         path = PathEvidence()
