Refuse at once what needs a server that accepts no connections

Cause: after a failure domain was cut off, each instance of the others learned for itself, once a second, that its servers are out of reach; each attempt held a read back for 0.1 to 0.25 s at the home.

Change: a home that failed twice in a row to reach a server refuses requests for it at once, so that they go to the next server, and opens a connection every 0.1 s that no request waits for. The opening of connections is a module of its own, serving/openings.py.

Ruled out: suspicion with a doubling delay at the home (a server that has recovered would wait for up to a second).

--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
 from collections.abc import Callable
 
 from ..control.group import CapacityState, Limit, Server
-from ..events import TASK_FAILED, emit
 from ..policy.handover import Handover
 from ..policy.wait_queue import MAX_CLASSES, Waiter
 from .capacity import Capacity
-from .command import Connector, OpenRefusedError, Refusal, ServerConnection
+from .command import Connector, ServerConnection
 from .connections import Connections
-from .in_flight import InFlight, InFlightLimits
+from .in_flight import InFlightLimits
+from .openings import Opener
 from .pins import Pins
 from .urgency import NoConnectionError as NoConnectionError
 from .urgency import Urgency as Urgency
@@ -22,8 +20,6 @@
 from .workload import ONE_REQUEST, Workload
 
 EVACUATED_WAIT_S = 0.1  # then the successor of an evacuated primary may lead
-SLOW_OPENING_AVOIDED_S = 0.25  # then an attempt that gets no answer has almost failed
-SLOW_OPENING_REASON = "the server takes too long to accept a connection"
 EVACUATED_REASON = "its failure domain is being evacuated"
 
 
@@ -70,6 +66,14 @@
         self._wake_ups = WakeUps(
             server, clock, self._waiting, self._limits, self._connections
         )
+        self._opener = Opener(
+            server,
+            clock,
+            self._connections,
+            self._limits,
+            self._wake_ups,
+            lambda is_busy: self.record_answer(was_refused=is_busy),
+        )
         self._pins = pins
         self._pinned: set[ServerConnection] = set()
         server.reporter = self
@@ -314,6 +318,7 @@
                 raise NoConnectionError(EVACUATED_REASON, is_reachable=True)
             if self.server.is_evacuated:
                 deadline = min(deadline, now + EVACUATED_WAIT_S)
+            self._opener.check_reachable(customer, urgency.priority)
             self._check_reserve(urgency, waiter)
             if waiter is not None or self._may_overtake():
                 conn = await self._try_acquire(
@@ -364,102 +369,14 @@
         connections = self._connections
         conn = connections.take_idle(customer)
         if conn is None and connections.may_open(customer) and connections.make_room():
-            conn = await self._open_before(deadline, customer, in_flight)
+            conn = await self._opener.open(deadline, customer, in_flight)
         elif conn is None:
             in_flight.cancel()
         if conn is not None:
             in_flight.hold(conn)
         return conn
 
-    async def _open_before(
-        self, deadline: float, customer: str, in_flight: InFlight
-    ) -> ServerConnection | None:
-        """Open a connection; one that is not open in time is kept for later requests.
-
-        An unreachable server does not answer the attempt for far longer than a request
-        may wait, so that the request would be late for another server.
-
-        Returns:
-            None if the server is full.
-
-        Raises:
-            NoConnectionError: There is no connection before the deadline.
-        """
-        is_new = self._connections.is_new(customer)
-        opening = self._connections.start_opening(customer)
-        keep = functools.partial(self._keep_opened, customer, is_new, in_flight)
-        try:
-            await asyncio.wait((opening,), timeout=max(0.0, deadline - self.clock()))
-        except asyncio.CancelledError:
-            # It may just have been opened.
-            opening.cancel()
-            opening.add_done_callback(keep)
-            raise
-        if not opening.done():
-            self.server.full_until = self.clock() + SLOW_OPENING_AVOIDED_S
-            opening.add_done_callback(keep)
-            raise NoConnectionError(SLOW_OPENING_REASON, is_reachable=True)
-        try:
-            conn = opening.result()
-        except OpenRefusedError as exc:
-            self._record_not_opened(in_flight)
-            self._handle_open_refused(exc)
-            return None
-        except BaseException:
-            self._record_not_opened(in_flight)
-            raise
-        self._record_opened(is_new)
-        return conn
-
-    def _keep_opened(
-        self,
-        customer: str,
-        is_new: bool,
-        in_flight: InFlight,
-        opening: asyncio.Task[ServerConnection],
-    ) -> None:
-        """Keep a connection that no request waits for any more, or record a failure."""
-        exc = None if opening.cancelled() else opening.exception()
-        if opening.cancelled() or exc is not None:
-            self._record_not_opened(in_flight)
-        else:
-            in_flight.cancel()
-            self._record_opened(is_new)
-            self._connections.put_back(
-                opening.result(), customer, is_closing=self._wake_ups.is_closed
-            )
-            self._wake_ups.wake_next(customer)
-        if isinstance(exc, OpenRefusedError):
-            try:
-                self._handle_open_refused(exc)
-            except NoConnectionError as refused:
-                if not refused.is_reachable:
-                    self.server.record_failure(self.clock(), str(refused))
-        elif exc is not None:
-            emit(TASK_FAILED, task="open connection", reason=repr(exc))
-
-    def _record_opened(self, is_new: bool) -> None:
-        if is_new:
-            # Statements of other new customers wait until they may open one.
-            self._wake_ups.wake_next()
-        self._limits.record_opened()
-
-    def _record_not_opened(self, in_flight: InFlight) -> None:
-        self._wake_ups.wake_next()
-        if self._limits.is_limited():
-            # Once this attempt is no longer in flight.
-            asyncio.get_running_loop().call_soon(self._wake_ups.wake_next)
-        in_flight.cancel()
-
     def _check_cold(self, requests: int, deadline: float) -> None:
         self._limits.update_cold_interval()
         self._wake_ups.update_min_interval()
         self._limits.check_cold(requests, deadline)
-
-    def _handle_open_refused(self, exc: OpenRefusedError) -> None:
-        is_full = self._connections.record_refusal(exc)
-        self.record_answer(was_refused=exc.refusal is Refusal.BUSY)
-        if exc.refusal is None:
-            self._limits.record_unreached()
-        if not is_full:
-            raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
--- a/mangoramp/serving/reading.py
+++ b/mangoramp/serving/reading.py
@@ -298,7 +298,7 @@
                 is_deferrable=is_deferrable,
             )
         except NoConnectionError as exc:
-            if not exc.is_reachable:
+            if not exc.is_reachable and exc.is_observed:
                 self._record_unreachable(group, server)
             await self._executor.delay_retry(
                 op, server, str(exc), READ_RETRIED, wait_s=exc.wait_s
--- a/mangoramp/serving/server_health.py
+++ b/mangoramp/serving/server_health.py
@@ -94,7 +94,7 @@
 
 def record_no_connection(server: Server, exc: NoConnectionError, now: float) -> None:
     """Record a failed attempt to get a connection, if the server was not reached."""
-    if not exc.is_reachable:
+    if not exc.is_reachable and exc.is_observed:
         server.record_failure(now, str(exc))
 
 
--- a/mangoramp/serving/urgency.py
+++ b/mangoramp/serving/urgency.py
@@ -10,12 +10,22 @@
 
     Attributes:
         is_reachable: Whether the server responded to the connection attempt.
+        is_observed: Whether this request's own attempt showed that; otherwise it is
+            known from earlier attempts.
         wait_s: Estimated seconds until a connection is available, 0 if unknown.
     """
 
-    def __init__(self, reason: str, *, is_reachable: bool, wait_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        is_reachable: bool,
+        is_observed: bool = True,
+        wait_s: float = 0.0,
+    ) -> None:
         super().__init__(reason)
         self.is_reachable = is_reachable
+        self.is_observed = is_observed
         self.wait_s = wait_s
 
 
