Check that reports without the newest fields are decoded

The test took the last field of a report for the revision of the evacuations; the report has another field since. It now checks both. The bound of the test of a failing store is that of one watch that asks often.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -355,9 +355,11 @@
 class TestMessages:
     def test_the_former_build_decodes_the_new_fields(self):
         """Guards against instances of two builds that cannot hear each other."""
-        report = Report("i", 1, 2, evacuations_at=(1, 2))
+        report = Report("i", 1, 2, evacuations_at=(1, 2), is_isolated=True)
         fields = msgspec.to_builtins(report)
-        assert msgspec.convert(fields[:-1], Report).evacuations_at is None
+        assert msgspec.convert(fields[:-2], Report).evacuations_at is None
+        assert msgspec.convert(fields[:-1], Report).evacuations_at == (1, 2)
+        assert not msgspec.convert(fields[:-1], Report).is_isolated
         for message in (
             AskNews(1, 2, evacuations_at=(1, 2)),
             News(1, 2, None, (), frozenset(), True, evacuations=(("a", 1, 2, True),)),
--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -118,7 +118,7 @@
             return store
 
         store = run(play())
-        assert sum(store.failed.values()) <= 40  # three kinds every 0.35 s are 51
+        assert sum(store.failed.values()) <= 26  # two kinds every 0.35 s are 34
         for times in store.answered.values():
             assert any(down_s[1] <= at <= down_s[1] + 0.6 for at in times)
 
