Let an instance that starts inside a cut domain leave the rotation

Cause: a process that has just started probes no paths until it has heard most of the others, and the balancer keeps a failure domain as long as one of its instances is ready.

Change: what a hub tells of the silence of all other domains counts without any further condition, also for a hub that has not heard them itself.

Ruled out: probes by every process that has just started (after a restart of all they compete for the servers' connections).

Measured: tests of the prober and of the reports.

--- a/mangoramp/control/path_prober.py
+++ b/mangoramp/control/path_prober.py
@@ -66,11 +66,12 @@
     def check(self) -> None:
         """Send the probes that are due."""
         now = self._servers.clock()
-        majority = self._has_majority() and not self._is_isolated()
+        majority = self._has_majority()
         self._had_majority |= majority
         # A process that has just started has not lost the others; after a restart of
         # all, probes would compete for the servers' few connections.
-        self._has_lost_majority = self._had_majority and not majority
+        has_lost_others = self._had_majority and not majority
+        self._has_lost_majority = has_lost_others or self._is_isolated()
         primaries = self._primaries(now)
         for server_id in self._paths.keys() - primaries.keys():
             del self._paths[server_id]
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -385,12 +385,21 @@
     def is_isolated(self) -> bool:
         """Whether this failure domain has probably lost all others.
 
-        Followers hear no other domain themselves; their source tells them.
+        Followers hear no other domain themselves; their source tells them. A process
+        that has started since relies on the others of its domain, too.
         """
-        if self.is_flat or self.is_hub:
+        is_listener = self.is_flat or self.is_hub
+        if is_listener and self._others_heard_at is not None:
             return is_isolated(self._clock(), self._others_heard_at)
-        source = self.peers.get(self._rosters.source)
-        return source is not None and source.report.is_isolated
+        if not is_listener:
+            source = self.peers.get(self._rosters.source)
+            return source is not None and source.report.is_isolated
+        live = set(self.live_instances)
+        return any(
+            peer.report.is_isolated and self._is_nearby(peer)
+            for name, peer in self.peers.items()
+            if name in live
+        )
 
     @property
     def _snapshot(self) -> _Snapshot:
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -173,6 +173,18 @@
         states = run(play())
         assert all(is_ready for at, _, is_ready in states if at > self.NOTICE_S)
 
+    def test_an_instance_that_started_after_the_cut_leaves_too(self):
+        """Guards against one fresh process that keeps its whole domain in rotation."""
+
+        async def play():
+            world = World(had_majority=False)
+            world.network.dropped = set(GROUPS)
+            world.is_isolated = True
+            return await world.play(3.0)
+
+        states = run(play())
+        assert not any(is_ready for at, _, is_ready in states if at > self.NOTICE_S)
+
     def test_other_domains_that_fall_silent_together_are_noticed_early(self):
         assert not is_isolated(10.0, None)
         assert not is_isolated(10.0, 9.5)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -84,6 +84,27 @@
         assert "b" in receiver.peers.live_instances
 
 
+class TestIsolation:
+    """Guards against a cut failure domain that notices its cut only after seconds."""
+
+    def test_silence_of_all_other_domains_is_noticed_within_a_second(self):
+        receiver = ReceivingInstance()
+        receiver.receive(0, failure_domain="y")
+        receiver.now = 0.7
+        assert not receiver.peers.is_isolated
+        receiver.now = 0.8
+        assert receiver.peers.is_isolated
+        receiver.receive(0, failure_domain="y")
+        assert not receiver.peers.is_isolated
+
+    def test_a_process_that_started_after_the_cut_believes_its_own_domain(self):
+        receiver = ReceivingInstance()
+        receiver.receive(0)
+        assert not receiver.peers.is_isolated
+        receiver.receive(0, is_isolated=True)
+        assert receiver.peers.is_isolated
+
+
 class TestWatchers:
     """40 instances in two failure domains, from the point of view of one of them."""
 
