Revert "Let one watch find out that the store answers again"

Its test goes with it; so does the longer wait of the watches of evacuations, whose bound is as narrow.

--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -23,12 +23,11 @@
 
 RETRY_MAX_S = 0.5  # entries must be known again 2 s after an outage
 FALLBACK_RETRY_MAX_S = 4.0  # for instances that watch only while others cannot
-LEADING_KIND = REGISTRY_KIND  # its watch finds out that the store answers again
 MIN_POLL_WAIT_S = 1.0
 PEERS_FIRST_S = 1.0  # peers usually answer a new instance within half of this time
 RECHECK_INTERVAL_S = 1.5  # a live server reports within this time after an outage
 EVACUATION_KIND = "evacuations"
-EVACUATION_WAIT_PART = 0.6  # of the bound; a hung poll ends 1 s later and is repeated
+EVACUATION_WAIT_PART = 0.4  # of the bound; a hung poll ends 1 s later and is repeated
 EVACUATION_RECHECK_S = 0.5
 MAX_POLL_GAP_S = 1.0  # between polls that succeed one after the other
 
@@ -108,7 +107,6 @@
         self._started_at = clock()
         self._peers_first_s = peers_first_s
         self._is_watcher = is_watcher
-        self._is_preferred_watcher = is_preferred_watcher
         self._receiver = receiver
         self._evacuations = evacuations
         self._evacuations_at = float("-inf")
@@ -131,8 +129,8 @@
             waits[EVACUATION_KIND] = min(
                 wait_s, max(MIN_POLL_WAIT_S, EVACUATION_WAIT_PART * bounds.evacuation_s)
             )
-        self._watches = {
-            kind: Watch(
+        self._watches = [
+            Watch(
                 client,
                 kind,
                 msgspec.Raw,
@@ -144,20 +142,21 @@
                 wait_s=lambda kind=kind: waits[kind],  # type: ignore[misc]
                 is_enabled=is_watcher,
                 is_needed=self._is_needed,
-                retry_max_s=lambda kind=kind: self._retry_max_s(kind),  # type: ignore[misc]
-                on_recovered=lambda kind=kind: self._on_recovered(kind),  # type: ignore[misc]
+                retry_max_s=lambda: (
+                    RETRY_MAX_S if is_preferred_watcher() else FALLBACK_RETRY_MAX_S
+                ),
             )
             for kind, handler in handlers.items()
-        }
+        ]
 
     @property
     def is_failing(self) -> bool:
         """Whether the last poll of any watch failed."""
-        return any(watch.is_failing for watch in self._watches.values())
+        return any(watch.is_failing for watch in self._watches)
 
     def poll_now(self) -> None:
         """Poll the store at once, because peers know a newer revision."""
-        for watch in self._watches.values():
+        for watch in self._watches:
             watch.poll_now()
 
     async def run(self) -> None:
@@ -166,7 +165,7 @@
         await asyncio.gather(
             self._recheck_registry(),
             self._recheck_evacuations(),
-            *(watch.run() for watch in self._watches.values()),
+            *(watch.run() for watch in self._watches),
         )
 
     def on_store_restored(self) -> None:
@@ -202,24 +201,6 @@
             is_known = is_known and self._evacuations.is_known.is_set()
         return not is_known and self._clock() - self._started_at >= self._peers_first_s
 
-    def _retry_max_s(self, kind: str) -> float:
-        """Return the longest delay of a failed poll.
-
-        While the store does not answer, one watch asks it often, and the others wait
-        until that one succeeds.
-        """
-        has_leader = kind != LEADING_KIND and self._watches[LEADING_KIND].is_failing
-        if has_leader or not self._is_preferred_watcher():
-            return FALLBACK_RETRY_MAX_S
-        return RETRY_MAX_S
-
-    def _on_recovered(self, kind: str) -> None:
-        if kind != LEADING_KIND:
-            return
-        for other, watch in self._watches.items():
-            if other != LEADING_KIND and watch.is_failing:
-                watch.poll_now()
-
     def _since(self, kind: str) -> int:
         revision = self._revisions[kind]
         return -1 if revision is None else revision.number
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -37,7 +37,6 @@
         is_enabled: Returns whether to keep polling. A disabled watch polls only until
             a revision is known, and when an immediate poll is requested.
         is_needed: Returns whether a disabled watch that knows no revision polls.
-        on_recovered: Called when a poll succeeds after others failed.
         retry_max_s: Returns the upper bound of a retry delay, in seconds.
         era: Returns the era of the store in which ``since`` was read, None if the
             current one is assumed.
@@ -58,7 +57,6 @@
         retry_max_s: Callable[[], float] = lambda: RETRY_MAX_S,
         era: Callable[[], int | None] = lambda: None,
         is_needed: Callable[[], bool] = lambda: True,
-        on_recovered: Callable[[], None] = lambda: None,
     ) -> None:
         self._client = client
         self._kind = kind
@@ -74,7 +72,6 @@
         self._retry_max_s = retry_max_s
         self._era = era
         self._is_needed = is_needed
-        self._on_recovered = on_recovered
 
     @property
     def is_failing(self) -> bool:
@@ -87,7 +84,7 @@
             known = self._since()
             if not self._is_enabled() and (known > 0 or not self._is_needed()):
                 self._failures = 0
-                if not await self._wait_for_request(ENABLED_CHECK_INTERVAL_S):
+                if not await self._wait_for_request():
                     continue
             asked_at = self._clock()
             answer = await self._poll(known, is_long=known > 0 and not self.is_failing)
@@ -98,14 +95,11 @@
                 reason = answer.failure().message
                 if self._failures == 1:
                     emit(PLATFORM_LOST, kind=self._kind, reason=reason)
-                await self._wait_for_request(self._backoff(self._failures))
+                await asyncio.sleep(self._backoff(self._failures))
                 continue
-            was_failing = self.is_failing
-            if was_failing:
+            if self.is_failing:
                 emit(PLATFORM_RECOVERED, kind=self._kind, failures=self._failures)
             self._failures = 0
-            if was_failing:
-                self._on_recovered()
             changes = answer.unwrap()
             since = 0 if changes.is_complete else known
             self._on_changes(changes, since, asked_at)
@@ -116,9 +110,9 @@
         """Poll at once, because peers know a newer revision than the current poll."""
         self._poll_requested.set()
 
-    async def _wait_for_request(self, timeout_s: float) -> bool:
+    async def _wait_for_request(self) -> bool:
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(ENABLED_CHECK_INTERVAL_S):
                 await self._poll_requested.wait()
         except TimeoutError:
             return False
--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -4,12 +4,11 @@
 import random
 from collections import Counter
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from mangoramp.control.instance_list import INSTANCE_KIND, InstanceList
 from mangoramp.control.peers import Peers
 from mangoramp.control.settings import Bounds, InstanceSettings
-from mangoramp.errors import Code, Fault, Step
 from mangoramp.platform.client import Changes, Versioned
 from mangoramp.platform.feed import Feed
 
@@ -83,46 +82,6 @@
         assert len(calls) == 2
 
 
-class TestStoreThatDoesNotAnswer:
-    """Guards against a watcher that asks a failing store for each kind of object."""
-
-    def test_one_watch_asks_often_and_the_others_follow(self):
-        down_s = (10.0, 16.0)
-
-        class Failing(Store):
-            async def fetch_changes(self, kind, type_, *, since, wait_s, era):
-                now = asyncio.get_running_loop().time()
-                if down_s[0] <= now < down_s[1]:
-                    self.failed[kind] += 1
-                    await asyncio.sleep(0.01)
-                    return Failure(Fault(Code.NO_SERVER, "busy", Step.PLATFORM))
-                self.answered.setdefault(kind, []).append(now)
-                await asyncio.sleep(min(wait_s, max(0.0, down_s[0] - now)) or wait_s)
-                return Success(Changes(7, ()))
-
-        async def play():
-            store, loop = Failing(), asyncio.get_running_loop()
-            store.failed, store.answered = Counter(), {}
-            feed = Feed(
-                store,
-                Receiver(),
-                Bounds(),
-                is_watcher=lambda: True,
-                is_preferred_watcher=lambda: True,
-                rng=random.Random(1),
-                clock=loop.time,
-            )
-            task = asyncio.ensure_future(feed.run())
-            await asyncio.sleep(20.0)
-            task.cancel()
-            return store
-
-        store = run(play())
-        assert sum(store.failed.values()) <= 26  # two kinds every 0.35 s are 34
-        for times in store.answered.values():
-            assert any(down_s[1] <= at <= down_s[1] + 0.6 for at in times)
-
-
 class TestInstanceList:
     """Guards against watching before the instances that start together are known."""
 
