Wait longer for the answer of a peer that did not come in time

Cause: an instance that lacks a configuration asks a peer for it with a time-out of 0.5 s and asks the next peer at once after it.

Change: the time-out doubles with each answer that does not come, up to 4 s, until one comes.

Ruled out: a longer first time-out (a peer that is gone would cost as much).

--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -27,6 +27,7 @@
 PEER_FETCH_ROUNDS = 4  # the store answers a refreshed watch within two rounds
 EVACUATIONS_REFRESH_S = 2.5  # repeats what a lost or reordered update left out
 FETCH_TIMEOUT_S = 0.5  # two round trips within a region and one lost packet
+MAX_FETCH_TIMEOUT_S = 4.0  # a large configuration takes seconds on a slow link
 
 
 class _AskNewsFields(Envelope, frozen=True, array_like=True):
@@ -143,6 +144,7 @@
         self._rounds = 0
         self._excluded_peers: set[str] = set()
         self._fetched_registry = NO_REVISION
+        self._timeout_s = FETCH_TIMEOUT_S
         self._fetch_task: asyncio.Task[None] | None = None
 
     @property
@@ -159,6 +161,7 @@
             self._start_fetch()
         if not self._is_behind():
             self._rounds = 0
+            self._timeout_s = FETCH_TIMEOUT_S
             self._excluded_peers.clear()
             return
         self._rounds += 1
@@ -271,9 +274,12 @@
             era=registry.era,
             evacuations_at=self.evacuations_at,
         )
-        result = await self._fetch(peer, req, FETCH_TIMEOUT_S)
+        result = await self._fetch(peer, req, self._timeout_s)
         if not isinstance(result, Success):
             self._excluded_peers.add(peer)
+            # An answer that comes too late uses the link all the same; asking again as
+            # soon would keep a slow link full.
+            self._timeout_s = min(MAX_FETCH_TIMEOUT_S, 2 * self._timeout_s)
             emit(NEWS_FAILED, peer=peer, reason=result.failure().message)
             return
         news: News = result.unwrap()
@@ -284,6 +290,7 @@
             configuration=news.deployment is not None,
             endpoints=len(news.endpoints),
         )
+        self._timeout_s = FETCH_TIMEOUT_S
         self._apply(news)
         self._has_fetched = True
         self._fetched_at = self._peers.now
