--- a/mangoramp/control/group.py
+++ b/mangoramp/control/group.py
@@ -97,8 +97,8 @@
         not_primary_at: When it last answered that it is not the primary.
         latency_s: Moving average of the statement latency, in seconds.
         lag_s: Estimated replication lag, in seconds.
-        behind_at: When it last refused a read as behind, in seconds; None if it has
-            shown an entry of that age since.
+        behind_at: When it last refused a read as behind, in seconds; None if a read has
+            shown since that ``lag_s`` was too high.
         busy: Statements of this process in flight at the server.
         evacuation: When requests to it end because its failure domain is evacuated,
             None if it is not.
--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -29,8 +29,8 @@
 PEER_FETCH_ROUNDS = 4  # the store answers a refreshed watch within two rounds
 EVACUATIONS_REFRESH_S = 2.5  # repeats what a lost or reordered update left out
 FETCH_TIMEOUT_S = 0.5  # two round trips within a region and one lost packet
-PACKING_LEVEL = 1  # a tenth of the size within milliseconds
 MAX_FETCH_TIMEOUT_S = 4.0  # a large configuration takes seconds on a slow link
+PACKING_LEVEL = 1  # the fastest; hubs pack while they serve callers
 
 
 class _AskNewsFields(Envelope, frozen=True, array_like=True):
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -222,8 +222,9 @@
 
         Args:
             customer: The customer.
-            admitted_for: The server that is to run the operation if the customer's home
-                has charged it already, so that another home may run it.
+            admitted_for: The id of the server that is to run the operation, if the
+                customer's home has charged it already, so that another home may run it;
+                else empty.
         """
         if self.is_direct:
             return None
