--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -23,7 +23,8 @@
 from .cluster_state import ClusterState, DepartedServer, VersionedEndpoint
 from .deployment import Deployment
 from .evacuations import Evacuations
-from .peers import KnownState, Peers, Report
+from .peers import Peers
+from .reports import KnownState, Report
 
 WATCH_REFRESH_ROUNDS = 2  # watches of all instances get a change within milliseconds
 PEER_FETCH_ROUNDS = 4  # the store answers a refreshed watch within two rounds
--- /dev/null
+++ b/mangoramp/control/reports.py
@@ -0,0 +1,105 @@
+"""Reports of the instances' states to one another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..policy.hubs import HubFields
+from ..policy.revision import Revision
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """The status of one instance.
+
+    Attributes:
+        name: The instance's name.
+        incarnation: Random id of its process.
+        number: Sequence number within the process.
+        is_leaving: Whether the process is about to exit.
+        is_draining: Whether it accepts no new work.
+        revision: The revision of the configuration that it has in force.
+        registry_revision: The latest registry revision that it knows.
+        spent: Operations admitted since its start, by customer; counts of missing
+            customers are unchanged.
+        heard: Milliseconds since each primary last answered it, by the checksum of
+            group and primary; None if left out of this report.
+        strength: Its relative capacity.
+        failure_domain: The failure domain it runs in.
+        is_current: Whether its calls to the store, if any, are answered.
+        version: The version of the configuration that it has in force.
+        era: The era of ``registry_revision``.
+        hub: What the membership of a large fleet needs, None between few instances.
+        evacuations_at: Era and number of the newest revision of the evacuations that it
+            knows, None if it knows none.
+        is_isolated: Whether it hears no other failure domain any more.
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    is_leaving: bool = False
+    is_draining: bool = False
+    revision: int = 0
+    registry_revision: int = 0
+    spent: dict[str, int] = {}
+    heard: dict[int, int] | None = None
+    strength: int = 1
+    failure_domain: str = ""
+    is_current: bool = True
+    version: int = 0
+    era: int = 0
+    hub: HubFields | None = None
+    evacuations_at: tuple[int, int] | None = None
+    is_isolated: bool = False
+
+    @property
+    def registry_at(self) -> Revision:
+        """The latest registry revision that the instance knows."""
+        return Revision(self.era, self.registry_revision)
+
+
+@dataclass(frozen=True, slots=True)
+class KnownState:
+    """How much of the store's state an instance knows.
+
+    Attributes:
+        version: The version of the configuration in force.
+        registry: The latest registry revision.
+        revision: The number of the configuration's revision in the store.
+        evacuations: The newest revision of the evacuations, None if unknown.
+        follows_evacuations: Whether the instance uses evacuations.
+    """
+
+    version: int
+    registry: Revision
+    revision: int = 0
+    evacuations: Revision | None = None
+    follows_evacuations: bool = False
+
+    def is_behind(self, report: Report) -> bool:
+        """Return whether the sender of a report knows more."""
+        if report.version:
+            has_newer_version = report.version > self.version
+        else:  # a former build, which reports no version
+            has_newer_version = report.revision > self.revision
+        return (
+            has_newer_version
+            or report.registry_at > self.registry
+            or self._is_behind_on_evacuations(report)
+        )
+
+    def _is_behind_on_evacuations(self, report: Report) -> bool:
+        if not self.follows_evacuations or report.evacuations_at is None:
+            return False
+        known = self.evacuations
+        return known is None or Revision(*report.evacuations_at) > known
+
+
+def merge_reports(report: Report, previous: Report) -> Report:
+    """Return a report with what only the previous one of the same process has."""
+    heard = previous.heard if report.heard is None else report.heard
+    return msgspec.structs.replace(
+        report, spent=previous.spent | report.spent, heard=heard
+    )
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -21,8 +21,9 @@
 from .control.load_reports import LoadReports
 from .control.news import AskNews, News, NewsFetcher, NewsMessage
 from .control.path_prober import PathProber
-from .control.peers import Peers, Report
+from .control.peers import Peers
 from .control.promoter import Promoter
+from .control.reports import Report
 from .control.settings import Address, InstanceSettings
 from .errors import Fault
 from .events import (
@@ -310,11 +311,11 @@
             elapsed_s = boot_time() - started
             if elapsed_s > BALANCER_REMOVAL_S:
                 self._listener.close_idle_connections()
-                if self._listener.is_idle and self.homes.is_idle:
+                if self._listener.is_idle and self.homes.batches.is_idle:
                     break
             if elapsed_s > grace / 2:
                 self.gateway.abort_transactions()
-                self.homes.drop_pinned()
+                self.homes.batches.drop_pinned()
             await asyncio.sleep(DRAIN_POLL_S)
         self._listener.stop()
         self.peers.send(force=True)
@@ -374,7 +375,7 @@
             self.gateway.abort_idle_transactions()
             self.servers.evict_expired()
             self.evacuations.log_drained()
-            self.homes.evict_expired_pins()
+            self.homes.batches.evict_expired_pins()
             self._admission.observe_groups()
             self._share_connections()
             self._news_fetcher.check_peers()
@@ -418,7 +419,7 @@
     ) -> BatchMessage | NewsMessage:
         if isinstance(message, AskNews):
             return self._news_fetcher.answer(message)
-        return await self.homes.answer(message)
+        return await self.homes.batches.answer(message)
 
     async def _request_news(
         self, peer: str, message: AskNews, timeout_s: float
--- /dev/null
+++ b/mangoramp/serving/home_batches.py
@@ -0,0 +1,249 @@
+"""Runs the batches of other instances on the connections that this home holds."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..events import PINNED_EXPIRED, emit
+from ..proxies.envelope import Envelope
+from .admission import AdmissionControl
+from .batches import (
+    BatchLost,
+    BatchMessage,
+    BatchNotSent,
+    BatchOverRate,
+    BatchRun,
+    DropPinned,
+    PinnedDropped,
+    RunBatch,
+)
+from .command import Answer, ConnectionLostError, NotSentError
+from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
+from .pool import NoConnectionError, Urgency
+from .primary_samples import PrimarySampleReport, record_primary_samples
+from .server_health import record_no_connection, recording_outcome
+from .servers import Servers
+from .workload import workload_of
+
+MAX_SAMPLE_AGE_S = 2.0  # older samples rarely serve reads of data seconds old
+PIN_TIMEOUT_S = 10.0  # exceeds the limits on transaction idle time and statement time
+
+
+@dataclass(slots=True)
+class _PinnedLease:
+    lease: LocalLease
+    used_at: float
+    is_busy: bool = False
+
+
+class HomeBatches:
+    """Runs batches for other instances, and keeps the connections that these pin.
+
+    Args:
+        servers: The known servers and their pools.
+        admit: Charges an operation, given its customer and the id of its first
+            statement, to the customer's limits; returns the seconds to wait if the
+            operation exceeds them, else 0.
+        admission: Reports the load of the servers.
+        may_hedge: Returns whether a customer's limits allow a hedged read.
+        find_detour: Returns the home that reaches a server which this one does not,
+            given customer, group and server id; empty if none is known.
+    """
+
+    def __init__(
+        self,
+        servers: Servers,
+        *,
+        admit: Callable[[str, str], float],
+        admission: AdmissionControl,
+        may_hedge: Callable[[str], bool],
+        find_detour: Callable[[str, str, str], str],
+    ) -> None:
+        self._servers = servers
+        self._clock = servers.clock
+        self._admit = admit
+        self._admission = admission
+        self._may_hedge = may_hedge
+        self._find_detour = find_detour
+        self._pinned: dict[int, _PinnedLease] = {}
+        self._handles = itertools.count(1)
+        self._running = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no batch runs and no connection is pinned for other instances."""
+        return not self._running and not self._pinned
+
+    def evict_expired_pins(self) -> None:
+        """Close pinned connections that were unused for too long."""
+        oldest = self._clock() - PIN_TIMEOUT_S
+        for handle, pinned in list(self._pinned.items()):
+            if not pinned.is_busy and pinned.used_at < oldest:
+                emit(PINNED_EXPIRED, server=pinned.lease.server.id)
+                self._close_pinned(handle)
+
+    def drop_pinned(self) -> None:
+        """Close all pinned connections that run no statement."""
+        for handle, pinned in list(self._pinned.items()):
+            if not pinned.is_busy:
+                self._close_pinned(handle)
+
+    async def answer(self, message: Envelope) -> BatchMessage:
+        """Handle a request from another instance."""
+        if isinstance(message, DropPinned):
+            self._close_pinned(message.handle)
+            return PinnedDropped()
+        if not isinstance(message, RunBatch):
+            return BatchNotSent(reason="this message asks for nothing")
+        self._running += 1
+        try:
+            return await self._run(message)
+        finally:
+            self._running -= 1
+
+    async def _run(self, message: RunBatch) -> BatchMessage:
+        started = self._clock()
+        if message.is_hedge and not self._has_room_to_hedge(message):
+            return BatchNotSent(reason="no capacity for a hedged read")
+        if message.ticket:
+            wait_s = self._admit(message.customer, message.ticket)
+            if wait_s > 0:
+                return BatchOverRate(wait_s=wait_s)
+        if message.handle:
+            pinned = self._pinned.get(message.handle)
+            if pinned is None:
+                return BatchLost(reason="the connection is not pinned any more")
+            lease = pinned.lease
+        else:
+            acquired = await self._acquire(message)
+            if isinstance(acquired, BatchNotSent):
+                return acquired
+            lease = acquired
+            pinned = None
+        left = message.timeout_s - (self._clock() - started)
+        admitted = await self._admit_batch(message, lease, pinned, left)
+        if isinstance(admitted, BatchNotSent):
+            return admitted
+        left = admitted
+        values = message.values
+        asked_at = self._clock()
+        context = None if values is None else SessionContext(values, message.shapes)
+        try:
+            with recording_outcome(lease.server, self._clock, left) as outcome:
+                answers = await lease.run(
+                    context, message.commands, timeout_s=max(0.0, left)
+                )
+                outcome.answers = answers
+        except NotSentError as exc:
+            # The server has been evacuated meanwhile; an open transaction is over.
+            self._pinned.pop(message.handle, None)
+            lease.release()
+            return BatchNotSent(reason=str(exc))
+        except ConnectionLostError as exc:
+            self._pinned.pop(message.handle, None)
+            lease.release()
+            return BatchLost(reason=str(exc), answers=exc.answers)
+        group = self._servers.group(message.group)
+        record_primary_samples(
+            group, asked_at, message.commands, answers, message.shapes
+        )
+        return BatchRun(
+            answers=answers,
+            handle=self._pin_or_release(message.handle, lease, answers),
+            samples=self._latest_samples(),
+            load=self._admission.hint(message.group),
+            server_s=self._clock() - asked_at,
+        )
+
+    async def _admit_batch(
+        self,
+        message: RunBatch,
+        lease: LocalLease,
+        pinned: _PinnedLease | None,
+        left: float,
+    ) -> float | BatchNotSent:
+        """Wait until a batch may be sent, and return the seconds that are left then."""
+        if pinned is not None:
+            pinned.is_busy = True
+        elif left < MIN_ROUND_TRIP_S:
+            lease.release()
+            return BatchNotSent(reason="the time was over before a connection was free")
+        try:
+            return await lease.admit(message.commands, timeout_s=left)
+        except NotSentError as exc:
+            if pinned is None:
+                lease.release()
+            else:
+                pinned.is_busy, pinned.used_at = False, self._clock()
+            return BatchNotSent(reason=str(exc), wait_s=exc.wait_s)
+
+    def _has_room_to_hedge(self, message: RunBatch) -> bool:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None or not self._may_hedge(message.customer):
+            return False
+        return self._servers.pool(server).has_capacity(message.customer)
+
+    async def _acquire(self, message: RunBatch) -> LocalLease | BatchNotSent:
+        server = self._servers.group(message.group).servers.get(message.server)
+        if server is None:
+            return BatchNotSent(reason="the home does not know the server")
+        pool = self._servers.pool(server)
+        if pool.limit == 0:
+            # The caller's instance knows of other homes than this one; the reserve of
+            # the server's connections covers one until both know the same.
+            pool.resize(1)
+        try:
+            urgency = Urgency(
+                message.priority,
+                message.due_s,
+                min(message.wait_s, message.timeout_s),
+                message.is_deferrable,
+            )
+            work = workload_of(message.commands)
+            conn = await pool.acquire(message.customer, urgency, work)
+        except NoConnectionError as exc:
+            record_no_connection(server, exc, self._clock())
+            detour = ""
+            if not exc.is_reachable:
+                detour = self._find_detour(message.customer, message.group, server.id)
+            return BatchNotSent(
+                reason=str(exc),
+                is_reachable=exc.is_reachable,
+                wait_s=exc.wait_s,
+                load=self._admission.hint(message.group),
+                reachable_from=detour,
+            )
+        return LocalLease(server, conn, message.customer, pool)
+
+    def _pin_or_release(
+        self, handle: int, lease: LocalLease, answers: tuple[Answer, ...]
+    ) -> int:
+        if not needs_pin(answers):
+            self._pinned.pop(handle, None)
+            lease.release()
+            return 0
+        handle = handle or next(self._handles)
+        self._pinned[handle] = _PinnedLease(lease, self._clock())
+        return handle
+
+    def _close_pinned(self, handle: int) -> None:
+        pinned = self._pinned.pop(handle, None)
+        if pinned is not None:
+            pinned.lease.discard()
+            pinned.lease.release()
+
+    def _latest_samples(self) -> tuple[PrimarySampleReport, ...]:
+        now = self._clock()
+        latest = ((g.name, g.samples.latest) for g in self._servers.groups.values())
+        return tuple(
+            PrimarySampleReport(
+                name,
+                now - sample.asked_at,
+                sample.position.term,
+                sample.position.offset,
+            )
+            for name, sample in latest
+            if sample is not None and now - sample.asked_at < MAX_SAMPLE_AGE_S
+        )
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -64,6 +64,10 @@
     def is_cut(self, name):
         return name == "a" and CUT_S[0] <= self.clock() < CUT_S[1]
 
+    def charge(self, customer, request_id):
+        self.charged.append(request_id)
+        return 0.0
+
     def build(self, name):
         servers = Servers(Connector(name, self), self.clock, name=name)
         customers = {c: Customer(c, 50.0, 50.0) for c in CUSTOMERS}
@@ -72,7 +76,7 @@
             name,
             servers,
             instances=lambda: {n: Candidate(100 if n in "ab" else 1) for n in NAMES},
-            admit=lambda customer, request_id: self.charged.append(request_id) or 0.0,
+            admit=self.charge,
             links=self,
             heard_at=lambda peer: self.clock(),
             primary_heard_s=lambda group, server_id: {
@@ -85,12 +89,12 @@
         endpoint = Endpoint("p", GROUP, ("h", 1), "x", 4, False, True)
         servers.group(GROUP).update_endpoint(endpoint, Revision(0, 1))
         servers.resize(deployment, len(NAMES))
-        executor = Executor(servers, homes=homes, admit=homes._admit)
+        executor = Executor(servers, homes=homes, admit=self.charge)
         return homes, Reader(executor, "x")
 
     async def call(self, home, message, *, timeout_s):
         await asyncio.sleep(0.001)
-        return Success(await self.homes[home].answer(message))
+        return Success(await self.homes[home].batches.answer(message))
 
     def reset(self, name):
         raise AssertionError(f"the link to {name} works")
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -12,7 +12,7 @@
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.evacuations import Evacuations
 from mangoramp.control.news import AskNews, News, NewsFetcher
-from mangoramp.control.peers import Report
+from mangoramp.control.reports import Report
 from mangoramp.errors import FaultError
 from mangoramp.policy.evacuation import (
     MISSING_GRACE_S,
@@ -241,12 +241,12 @@
             heard_at=lambda name: 0.0,
         )
         message = RunBatch("s1", "g", "c", None, {}, COMMANDS, 1.0, 0.2, 0.2)
-        handle = (await homes.answer(message)).handle
+        handle = (await homes.batches.answer(message)).handle
         deployment.set("a")
         deployment.now += 2.6
         for late in (message, msgspec.structs.replace(message, handle=handle)):
-            assert isinstance(await homes.answer(late), BatchNotSent)
-        assert homes.is_idle
+            assert isinstance(await homes.batches.answer(late), BatchNotSent)
+        assert homes.batches.is_idle
         assert not deployment.servers.pool(deployment.server("s1")).leased
 
     async def test_an_instance_does_not_forward_what_its_home_may_not_know(
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -661,11 +661,11 @@
             caller = await world.caller(instance=other)
             await caller.ask("BEGIN")
             await caller.ask("WRITE a 1", "w1")
-            assert not world.instances[index].homes.is_idle
+            assert not world.instances[index].homes.batches.is_idle
             assert (await caller.ask("READ a"))[0] == "ROW 1"
             assert (await caller.ask("COMMIT", "c1"))[0] == "DONE sig.c1"
             assert world.find_runs("w1")[0].in_transaction
-            assert world.instances[index].homes.is_idle
+            assert world.instances[index].homes.batches.is_idle
 
     async def test_a_caller_that_leaves_drops_its_transaction_there(self):
         async with World(instances=3) as world:
@@ -674,7 +674,7 @@
             await caller.ask("BEGIN")
             await caller.ask("WRITE a 1")
             caller.close()
-            await world.wait_until(lambda: world.instances[index].homes.is_idle)
+            await world.wait_until(lambda: world.instances[index].homes.batches.is_idle)
             assert not world.group.log
 
     async def test_a_write_is_unknown_and_ran_once_at_most_if_its_home_dies(self):
--- a/tests/test_limit_takeover.py
+++ b/tests/test_limit_takeover.py
@@ -7,7 +7,8 @@
 
 from mangoramp.control.deployment import Customer, Deployment
 from mangoramp.control.limits import CustomerLimits
-from mangoramp.control.peers import Peers, Report
+from mangoramp.control.peers import Peers
+from mangoramp.control.reports import Report
 from mangoramp.policy.quota import RateTolerance, restart_fill
 
 RATE = BURST = 90.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from mangoramp.control.peers import Peers, Report
+from mangoramp.control.peers import Peers
+from mangoramp.control.reports import Report
 
 ADDRESS = ("127.0.0.1", 7560)
 
--- a/tests/test_serving_homes.py
+++ b/tests/test_serving_homes.py
@@ -165,11 +165,11 @@
 
     @pytest.mark.parametrize("options", [{"may_hedge": False}, {"busy": 2}])
     async def test_are_rejected_without_a_charge(self, options):
-        answer = await self.homes(**options).answer(self.BATCH)
+        answer = await self.homes(**options).batches.answer(self.BATCH)
         assert isinstance(answer, BatchNotSent)
         assert not self.charged
 
     async def test_are_charged_to_the_customer(self):
-        answer = await self.homes().answer(self.BATCH)
+        answer = await self.homes().batches.answer(self.BATCH)
         assert isinstance(answer, BatchOverRate)
         assert self.charged == ["c"]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 from tornado.iostream import StreamClosedError
 
-from mangoramp.control.peers import Peers, Report
+from mangoramp.control.peers import Peers
+from mangoramp.control.reports import Report
 from mangoramp.instance import LINK_CODEC
 from mangoramp.platform.configuration import decode_deployment
 from mangoramp.platform.registry import decode_endpoint
