Take no detour to a primary that may have failed

Cause: a home that did not reach a primary named another one which had heard it within 0.8 s.

Change: only an answer that another home got after the connections from here began to fail counts, as for the detection of cut-off instances; a detour ends when the other home does not reach the server either.

Ruled out: a longer bound (the refusal at once is what callers are promised).

--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -232,10 +232,21 @@
             return ""
         others = [home for home in self.strengths if home != self._name]
         heard_s = self._primary_heard_s(group, server_id)
-        home = choose_detour(customer, others, heard_s) or ""
+        silent_s = self._unreachable_s(group, server_id)
+        home = choose_detour(customer, others, heard_s, silent_s) or ""
+        self._set_detour(customer, server_id, home)
+        return home
+
+    def _unreachable_s(self, group: str, server_id: str) -> float:
+        server = self._servers.group(group).servers.get(server_id)
+        pool = self._servers.find_pool(server) if server is not None else None
+        return pool.unreachable_s if pool is not None else 0.0
+
+    def _set_detour(self, customer: str, server_id: str, home: str) -> None:
         if home:
             self._detours.record(customer, server_id, home, self._clock())
-        return home
+        else:
+            self._detours.drop(customer, server_id)
 
     def connection_limit(self, group: str) -> int | None:
         """Return how many connections this instance may hold to each server of a group.
@@ -323,10 +334,8 @@
     ) -> None:
         if not isinstance(answer, BatchNotSent) or not isinstance(message, RunBatch):
             return
-        if answer.reachable_from:
-            self._detours.record(
-                message.customer, message.server, answer.reachable_from, self._clock()
-            )
+        if not answer.is_reachable:
+            self._set_detour(message.customer, message.server, answer.reachable_from)
 
     def suspect(self, home: str) -> None:
         """Exclude a home for a minimum time and until a message from it arrives.
--- a/mangoramp/serving/openings.py
+++ b/mangoramp/serving/openings.py
@@ -55,11 +55,20 @@
         self._wake_ups = wake_ups
         self._record_refused = record_refused
         self._reopened_at = float("-inf")
-        self._failures = 0  # in a row; the server may answer other instances meanwhile
+        # Of this pool; the server may answer other instances meanwhile.
+        self._failures = 0
+        self._failing_since: float | None = None
+
+    @property
+    def unreachable_s(self) -> float:
+        """Seconds since the server accepts no connections, 0 while it does."""
+        since = self._failing_since
+        return 0.0 if since is None else self._clock() - since
 
     def record_answer(self) -> None:
         """Record that the server answered this pool."""
         self._failures = 0
+        self._failing_since = None
 
     def check_reachable(self, customer: str, priority: int) -> None:
         """Refuse a request at once while the server accepts no connections.
@@ -173,7 +182,7 @@
             emit(TASK_FAILED, task="open connection", reason=repr(exc))
 
     def _record_opened(self, is_new: bool) -> None:
-        self._failures = 0
+        self.record_answer()
         if is_new:
             # Statements of other new customers wait until they may open one.
             self._wake_ups.wake_next()
@@ -191,6 +200,8 @@
         self._record_refused(exc.refusal is Refusal.BUSY)
         if exc.refusal is None:
             self._failures += 1
+            if self._failing_since is None:
+                self._failing_since = self._clock()
             self._limits.record_unreached()
         if not is_full:
             raise NoConnectionError(str(exc), is_reachable=exc.refusal is not None)
--- a/mangoramp/serving/pool.py
+++ b/mangoramp/serving/pool.py
@@ -126,6 +126,11 @@
             return CapacityState(Limit.CONNECTIONS, f"all {self.limit} are in use")
         return CapacityState(Limit.NONE)
 
+    @property
+    def unreachable_s(self) -> float:
+        """Seconds since the server accepts no connections, 0 while it does."""
+        return self._opener.unreachable_s
+
     @property
     def leased(self) -> int:
         """The number of connections that run a statement or hold a transaction."""
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -158,9 +158,14 @@
 
 class TestChoice:
     def test_only_a_home_that_has_reached_the_primary_lately(self):
-        assert choose_detour("c", ["a", "b"], {"a": 2.0, "b": 0.2}) == "b"
-        assert choose_detour("c", ["a", "b"], {"a": 2.0}) is None
-        assert choose_detour("c", ["a"], {"b": 0.1}) is None
+        assert choose_detour("c", ["a", "b"], {"a": 2.0, "b": 0.2}, 5.0) == "b"
+        assert choose_detour("c", ["a", "b"], {"a": 2.0}, 5.0) is None
+        assert choose_detour("c", ["a"], {"b": 0.1}, 5.0) is None
+
+    def test_an_answer_from_before_the_silence_proves_nothing(self):
+        """Guards against callers of a primary that has failed who are not refused."""
+        assert choose_detour("c", ["b"], {"b": 0.5}, 0.5) is None
+        assert choose_detour("c", ["b"], {"b": 0.1}, 0.5) == "b"
 
     @pytest.mark.parametrize(("after_s", "home"), [(0.5, "b"), (1.5, None)])
     def test_a_detour_ends(self, after_s, home):
