--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -341,3 +341,22 @@
             found = await Hedger().run(wait_for_ever(), 0.01, start_second)
         assert found == (answer, HedgeOutcome.WON)
         assert len(asked) == 3
+
+
+class TestBusyFleet:
+    """Guards against connections that are opened and evicted by turns.
+
+    Six instances with 12 connections to each server read for 40 customers from two
+    replicas, which run 0.55 of what they can, without any fault.
+    """
+
+    def test_callers_are_served_in_time(self):
+        for seed in SEEDS:
+            world = HealthWorld(
+                replicas=2, reads_per_s=400.0, customers=40, seed=seed, instances=6,
+                seconds=10.0,
+            )  # fmt: skip
+            world.run()
+            found = [o for o in world.outcomes if o[0] >= WARM_UP_S]
+            in_time = sum(ok and took_s <= OBJECTIVE_S for _, ok, took_s in found)
+            assert in_time >= 0.99 * len(found), seed
