Reuse the deduction of remote use; simplify the choice for a transaction

Found on reading the change again. record_earlier_use wrote out what current_level and record_remote_use do; the refill at the same time is a no-op, so that the level and the usage are as before. The opening of a read-only transaction unpacked the chosen replica twice.

Behaviour is as it was.

--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -154,9 +154,8 @@
             now: The current time, in seconds.
             part: The part of the limits that the instances in touch may use.
         """
-        self._refill(now, part)
-        recent = self._level - NEAR_LIMIT_FRACTION * self._burst
-        self._spend(instance, min(count, max(0.0, recent)), now)
+        recent = self.current_level(now, part) - NEAR_LIMIT_FRACTION * self._burst
+        self.record_remote_use(instance, min(count, max(0.0, recent)), now, part)
 
     def usable_part(self, heard: Collection[str], everyone: Collection[str]) -> float:
         """Return the part of the limits that the reachable instances may use together.
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -236,12 +236,12 @@
         while True:
             self._executor.check_time(op, group)
             chosen = self._reader.choose(op, tried) if tx.read_only else None
-            need = chosen[1] if chosen is not None else None
+            need: ReadNeed | None = None
             is_deferrable = False
             if chosen is not None:
-                server = chosen[0]
+                server, need = chosen
                 tried.add(server.id)
-                command = OpenTransaction(read_only=True, after=chosen[1].position)
+                command = OpenTransaction(read_only=True, after=need.position)
                 max_wait_s = REPLICA_CONNECTION_WAIT_S
             else:
                 if tx.read_only:
