--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,8 +17,8 @@
 
 INSTANCES = 9
 WARM_UP_S = 5.0
-RESTART_DELAY_S = 0.3
-PAUSE_S = 0.4
+RESTART_DELAY_S = 0.2
+PAUSE_S = 0.3
 TRANSACTIONS = 4  # of each kind of caller
 HOME_POLLS = 40  # the first caller pauses for at most 2 s
 
