Log which process gave out a pinned connection, and why a process ended

"instance started" names no process, the opening of a transaction names no connection, a home that closes one inside its transaction logs nothing unless it was unused for 10 s, and an unexpected error ends a process with a traceback outside the log, as a kill does.

Change: a handle begins with a random id of its process and goes on with a number, in place of 62 random bits; its range and its type in messages are the same, so both builds take it. 105 has the id, 248, 250, 328 and 344 the handle. 344 tells a handle that another process gave out from one that is not pinned any more. New: 111, an unexpected error ended the process; 348, a home closed a pinned connection, and why.

Ruled out: a line at the home for each pinned connection, whose time homes would pay for each transaction; the handle in the line of the caller's instance tells as much.

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -294,6 +294,7 @@
             name=self.cfg.name,
             failure_domain=self.cfg.failure_domain,
             first=self.cfg.is_first_start,
+            process=self.homes.batches.process,
         )
 
     async def _listen_to_loads(self) -> None:
--- a/mangoramp/operators/explain.py
+++ b/mangoramp/operators/explain.py
@@ -22,6 +22,7 @@
     for event in (
         events.INSTANCE_STARTED,
         events.INSTANCE_STOPPING,
+        events.INSTANCE_FAILED,
         events.LINES_DROPPED,
         events.DEPLOYMENT_CHANGED,
         events.ENDPOINT_CHANGED,
@@ -30,6 +31,8 @@
         events.PEER_SILENT,
         events.PEER_REACHABLE,
         events.HOME_SUSPECTED,
+        events.PINNED_UNKNOWN,
+        events.PINNED_CLOSED,
         events.PLATFORM_LOST,
         events.PLATFORM_RECOVERED,
         events.SERVER_LOST,
--- a/mangoramp/serve.py
+++ b/mangoramp/serve.py
@@ -33,7 +33,11 @@
         return EXIT_INVALID_SETTINGS
     cfg = loaded.unwrap()
     events.configure(instance=cfg.name)
-    asyncio.run(_run(cfg))
+    try:
+        asyncio.run(_run(cfg))
+    except Exception as exc:
+        events.emit(events.INSTANCE_FAILED, name=cfg.name, reason=repr(exc))
+        raise
     return EXIT_OK
 
 
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -72,6 +72,11 @@
         """Whether no batch runs and no connection is pinned for other instances."""
         return not self._running and not len(self._pinned)
 
+    @property
+    def process(self) -> str:
+        """The id of this process, with which its handles of connections begin."""
+        return self._pinned.process
+
     def evict_expired_pins(self) -> None:
         """Close pinned connections that were unused for too long."""
         self._pinned.evict_expired()
@@ -82,12 +87,12 @@
         A transaction that runs a statement may only be ended after it.
         """
         self._is_ending = True
-        self._pinned.close_idle()
+        self._pinned.close_idle("this home is stopping")
 
     async def answer(self, message: Envelope) -> BatchMessage:
         """Handle a request from another instance."""
         if isinstance(message, DropPinned):
-            self._pinned.close(message.handle)
+            self._pinned.close(message.handle, "its caller's instance dropped it")
             return PinnedDropped()
         if not isinstance(message, RunBatch):
             return BatchNotSent(reason="this message asks for nothing")
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -77,6 +77,10 @@
     def in_transaction(self) -> bool:
         """Whether a transaction is open on the connection."""
 
+    @property
+    def pinned_as(self) -> str:
+        """The home's handle of the transaction's connection, empty if it has none."""
+
     async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
         """Wait until the server's limits allow commands.
 
@@ -147,6 +151,11 @@
         """Whether a transaction is open on the connection."""
         return self.is_parked
 
+    @property
+    def pinned_as(self) -> str:
+        """The home's handle of the transaction's connection, empty: it is local."""
+        return ""
+
     async def run(
         self,
         session_context: SessionContext | None,
@@ -277,6 +286,7 @@
     handle: int = 0
     server_s: float = 0.0
     _pinned_over: int = 0
+    _last_handle: int = 0
     _drop_tasks: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
         default_factory=set, repr=False
     )
@@ -291,6 +301,11 @@
         """Whether a transaction is open on the home's connection."""
         return bool(self.handle)
 
+    @property
+    def pinned_as(self) -> str:
+        """The home's latest handle of a pinned connection, empty if it gave none."""
+        return f"{self._last_handle:x}" if self._last_handle else ""
+
     async def admit(self, commands: tuple[Command, ...], *, timeout_s: float) -> float:
         """Return the timeout, since the home applies the server's limits."""
         return timeout_s
@@ -343,6 +358,7 @@
             raise ConnectionLostError(answer.reason, answer.answers)
         assert isinstance(answer, BatchRun)
         self.handle = answer.handle
+        self._last_handle = answer.handle or self._last_handle
         if self._is_of_former_build:
             self._pinned_over = self.home_client.connection_id(self.home)
         self.server_s = answer.server_s
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -173,7 +173,12 @@
             if answer.state is not SessionState.IDLE:
                 lease.discard()
         except ConnectionLostError as exc:
-            emit(TRANSACTION_LOST, server=lease.server.id, reason=str(exc))
+            emit(
+                TRANSACTION_LOST,
+                server=lease.server.id,
+                handle=lease.pinned_as,
+                reason=str(exc),
+            )
         finally:
             lease.release()
 
@@ -201,6 +206,7 @@
                 TRANSACTION_LOST,
                 id=op.request_id,
                 server=lease.server.id,
+                handle=lease.pinned_as,
                 reason=str(exc),
             )
             raise aborted_error(str(exc), peer=lease.server.id) from exc
@@ -296,6 +302,7 @@
                 server=server.id,
                 customer=lease.customer,
                 home=lease.home_name,
+                handle=lease.pinned_as,
                 read_only=command.read_only,
                 after=str(command.after or "-"),
             )
--- a/tests/test_pinned_leases.py
+++ b/tests/test_pinned_leases.py
@@ -5,6 +5,7 @@
 from returns.result import Success
 
 from mangoramp.control.endpoint import Endpoint
+from mangoramp.serving import pinned_leases
 from mangoramp.serving.batches import BatchRun, DropPinned, PinnedDropped
 from mangoramp.serving.command import (
     Answer,
@@ -68,6 +69,20 @@
         assert min(handles) >= MIN_UNIQUE_HANDLE
         assert max(handles) < 2**63  # the former build's type and msgpack take these
 
+    def test_handles_name_their_process(self, world, monkeypatch):
+        emitted = []
+        monkeypatch.setattr(
+            pinned_leases, "emit", lambda event, **fields: emitted.append(fields)
+        )
+        former = PinnedLeases(lambda: 0.0).pin(FakeLease())
+        assert f"{world.handle:x}".startswith(world.pinned.process)
+        assert world.pinned.find(former, **self.OWN) is None
+        assert emitted[-1]["reason"] == "another process gave the handle out"
+        world.pinned.forget(world.handle)
+        assert world.pinned.find(world.handle, **self.OWN) is None
+        assert emitted[-1]["reason"] == "it is not pinned any more"
+        assert emitted[-1]["handle"] == f"{world.handle:x}"
+
     def test_expire_unless_a_statement_runs(self, world):
         pinned = world.pinned.find(world.handle, **self.OWN)
         pinned.is_busy = True
@@ -84,7 +99,7 @@
         """Guards against a pool that counts a closed connection twice."""
         pinned = world.pinned.find(world.handle, **self.OWN)
         pinned.is_busy = True
-        world.pinned.close(world.handle)
+        world.pinned.close(world.handle, "dropped")
         assert world.lease.ended == ["discarded"]
         world.pinned.keep(world.handle)
         assert world.lease.ended.count("released") == 1
