--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from dataclasses import dataclass
@@ -34,10 +35,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEntry:
-    """A commit in the group's log."""
+    """A commit in the group's log.
+
+    Attributes:
+        position: Its position.
+        items: The items that it writes, each with its data.
+        request_id: The id of the request that committed it.
+    """
 
     position: Position
     items: tuple[tuple[str, str], ...]
+    request_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +59,8 @@
         text: The item, followed by the data if the statement is a write.
         values: The session variables of the connection.
         shape: The prepared statement, None if the statement was not prepared.
-        in_transaction: Whether a transaction was open.
+        transaction: The number of the open transaction, 0 for none. No two
+            transactions of any server have the same number.
     """
 
     server: str
@@ -60,7 +69,15 @@
     text: str
     values: tuple[tuple[str, str], ...]
     shape: Shape | None
-    in_transaction: bool
+    transaction: int
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction was open."""
+        return self.transaction > 0
+
+
+_transaction_numbers = itertools.count(1)
 
 
 class WireGroup:
@@ -90,10 +107,12 @@
         for server in self.servers.values():
             server.listen(0, HOST)
 
-    def commit(self, items: tuple[tuple[str, str], ...]) -> Position:
+    def commit(
+        self, items: tuple[tuple[str, str], ...], request_id: str = ""
+    ) -> Position:
         """Append a commit to the log; replicas apply it at once unless paused."""
         position = Position(self.term, len(self.log) + 1)
-        self.log.append(LogEntry(position, items))
+        self.log.append(LogEntry(position, items, request_id))
         self.all_commits.append(self.log[-1])
         for server in self.servers.values():
             if not server.is_replication_paused:
@@ -200,10 +219,14 @@
         self._sockets.clear()
         self.reset_connections()
 
-    def restart(self) -> None:
-        """Listen on the same port again, with the same log."""
+    def restart(self, port: int = 0) -> None:
+        """Listen again, with the same log.
+
+        Args:
+            port: The port, 0 for the same as before.
+        """
         if not self._sockets:
-            self.listen(self._last_port, HOST)
+            self.listen(port or self._last_port, HOST)
 
     def reset_connections(self) -> None:
         """Close all connections."""
@@ -238,7 +261,7 @@
         self._values: dict[str, str] = {}
         self._shapes: dict[str, Shape] = {}
         self._state = SessionState.IDLE
-        self._may_write = False
+        self._transaction = 0
         self._pending_writes: list[tuple[str, str]] = []
 
     async def run(self) -> None:
@@ -320,6 +343,7 @@
                 self._shapes[alias] = shape
             case OpenTransaction():
                 self._state = SessionState.IN_TRANSACTION
+                self._transaction = next(_transaction_numbers)
                 self._pending_writes = []
             case RollBack():
                 self._state = SessionState.IDLE
@@ -342,7 +366,7 @@
     def _run_commit(self, request_id: str) -> Answer:
         self._state = SessionState.IDLE
         if self._pending_writes:
-            self._group.commit(tuple(self._pending_writes))
+            self._group.commit(tuple(self._pending_writes), request_id)
         self._pending_writes = []
         return Answer(
             self._state, self._server.visible_position, (), f"sig.{request_id}"
@@ -369,14 +393,14 @@
                 " ".join(fields),
                 tuple(sorted(self._values.items())),
                 shape,
-                in_transaction,
+                self._transaction if in_transaction else 0,
             )
         )
         rows: tuple[str, ...] = ()
         if self._is_write(command):
             self._pending_writes.append((fields[0], fields[1]))
             if not in_transaction:
-                self._group.commit(tuple(self._pending_writes))
+                self._group.commit(tuple(self._pending_writes), command.request_id)
                 self._pending_writes = []
         else:
             rows = (self._read_item(fields[0]),)
--- a/tests/former_build.py
+++ b/tests/former_build.py
@@ -15,13 +15,15 @@
     return deploy["production"]
 
 
-def unpack_former_build(folder):
+def unpack_former_build(folder, commit=""):
     """Unpack the package of the former build into a folder, and return the folder.
 
+    Another commit than the one in production may be given.
+
     A process that is started there imports it in place of this build.
     """
     packed = subprocess.run(
-        ["git", "archive", production_commit(), "mangoramp"],
+        ["git", "archive", commit or production_commit(), "mangoramp"],
         cwd=ROOT,
         capture_output=True,
         check=True,
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -43,6 +43,7 @@
 
     def __init__(self, folder, name, store, promotion, contracts, build=None):
         self.name = name
+        self.zone = f"zone-{name}"
         self.build = build
         self._contracts = contracts
         self._folder = folder
@@ -61,7 +62,7 @@
         path.write_text(
             SETTINGS.format(
                 name=self.name,
-                zone=f"zone-{self.name}",
+                zone=self.zone,
                 host=HOST,
                 peers=peers,
                 callers=callers,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 import pytest
 
 from .soak import soak_once
+from .soak_restarts import soak_restarts_once
 
 SECONDS = 5.0
 # Add each seed that found a violation, with a comment on its cause. Odd seeds use a
@@ -15,3 +16,16 @@
         violations, served_reads, *_ = await soak_once(seed, SECONDS, tmp_path)
         assert not violations
         assert served_reads
+
+
+class TestRestartsInSeries:
+    """Guards against incident 44: statements in transactions of other callers."""
+
+    @pytest.mark.parametrize(("seed", "build"), [(3, "new"), (5, "new"), (8, "mixed")])
+    @pytest.mark.timeout(180)
+    async def test_keep_transactions_apart(self, seed, build, tmp_path):
+        violations, outcomes, _ = await soak_restarts_once(
+            seed, 2 * SECONDS, tmp_path, build
+        )
+        assert not violations
+        assert outcomes["DONE"]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,6 +5,10 @@
 
 import pytest
 
+from mangoramp.sessions.statement import Shape
+from mangoramp.standins.wire_group import Run, WireGroup
+
+from .soak_attempts import Attempt, AttemptChecker
 from .soak_cold import LIMIT, ColdSpell, Disturbances
 from .wire_world import HOST, SERVERS, World, server_entry
 
@@ -94,3 +98,92 @@
                 assert (await caller.ask(text))[0].startswith("DONE")
             counts = [len(world.group.servers[i].request_times) for i in SERVERS]
             assert counts == [3, 0, 0]
+
+
+def attempt(**changes):
+    base = {"customer": "alpha", "group": "g", "in_transaction": True}
+    return Attempt(**base | changes)
+
+
+class TestAttemptCheck:
+    """Two transactions: one writes a.0 and b.0 writes in the other."""
+
+    @pytest.fixture
+    def world(self):
+        group = WireGroup("g", ("s1",))
+        other = WireGroup("h", ("t1",))
+        checker = AttemptChecker((group, other))
+        checker.attempts = {
+            "a": attempt(sent={"a.0": "a.0 1"}, commit_id="a.c"),
+            "b": attempt(sent={"b.0": "b.0 1"}, customer="beta"),
+        }
+        found = SimpleNamespace(group=group, other=other, checker=checker)
+        found.run = lambda request_id, **changes: Run(
+            **{
+                "server": "s1",
+                "customer": "alpha",
+                "request_id": request_id,
+                "text": f"{request_id} 1",
+                "values": (),
+                "shape": None,
+                "transaction": 1,
+            }
+            | changes
+        )
+        return found
+
+    def rules(self, world):
+        found = world.checker.find_violations()
+        return sorted({v.partition(":")[0] for v in found})
+
+    def test_accepts_what_was_asked_for(self, world):
+        world.group.runs.append(world.run("a.0"))
+        world.group.commit((("a.0", "1"),), "a.c")
+        world.checker.attempts["a"].acknowledged = ("a.0",)
+        assert not self.rules(world)
+
+    def test_finds_a_statement_in_a_transaction_of_another_customer(self, world):
+        world.group.runs += [world.run("a.0"), world.run("b.0")]
+        assert self.rules(world) == ["PINNED", "UNASKED"]
+
+    def test_finds_a_transaction_on_two_connections(self, world):
+        world.group.runs += [world.run("a.0"), world.run("a.0", transaction=2)]
+        assert self.rules(world) == ["PINNED"]
+
+    def test_finds_a_statement_outside_its_transaction(self, world):
+        world.group.runs.append(world.run("a.0", transaction=0))
+        assert self.rules(world) == ["PINNED"]
+
+    def test_finds_other_values_and_shapes(self, world):
+        shape = Shape(True, "shape-b")
+        world.group.runs.append(world.run("a.0", values=(("who", "b"),)))
+        world.group.runs.append(world.run("a.0", shape=shape))
+        found = world.checker.find_violations()
+        assert [v.partition(":")[0] for v in found] == ["PINNED", "PINNED"]
+
+    def test_finds_a_statement_at_another_group(self, world):
+        world.other.runs.append(world.run("a.0"))
+        assert self.rules(world) == ["ROUTE"]
+
+    def test_finds_a_statement_that_nobody_sent(self, world):
+        world.group.runs.append(world.run("a.1"))
+        assert self.rules(world) == ["UNASKED"]
+
+    def test_finds_a_commit_by_another_caller(self, world):
+        world.group.commit((("a.0", "1"),), "b.c")
+        assert self.rules(world) == ["UNASKED"]
+
+    def test_finds_a_commit_that_was_not_asked_for(self, world):
+        world.group.commit((("b.0", "1"),), "b.c")
+        assert self.rules(world) == ["UNASKED"]
+
+    def test_finds_a_commit_of_what_was_promised_not_to_be_kept(self, world):
+        world.checker.attempts["a"].record_answer("ERR ABORTED the home was lost")
+        world.group.commit((("a.0", "1"),), "a.c")
+        assert self.rules(world) == ["REFUSED"]
+
+    def test_finds_two_commits_and_none(self, world):
+        for _ in range(2):
+            world.group.commit((("a.0", "1"),), "a.c")
+        world.checker.attempts["b"].acknowledged = ("b.0",)
+        assert self.rules(world) == ["LOST", "TWICE"]
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -103,9 +103,10 @@
 class World:
     """A deployment; use it as an asynchronous context manager."""
 
-    def __init__(self, *, instances=1, seed=1, features=None):
+    def __init__(self, *, instances=1, seed=1, features=None, other_groups=()):
         self.platform = Platform()
         self.group = WireGroup(GROUP, SERVERS)
+        self.groups = (self.group, *other_groups)
         self.instances = []
         self.promotion_requests = []
         self.is_promotion_enabled = True
@@ -116,7 +117,8 @@
         self._sequences = itertools.count(1)
 
     async def __aenter__(self):
-        self.group.listen()
+        for group in self.groups:
+            group.listen()
         self._store_http = HTTPServer(self.platform.application())
         self._store_http.listen(self._store_port, HOST)
         self._promotion_http = HTTPServer(
@@ -127,8 +129,9 @@
         )
         self._promotion_http.listen(self._promotion_port, HOST)
         self.put("config", "main", configuration())
-        for server_id in SERVERS:
-            self.list_server(server_id)
+        for group in self.groups:
+            for server_id in group.servers:
+                self.list_server(server_id)
         for number in range(self._count):
             await self.start_instance(f"i{number}")
         await self.wait_until(lambda: all(i.is_ready for i in self.instances))
@@ -139,7 +142,8 @@
             instance.close()
         self._store_http.stop()
         self._promotion_http.stop()
-        self.group.stop()
+        for group in self.groups:
+            group.stop()
         await asyncio.sleep(0)
 
     async def start_instance(self, name, **changes):
@@ -170,13 +174,18 @@
         raw = None if value is None else msgspec.json.encode(value)
         assert self.platform.put(kind, name, current.version if exists else 0, raw)
 
+    def group_of(self, server_id):
+        return next(g for g in self.groups if server_id in g.servers)
+
     def list_server(self, server_id, **changes):
         changes = {"sequence": next(self._sequences)} | changes
-        self.put("servers", server_id, server_entry(self.group, server_id, **changes))
+        entry = server_entry(self.group_of(server_id), server_id, **changes)
+        self.put("servers", server_id, entry)
 
     def promote(self, server_id):
-        previous = self.group.primary
-        self.group.promote(server_id)
+        group = self.group_of(server_id)
+        previous = group.primary
+        group.promote(server_id)
         for changed in {previous, server_id}:
             if self.platform.get("servers", changed).value is not None:
                 self.list_server(changed)
@@ -211,12 +220,13 @@
         token = int(self.request.headers["Fencing-Token"])
         holder = self.request.headers["Lease-Holder"]
         world = self.world
-        highest = max((t for _, t, _ in world.promotion_requests), default=0)
+        group = world.group_of(promotion["id"])
+        earlier = [t for _, t, i in world.promotion_requests if i in group.servers]
         world.promotion_requests.append((holder, token, promotion["id"]))
-        if token < highest:
+        if token < max(earlier, default=0):
             self.send_error(409)
             return
-        if world.is_promotion_enabled and promotion["id"] != world.group.primary:
+        if world.is_promotion_enabled and promotion["id"] != group.primary:
             world.promote(promotion["id"])
         with contextlib.suppress(RuntimeError):
             self.set_status(200)
