Bind a former home's handle to the connection that it was asked for over

Cause: a handle below MIN_UNIQUE_HANDLE was bound to the connection of the link at the end of the answer. If the link reconnected between the answer and its reading (the caller's instance was paused meanwhile), that is a connection to the home's next process. And the id of a lost connection stood until the next one, so that a statement sent while the link was down passed the check and waited for the next process.

Change: the connection is looked up before the batch that opens the transaction; if it is another one after the answer, the handle is not kept and the attempt counts as lost (the begin is tried again). A link that is not connected has no connection id.

Evidence: the two new tests fail on the former code ("DID NOT RAISE"). Not seen with processes: the window is short, and no landed build since gives such handles.

Ruled out: the check inside the link, which can't be exact either, as nng sends over whatever connection it has when the bytes go out.

The stand-in of a link in test_detours.py has a connection id now, as links have.

--- a/mangoramp/proxies/links.py
+++ b/mangoramp/proxies/links.py
@@ -53,7 +53,7 @@
         It changes with each connection, so also with each restart of the proxy.
         """
         link = self._links.get(peer)
-        return link.connection_id if link is not None else 0
+        return link.connection_id if link is not None and link.is_connected else 0
 
     def reset(self, peer: str) -> None:
         """Close the link to a silent proxy; the next call opens a new link."""
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -29,6 +29,7 @@
     Command,
     ConnectionLostError,
     NotSentError,
+    OpenTransaction,
     PrepareAs,
     Refusal,
     ResetSession,
@@ -340,6 +341,8 @@
             is_deferrable=self.urgency.is_deferrable,
             is_hedge=self.ticket.is_hedge,
         )
+        may_pin = any(isinstance(command, OpenTransaction) for command in commands)
+        asked_over = self.home_client.connection_id(self.home) if may_pin else 0
         result = await self.home_client.call(
             self.home, message, timeout_s=timeout_s + HOME_ROUND_TRIP_S
         )
@@ -360,7 +363,11 @@
         self.handle = answer.handle
         self._last_handle = answer.handle or self._last_handle
         if self._is_of_former_build:
-            self._pinned_over = self.home_client.connection_id(self.home)
+            self._pinned_over = asked_over or self._pinned_over
+            if not self._pinned_over or self._may_be_of_former_process:
+                self.handle = 0
+                reason = f"the home {self.home} was restarted or reconnected meanwhile"
+                raise HomeLostError(reason)
         self.server_s = answer.server_s
         return answer.answers
 
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -96,6 +96,9 @@
         await asyncio.sleep(0.001)
         return Success(await self.homes[home].batches.answer(message))
 
+    def connection_id(self, home):
+        return 1
+
     def reset(self, name):
         raise AssertionError(f"the link to {name} works")
 
--- a/tests/test_pinned_leases.py
+++ b/tests/test_pinned_leases.py
@@ -13,7 +13,7 @@
     OpenTransaction,
     RollBack,
 )
-from mangoramp.serving.lease import MIN_UNIQUE_HANDLE, RemoteLease
+from mangoramp.serving.lease import MIN_UNIQUE_HANDLE, HomeLostError, RemoteLease
 from mangoramp.serving.operation import Ticket
 from mangoramp.serving.pinned_leases import PIN_TIMEOUT_S, PinnedLeases
 from mangoramp.serving.pool import Urgency
@@ -179,11 +179,12 @@
     """A home of the former build, which numbers its connections from 1."""
 
     def __init__(self):
-        self.connection = 1
+        self.connection = self.connection_after = 1
         self.calls = []
 
     async def call(self, home, message, *, timeout_s):
         self.calls.append(message)
+        self.connection = self.connection_after
         if isinstance(message, DropPinned):
             return Success(PinnedDropped())
         answer = Answer(SessionState.IN_TRANSACTION, None, (), "sig", None, "")
@@ -222,6 +223,26 @@
         world.lease.release()
         assert len(world.home.calls) == 1
 
+    @pytest.mark.parametrize("before", [0, 1])
+    async def test_gives_no_handle_over_a_connection_that_is_not_known(self, before):
+        """Guards against a handle of one process that is kept for the next one."""
+        home = FormerHome()
+        home.connection, home.connection_after = before, 2
+        lease = RemoteLease(
+            SERVER, "h", "c", home, urgency=Urgency(1, 1.0, 1.0), ticket=Ticket("r1")
+        )
+        with pytest.raises(HomeLostError, match="reconnected meanwhile"):
+            await self.run(lease, OpenTransaction(read_only=False))
+        assert not lease.in_transaction
+
+    async def test_gets_no_statement_while_its_link_is_down(self):
+        """Guards against a statement that waits for the next process to connect."""
+        world = await self.begin()
+        world.home.connection = 0
+        with pytest.raises(NotSentError, match="restarted"):
+            await self.run(world.lease, RollBack())
+        assert len(world.home.calls) == 1
+
     async def test_gets_no_drop_after_it_may_have_restarted(self):
         """Guards against the rollback of another caller's transaction."""
         world = await self.begin()
