Let each seed of the soak play restarts in series, too

Change: `python -m tests.soak` plays the restarts of soak_restarts.py for each seed after its other faults, with the former build beside this one for odd seeds. The logs of failed seeds are kept by one function.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,8 +1,9 @@
 """Randomized soak test: instances run as processes while faults are injected.
 
 ``python -m tests.soak --seeds 50 --seconds 12`` runs fifty seeds and prints the
-violations of each. Callers send requests during all faults; their answers are checked
-against the statements that the servers executed.
+violations of each. Every seed also plays restarts in series (``soak_restarts``), half
+of them with the former build beside this one. Callers send requests during all faults;
+their answers are checked against the statements that the servers executed.
 """
 
 import argparse
@@ -24,7 +25,8 @@
 from .soak_answers import AnswerChecker
 from .soak_cold import COLD_S, NOTICE_S, SERVICE, SETTLE_S, ColdSpell, Disturbances
 from .soak_faults import FAULTS, ZONES
-from .soak_instance import InstanceProcess
+from .soak_instance import InstanceProcess, keep_logs
+from .soak_restarts import play_restarts
 from .wire_world import GROUP, SERVERS, Caller, World, configuration
 
 INSTANCES = 3
@@ -365,13 +367,11 @@
                 flush=True,
             )
             if violations:
-                failed += 1
                 print(f"  {' '.join(faults)}")
-                if args.keep:
-                    target = args.keep / str(seed)
-                    target.mkdir(parents=True, exist_ok=True)
-                    for log in Path(folder).glob("*.log"):
-                        (target / log.name).write_bytes(log.read_bytes())
+                keep_logs(folder, args.keep, str(seed))
+        build = "mixed" if seed % 2 else "new"
+        are_apart = play_restarts(seed, args.seconds, build, keep=args.keep)
+        failed += bool(violations) or not are_apart
     print(f"{args.seeds - failed} passed, {failed} failed")
     return 1 if failed else 0
 
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 from mangoramp.standins._ports import HOST, free_ports
 
@@ -33,6 +34,16 @@
 """
 
 
+def keep_logs(folder, keep, name):
+    """Copy the logs of a run to a directory below ``keep``, if one is given."""
+    if not keep:
+        return
+    target = keep / name
+    target.mkdir(parents=True, exist_ok=True)
+    for log in Path(folder).glob("*.log"):
+        (target / log.name).write_bytes(log.read_bytes())
+
+
 class InstanceProcess:
     """An instance that runs as a separate process.
 
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -28,7 +28,7 @@
 
 from .former_build import unpack_former_build
 from .soak_attempts import Attempt, AttemptChecker
-from .soak_instance import InstanceProcess
+from .soak_instance import InstanceProcess, keep_logs
 from .wire_world import GROUP, Caller, World, configuration
 
 ARCHIVE = "archive"
@@ -43,6 +43,7 @@
 READY_TIMEOUT_S = 20.0
 RECOVERY_S = 10.0  # from the last fault until each instance serves again
 OPEN_TIMEOUT_S = 2.0
+MAX_PRINTED = 20  # violations of one run
 # Instances, and connections that each server accepts: one home, and two.
 FLEETS = ((4, 6), (6, 12))
 FAILURE_EVENTS = {104: "a handler failed", 111: "ended by itself", 331: "a task failed"}
@@ -450,6 +451,25 @@
         return violations, soak.outcomes, soak.faults
 
 
+def play_restarts(seed, seconds, build="new", kinds=(), keep=None):
+    """Run one seed and print what was found; return whether no rule was broken."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        violations, outcomes, faults = asyncio.run(
+            soak_restarts_once(seed, seconds, folder, build, kinds)
+        )
+        rules = Counter(v.partition(":")[0] for v in violations)
+        print(
+            f"seed {seed}, restarts, {build}: commits {dict(outcomes)},"
+            f" {sum(faults.values())} faults, {dict(rules) or 'ok'}",
+            flush=True,
+        )
+        for violation in violations[:MAX_PRINTED]:
+            print(f"  {violation}")
+        if violations:
+            keep_logs(folder, keep, f"{seed}-restarts")
+    return not violations
+
+
 def main():
     parser = argparse.ArgumentParser(prog="python -m tests.soak_restarts")
     parser.add_argument("--seeds", type=int, default=5)
@@ -463,28 +483,12 @@
         "--keep", type=Path, help="directory for the logs of failed seeds"
     )
     args = parser.parse_args()
-    failed = 0
-    for seed in range(args.first, args.first + args.seeds):
-        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-            violations, outcomes, faults = asyncio.run(
-                soak_restarts_once(seed, args.seconds, folder, args.build, args.faults)
-            )
-            failed += bool(violations)
-            rules = Counter(v.partition(":")[0] for v in violations)
-            print(
-                f"seed {seed}: commits {dict(outcomes)}, {sum(faults.values())} faults,"
-                f" {dict(rules) or 'ok'}",
-                flush=True,
-            )
-            for violation in violations[:20]:
-                print(f"  {violation}")
-            if violations and args.keep:
-                target = args.keep / str(seed)
-                target.mkdir(parents=True, exist_ok=True)
-                for log in Path(folder).glob("*.log"):
-                    (target / log.name).write_bytes(log.read_bytes())
-    print(f"{args.seeds - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    passed = sum(
+        play_restarts(seed, args.seconds, args.build, args.faults, args.keep)
+        for seed in range(args.first, args.first + args.seeds)
+    )
+    print(f"{passed} passed, {args.seeds - passed} failed")
+    return 0 if passed == args.seeds else 1
 
 
 if __name__ == "__main__":
