Log unreadable objects of the store by one function

Change: decoding.log_unreadable serves the feed, the instances' records, the claims and the catalog; the time-out is derived once a call. No behaviour changes.

--- a/mangoramp/catalog.py
+++ b/mangoramp/catalog.py
@@ -10,9 +10,8 @@
 
 import msgspec
 
-from .decoding import decode_json
+from .decoding import decode_json, log_unreadable
 from .events import (
-    ENTRY_UNREADABLE,
     GROUP_CHANGED,
     KEY_WITHDRAWN,
     TABLE_CHANGED,
@@ -160,13 +159,7 @@
         try:
             handler(item, None if raw is None else decode_json(raw, type_))
         except ValueError as exc:
-            emit(
-                ENTRY_UNREADABLE,
-                kind=kind,
-                name=item.name,
-                version=item.version,
-                reason=str(exc),
-            )
+            log_unreadable(kind, item.name, item.version, exc)
 
     def apply_group(self, found: Versioned[GroupObject]) -> None:
         """Apply a group object received from a peer, if it is newer."""
--- a/mangoramp/control/instance_list.py
+++ b/mangoramp/control/instance_list.py
@@ -9,8 +9,8 @@
 import msgspec
 from returns.result import Success
 
-from ..decoding import MAX_INTEGER, decode_json
-from ..events import ENTRY_UNREADABLE, PLATFORM_LOST, emit
+from ..decoding import MAX_INTEGER, decode_json, log_unreadable
+from ..events import PLATFORM_LOST, emit
 from ..platform.client import PlatformClient, Versioned
 from ..policy.hubs import Listed, Member
 from .endpoint import is_address
@@ -218,13 +218,7 @@
         if not 0 <= found.strength <= MAX_INTEGER:
             raise ValueError("its strength is out of range")
     except ValueError as exc:
-        emit(
-            ENTRY_UNREADABLE,
-            kind=INSTANCE_KIND,
-            name=record.name,
-            version=record.version,
-            reason=str(exc),
-        )
+        log_unreadable(INSTANCE_KIND, record.name, record.version, exc)
         return None
     return found
 
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -249,10 +249,9 @@
 
     def knows_newer_registry(self, revision: Revision) -> bool:
         """Return whether a live peer has reported a registry newer than a revision."""
-        now = self._clock()
+        oldest = self._clock() - self.liveness_timeout_s
         return any(
-            peer.report.registry_at > revision
-            and now - peer.last_report_at < self.liveness_timeout_s
+            peer.last_report_at > oldest and peer.report.registry_at > revision
             for peer in self.peers.values()
         )
 
--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -10,10 +10,9 @@
 import msgspec
 from returns.result import Success
 
-from ..decoding import decode_json
+from ..decoding import decode_json, log_unreadable
 from ..events import (
     CONNECTION_REFUSED,
-    ENTRY_UNREADABLE,
     PROMOTION_CLAIMED,
     PROMOTION_ENDED,
     PROMOTION_SKIPPED,
@@ -561,13 +560,7 @@
     try:
         return decode_json(found.value, Claim)
     except ValueError as exc:
-        emit(
-            ENTRY_UNREADABLE,
-            kind=CLAIM_KIND,
-            name=found.name,
-            version=found.version,
-            reason=str(exc),
-        )
+        log_unreadable(CLAIM_KIND, found.name, found.version, exc)
         return None
 
 
--- a/mangoramp/decoding.py
+++ b/mangoramp/decoding.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .events import ENTRY_UNREADABLE, emit
+
 T = TypeVar("T")
 MAX_INTEGER = 2**53 - 1  # larger ones are not the same in every JSON and message codec
 TOO_DEEP = "it is nested too deeply"
@@ -42,3 +44,15 @@
             raise msgspec.DecodeError(TOO_DEEP) from None
 
     return decode
+
+
+def log_unreadable(kind: str, name: str, version: int, exc: ValueError) -> None:
+    """Log an object of the store that cannot be decoded.
+
+    Args:
+        kind: The object's kind.
+        name: The object's name.
+        version: The revision of its last change.
+        exc: What is wrong with it.
+    """
+    emit(ENTRY_UNREADABLE, kind=kind, name=name, version=version, reason=str(exc))
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -13,7 +13,7 @@
 from ..control.deployment import Deployment
 from ..control.endpoint import Endpoint
 from ..control.settings import Bounds
-from ..events import ENTRY_UNREADABLE, emit
+from ..decoding import log_unreadable
 from ..policy.evacuation import Entry
 from ..policy.revision import Revision
 from .client import Changes, PlatformClient, Versioned
@@ -219,7 +219,7 @@
             try:
                 deployment = decode_deployment(bytes(found.value))
             except ValueError as exc:
-                _log_unreadable(CONFIGURATION_KIND, found, exc)
+                log_unreadable(CONFIGURATION_KIND, found.name, found.version, exc)
                 continue
             self._receiver.apply_deployment(deployment, found.revision)
 
@@ -266,15 +266,5 @@
     try:
         return decode_endpoint(found.name, bytes(found.value))
     except ValueError as exc:
-        _log_unreadable(REGISTRY_KIND, found, exc)
+        log_unreadable(REGISTRY_KIND, found.name, found.version, exc)
         return None
-
-
-def _log_unreadable(kind: str, found: Versioned[msgspec.Raw], exc: ValueError) -> None:
-    emit(
-        ENTRY_UNREADABLE,
-        kind=kind,
-        name=found.name,
-        version=found.version,
-        reason=str(exc),
-    )
