Log where an unexpected error was raised

The events of unexpected errors give the error without a place, so that it can't be traced.

Change: place_of(exc) gives the innermost functions and lines, without values; events 104, 111 and 331 have it as `place`, as 104 of the HTTP interface already had.

The error itself is not traced yet.

--- a/mangoramp/callers/base.py
+++ b/mangoramp/callers/base.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Outcome, Step
-from ..events import HANDLER_FAILED, emit
+from ..events import HANDLER_FAILED, emit, place_of
 from .in_flight import InFlightCounter
 
 T = TypeVar("T")
@@ -146,12 +146,9 @@
         tb: TracebackType | None,
     ) -> None:
         """Log the location of an unhandled exception, but not its values."""
-        if isinstance(value, tornado.web.HTTPError) or tb is None:
+        if isinstance(value, tornado.web.HTTPError) or value is None:
             return
-        while tb.tb_next is not None:
-            tb = tb.tb_next
-        place = f"{tb.tb_frame.f_code.co_qualname}:{tb.tb_lineno}"
-        emit(HANDLER_FAILED, error=type(value).__name__, place=place)
+        emit(HANDLER_FAILED, error=type(value).__name__, place=place_of(value))
 
     def set_session_token(self, token: str) -> None:
         """Send the session's next token as a header and as a cookie."""
--- a/mangoramp/control/path_prober.py
+++ b/mangoramp/control/path_prober.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
-from ..events import PATH_LOST, PATH_RECOVERED, TASK_FAILED, emit
+from ..events import PATH_LOST, PATH_RECOVERED, TASK_FAILED, emit, place_of
 from ..policy.isolation import PROBE_INTERVAL_S, PathEvidence, is_cut_off
 from ..serving.servers import Servers
 from .group import Server
@@ -122,7 +122,12 @@
         try:
             is_reached = await self._probe(server.endpoint.address, PROBE_INTERVAL_S)
         except Exception as exc:
-            emit(TASK_FAILED, task="probe of a path", reason=repr(exc))
+            emit(
+                TASK_FAILED,
+                task="probe of a path",
+                reason=repr(exc),
+                place=place_of(exc),
+            )
             return
         path.record_result(now, is_reached=is_reached)
         is_lost = path.is_lost(self._servers.clock())
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -5,6 +5,7 @@
 import logging
 import re
 import sys
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,6 +16,7 @@
 
 API_KEY = re.compile(r"mr_[0-9A-Za-z_]*")
 MAX_MESSAGE_CHARS = 500
+PLACE_FRAMES = 4  # reach from a library to the code that called it
 TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
 
@@ -173,6 +175,17 @@
     logger.bind(event=event.number, **fields).log(event.level, event.text)
 
 
+def place_of(exc: BaseException) -> str:
+    """Return the functions and lines in which an exception was raised, inner first.
+
+    Unlike a traceback, the text contains no values of variables, such as keys.
+    """
+    frames = list(traceback.walk_tb(exc.__traceback__))[-PLACE_FRAMES:]
+    return " < ".join(
+        f"{frame.f_code.co_qualname}:{line}" for frame, line in reversed(frames)
+    )
+
+
 def configure(*, level: str = "INFO", json: bool = True, instance: str = "") -> None:
     """Configure logging for the process.
 
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -35,6 +35,7 @@
     SETTINGS_RELOADED,
     TASK_FAILED,
     emit,
+    place_of,
 )
 from .instance_metrics import InstanceCollector
 from .platform.client import PlatformClient
@@ -548,5 +549,5 @@
             return
         except Exception as exc:
             name = getattr(duty, "__qualname__", "task")
-            emit(TASK_FAILED, task=name, reason=repr(exc))
+            emit(TASK_FAILED, task=name, reason=repr(exc), place=place_of(exc))
         await asyncio.sleep(DUTY_RESTART_S)
--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -13,7 +13,7 @@
 
 from ..control.settings import Address
 from ..errors import Code, Fault, Step
-from ..events import HANDLER_FAILED, emit
+from ..events import HANDLER_FAILED, emit, place_of
 from ..sessions.reply import Reply
 from ..sessions.statement import Request
 from . import wire
@@ -134,7 +134,7 @@
             return
         except Exception as exc:
             # A bug in this process ends only the session that hit it.
-            emit(HANDLER_FAILED, reason=repr(exc))
+            emit(HANDLER_FAILED, reason=repr(exc), place=place_of(exc))
         finally:
             self._stream.close()
 
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -19,7 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Code, Fault, Outcome, Step
-from ..events import HANDLER_FAILED, MESSAGE_UNREADABLE, emit
+from ..events import HANDLER_FAILED, MESSAGE_UNREADABLE, emit, place_of
 from .envelope import Codec, Envelope
 
 RECONNECT_MIN_MS = 50
@@ -84,7 +84,7 @@
         except pynng.NNGException:
             return  # the peer is gone, or this process stops
         except Exception as exc:
-            emit(HANDLER_FAILED, reason=repr(exc))
+            emit(HANDLER_FAILED, reason=repr(exc), place=place_of(exc))
 
     async def _handle(self, ctx: pynng.Context, data: bytes) -> None:
         req = self._codec.decode(data)
--- a/mangoramp/serve.py
+++ b/mangoramp/serve.py
@@ -36,7 +36,12 @@
     try:
         asyncio.run(_run(cfg))
     except Exception as exc:
-        events.emit(events.INSTANCE_FAILED, name=cfg.name, reason=repr(exc))
+        events.emit(
+            events.INSTANCE_FAILED,
+            name=cfg.name,
+            reason=repr(exc),
+            place=events.place_of(exc),
+        )
         raise
     return EXIT_OK
 
--- a/mangoramp/serving/openings.py
+++ b/mangoramp/serving/openings.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from ..control.group import Server
-from ..events import TASK_FAILED, emit
+from ..events import TASK_FAILED, emit, place_of
 from .command import OpenRefusedError, Refusal, ServerConnection
 from .connections import Connections
 from .in_flight import InFlight, InFlightLimits
@@ -179,7 +179,12 @@
                 if not refused.is_reachable:
                     self._server.record_failure(self._clock(), str(refused))
         elif exc is not None:
-            emit(TASK_FAILED, task="open connection", reason=repr(exc))
+            emit(
+                TASK_FAILED,
+                task="open connection",
+                reason=repr(exc),
+                place=place_of(exc),
+            )
 
     def _record_opened(self, is_new: bool) -> None:
         self.record_answer()
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -164,7 +164,8 @@
                 event = _event_of(line)
                 if event.get("event") in FAILURE_EVENTS:
                     what = FAILURE_EVENTS[event["event"]]
-                    yield f"FAILED: {path.stem}: {what}: {event.get('reason')}"
+                    place = event.get("place")
+                    yield f"FAILED: {path.stem}: {what}: {event['reason']} at {place}"
 
     async def _find_unserved(self, timeout_s):
         """Return what instances do not serve after a time; empty as soon as all do.
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -62,3 +62,16 @@
         assert (line["event"], line["library"]) == (103, "tornado.general")
         assert "Malformed" in line["said"]
         assert "bbb" not in text
+
+
+class TestPlace:
+    def test_names_the_functions_without_values(self):
+        def fail(key):
+            return {}[key]
+
+        with pytest.raises(KeyError) as caught:
+            fail("mr_secret")
+        inner, outer = events.place_of(caught.value).split(" < ")
+        assert inner.rpartition(":")[0].endswith("fail")
+        assert "test_names_the_functions" in outer
+        assert "secret" not in inner + outer
