Count a request as lost if its link is closed while it is sent

What callers saw: a session that ended without an answer to its statement, and event 104 with TypeError("'NoneType' object is not subscriptable").

Cause: a link is closed when its peer left calls unanswered, or has another address, also while another call has just handed its request to nng. That call went on with a context that no longer exists, and pynng raises a TypeError then, which no caller of a link expects. A link's server did the same with an answer when its process stopped.

Change: a context that was closed during a wait raises pynng.Closed, as all other uses of a closed link do, so that the call fails with an unknown outcome.

Evidence: both new tests fail on the former code, with this TypeError and with event 104. Ruled out: catching TypeError, which would hide others.

Other paths: calls that wait for an answer, and for a connection, get NNGException from nng already; the feed and the load reports use no nng.

--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -29,6 +29,7 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 NO_RESEND = -1
 MAX_FREE_CONTEXTS = 128
+NNG_ECLOSED = 7
 
 _connection_ids = itertools.count(1)
 
@@ -91,6 +92,7 @@
         self._in_progress[type(req)] += 1
         try:
             answer = msgspec.structs.replace(await self._handler(req), id=req.id)
+            self._contexts.check_open(ctx)
             await ctx.asend(self._codec.encode(answer))
         finally:
             self._in_progress[type(req)] -= 1
@@ -175,6 +177,7 @@
         ctx = self._contexts.acquire()
         with self._contexts.releasing(ctx):
             await ctx.asend(data)
+            self._contexts.check_open(ctx)
             return self._codec.decode(await ctx.arecv())
 
     async def _wait_connected(self, timeout_s: float) -> bool:
@@ -223,6 +226,15 @@
         self._all.add(ctx)
         return ctx
 
+    def check_open(self, ctx: pynng.Context) -> None:
+        """Check that a context was not closed during a wait.
+
+        Raises:
+            pynng.Closed: It was closed; using it would raise an unspecific error.
+        """
+        if ctx not in self._all:
+            raise pynng.Closed("the context was closed", NNG_ECLOSED)
+
     @contextlib.contextmanager
     def releasing(self, ctx: pynng.Context) -> Iterator[None]:
         """Return the context to the pool if the exchange succeeds, else close it."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+import time
 
 import pynng
 import pytest
@@ -106,6 +107,41 @@
         await asyncio.wait({serving, serving_again}, timeout=1)
 
 
+class TestLinkThatIsClosed:
+    async def test_during_a_send_loses_the_request(self):
+        """Guards against a session that ends without an answer as its link is reset."""
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+        server = LinkServer(address, echo, PROXY_CODEC)
+        serving = asyncio.ensure_future(server.run())
+        to_peer = Link("p1", address, PROXY_CODEC)
+        assert isinstance(await to_peer.call(write("1"), timeout_s=2.0), Success)
+        call = asyncio.ensure_future(to_peer.call(write("2"), timeout_s=2.0))
+        await asyncio.sleep(0)
+        time.sleep(0.05)  # the send completes before the event loop learns of it
+        to_peer.close()
+        fault = (await call).failure()
+        assert (fault.code, fault.outcome) == (Code.CONNECTION_LOST, Outcome.UNKNOWN)
+        server.close()
+        await asyncio.wait({serving}, timeout=1)
+
+    async def test_during_an_answer_is_no_failed_handler(self, monkeypatch):
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+        emitted = []
+        monkeypatch.setattr(link, "emit", lambda event, **fields: emitted.append(event))
+
+        async def close_first(req):
+            server.close()
+            return await echo(req)
+
+        server = LinkServer(address, close_first, PROXY_CODEC)
+        serving = asyncio.ensure_future(server.run())
+        to_peer = Link("p1", address, PROXY_CODEC)
+        await to_peer.call(write("1"), timeout_s=0.5)
+        assert not emitted
+        to_peer.close()
+        await asyncio.wait({serving}, timeout=1)
+
+
 class TestBursts:
     async def test_lose_no_message(self):
         for _ in range(20):
