Keep the time limit of a request whose send completes as it expires

What callers would see: a statement that is not answered until its home answers, however long that takes.

Cause: pynng swallows a cancellation if the operation has completed meanwhile. If that is the send (the process was paused in between, so that the limit had passed when it went on), the wait for the answer had no limit any more: a timeout cancels once.

Change: the deadline is checked after the send.

Evidence: the new test, whose send swallows the cancellation, times out on the former code. Ruled out: a second timeout around the answer, which each call would pay for.

Other paths: a receive that completes as it is cancelled returns the answer, which is right; the server's receive has no limit; streams of tornado don't swallow cancellations.

--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -150,7 +150,7 @@
         data = self._codec.encode(msgspec.structs.replace(req, id=msg_id))
         try:
             async with asyncio.timeout_at(deadline):
-                answer = await self._exchange(data)
+                answer = await self._exchange(data, deadline)
         except TimeoutError:
             return Failure(
                 self._outcome_unknown_fault(Code.TIMEOUT, "did not answer in time")
@@ -173,11 +173,14 @@
         self._contexts.close()
         self._sock.close()
 
-    async def _exchange(self, data: bytes) -> Any:
+    async def _exchange(self, data: bytes, deadline: float) -> Any:
         ctx = self._contexts.acquire()
         with self._contexts.releasing(ctx):
             await ctx.asend(data)
             self._contexts.check_open(ctx)
+            # A send that completes while it is cancelled swallows the cancellation.
+            if self._loop.time() >= deadline:
+                raise TimeoutError
             return self._codec.decode(await ctx.arecv())
 
     async def _wait_connected(self, timeout_s: float) -> bool:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import random
 import time
 
@@ -142,6 +143,32 @@
         await asyncio.wait({serving}, timeout=1)
 
 
+class TestSendThatCompletesLate:
+    async def test_does_not_wait_for_an_answer(self, monkeypatch):
+        """Guards against a request without a time limit after a pause."""
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+
+        async def silent(req):
+            await asyncio.sleep(5.0)
+
+        async def send_slowly(ctx, data):
+            await send(ctx, data)
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(2.0)
+
+        server = LinkServer(address, silent, PROXY_CODEC)
+        serving = asyncio.ensure_future(server.run())
+        to_peer = Link("p1", address, PROXY_CODEC)
+        send = pynng.Context.asend
+        monkeypatch.setattr(pynng.Context, "asend", send_slowly)
+        call = to_peer.call(write("1"), timeout_s=0.4)
+        found = await asyncio.wait_for(call, 1.0)
+        assert found.failure().code is Code.TIMEOUT
+        to_peer.close()
+        server.close()
+        await asyncio.wait({serving}, timeout=1)
+
+
 class TestBursts:
     async def test_lose_no_message(self):
         for _ in range(20):
