Return no connection to a pool inside a transaction

What callers would see: a write acknowledged with DONE that is never committed, and statements in the transaction of an earlier caller (PINNED, LOST).

Cause: a read at the primary runs as BEGIN, READ, ROLLBACK in one batch, and its connection went back to the pool whatever the last answer said. If the server refused the ROLLBACK, the customer's next statement ran inside the open transaction. The same holds for any batch that ends inside a transaction where nobody looked at the state, and for a home's batch without commands on a pinned connection, whose transaction was forgotten and whose connection was handed to the next caller.

Evidence: TestFailedRollback fails on: another session's write is acknowledged and runs in transaction 1, that of the read. So do the unit tests of LocalLease and of HomeBatches.

Change: LocalLease remembers whether its last answer left a transaction open, and closes the connection if it is released then (event 349). A home pins by the same state; a batch without commands changes nothing.

Ruled out: checking the state in each place that releases a lease, which is how reads at the primary were missed.

Elsewhere: commits, begins and rollbacks of transactions checked the state already; leases at a home were pinned and dropped, as the state of the answers was compared there.

--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -128,6 +128,9 @@
 PATH_RECOVERED = Event(343, "INFO", "primary accepts connections from here again")
 PINNED_UNKNOWN = Event(344, "WARNING", "statement for a connection not pinned here")
 PINNED_CLOSED = Event(348, "INFO", "pinned connection closed inside its transaction")
+RELEASED_IN_TRANSACTION = Event(
+    349, "WARNING", "connection closed: its last batch left a transaction open"
+)
 MESSAGE_UNREADABLE = Event(345, "WARNING", "message from a peer cannot be decoded")
 PEER_ADDRESS_INVALID = Event(346, "WARNING", "address of a peer cannot be used")
 TERM_UNKNOWN = Event(347, "WARNING", "start of a new primary's term not recorded")
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -17,13 +17,12 @@
     RunBatch,
 )
 from .command import (
-    Answer,
     CommitFor,
     ConnectionLostError,
     NotSentError,
     RollBack,
 )
-from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
+from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext
 from .pinned_leases import PinnedLease, PinnedLeases
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
@@ -158,7 +157,7 @@
         )
         return BatchRun(
             answers=answers,
-            handle=self._pin_or_release(message.handle, lease, answers),
+            handle=self._pin_or_release(message.handle, lease),
             samples=self._latest_samples(),
             load=self._admission.hint(message.group),
             server_s=self._clock() - asked_at,
@@ -224,10 +223,8 @@
             )
         return LocalLease(server, conn, message.customer, pool)
 
-    def _pin_or_release(
-        self, handle: int, lease: LocalLease, answers: tuple[Answer, ...]
-    ) -> int:
-        if not needs_pin(answers):
+    def _pin_or_release(self, handle: int, lease: LocalLease) -> int:
+        if not lease.in_transaction:
             self._pinned.forget(handle)
             lease.release()
             return 0
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -11,6 +11,7 @@
 
 from ..control.group import Server
 from ..errors import Fault, Outcome
+from ..events import RELEASED_IN_TRANSACTION, emit
 from ..sessions.reply import SessionState
 from ..sessions.statement import Execute, Shape
 from .batches import (
@@ -166,6 +167,8 @@
     ) -> tuple[Answer, ...]:
         """Apply a session's context to the connection and run commands."""
         self._check_evacuation()
+        if not commands:
+            return ()
         self._resume()
         sent_at = self.pool.clock()
         try:
@@ -181,7 +184,7 @@
             sent_at=sent_at,
             has_failed=any(r in SERVER_FAILURES for r in refusals),
         )
-        if needs_pin(answers):
+        if answers[-1].state is not SessionState.IDLE:
             self.is_parked = True
             self.pool.park()
         return answers
@@ -231,7 +234,10 @@
         return command_answers
 
     def release(self) -> None:
-        """Return the connection to its pool."""
+        """Return the connection to its pool, closed if a transaction is open on it."""
+        if self.in_transaction and self.conn.is_open:
+            emit(RELEASED_IN_TRANSACTION, server=self.server.id, customer=self.customer)
+            self.conn.close()
         self._resume()
         self.pool.release(self.conn, self.customer)
 
@@ -410,11 +416,6 @@
         raise HomeLostError(reason)
 
 
-def needs_pin(answers: tuple[Answer, ...]) -> bool:
-    """Return whether a batch leaves its connection inside a transaction."""
-    return bool(answers) and answers[-1].state is not SessionState.IDLE
-
-
 def _executed_shapes(
     session_context: SessionContext, commands: tuple[Command, ...]
 ) -> dict[str, Shape]:
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,146 @@
+import time
+
+import pytest
+
+from mangoramp.control.endpoint import Endpoint
+from mangoramp.control.group import Server
+from mangoramp.policy.revision import Revision
+from mangoramp.serving.admission import AdmissionControl
+from mangoramp.serving.batches import BatchRun, RunBatch
+from mangoramp.serving.command import (
+    Answer,
+    ConnectionContext,
+    OpenTransaction,
+    Refusal,
+    RollBack,
+    RunFor,
+)
+from mangoramp.serving.home_batches import HomeBatches
+from mangoramp.serving.lease import LocalLease, SessionContext
+from mangoramp.serving.pins import Pins
+from mangoramp.serving.pool import ServerPool, Urgency
+from mangoramp.serving.servers import Servers
+from mangoramp.sessions.reply import SessionState
+from mangoramp.sessions.statement import Write
+from mangoramp.standins import wire_group
+
+from . import wire_world
+
+ENDPOINT = Endpoint("s1", "g", ("h", 1), "a", 2, False, True)
+SOON = Urgency(priority=1, due_s=0.2, timeout_s=0.5)
+BEGIN = OpenTransaction(read_only=False)
+WRITE = RunFor("r1", Write("WRITE a 1"))
+EMPTY = SessionContext({}, {})
+
+
+class Connection:
+    """A connection to a server that fails each rollback in its transaction."""
+
+    def __init__(self):
+        self.context = ConnectionContext()
+        self.is_open = True
+        self.state = SessionState.IDLE
+
+    async def run(self, batch, *, timeout_s):
+        return tuple(self._answer(command) for command in batch)
+
+    def _answer(self, command):
+        if isinstance(command, OpenTransaction):
+            self.state = SessionState.IN_TRANSACTION
+        return Answer(self.state, None, (), "sig", None, "")
+
+    def close(self):
+        self.is_open = False
+
+
+class Connector:
+    async def open(self, server_id, group, address, customer):
+        return Connection()
+
+
+class TestLocalLease:
+    async def acquire(self):
+        pins = Pins(time.monotonic, 4)
+        pool = ServerPool(
+            Server(ENDPOINT), Connector(), time.monotonic, limit=4, pins=pins
+        )
+        return LocalLease(pool.server, await pool.acquire("c", SOON), "c", pool)
+
+    @pytest.mark.parametrize(
+        "batches", [[(BEGIN, WRITE, RollBack())], [(BEGIN,), (WRITE,)], [(BEGIN,), ()]]
+    )
+    async def test_returns_no_connection_inside_a_transaction(self, batches):
+        """Guards against statements in a transaction that an earlier caller left."""
+        lease = await self.acquire()
+        for batch in batches:
+            await lease.run(EMPTY, batch, timeout_s=1.0)
+        lease.release()
+        assert not lease.conn.is_open
+        assert not lease.pool.has_idle("c")
+        assert not lease.pool.connection_count
+        assert not lease.pool.in_flight
+
+    async def test_returns_a_connection_outside_a_transaction(self):
+        lease = await self.acquire()
+        await lease.run(EMPTY, (WRITE,), timeout_s=1.0)
+        lease.release()
+        assert lease.pool.has_idle("c")
+
+
+class World:
+    """A home that holds connections for other instances."""
+
+    def __init__(self):
+        self.servers = Servers(Connector(), time.monotonic, name="h")
+        self.servers.group("g").update_endpoint(ENDPOINT, Revision(0, 1))
+        self.batches = HomeBatches(
+            self.servers,
+            admit=lambda customer, request_id: 0.0,
+            admission=AdmissionControl(self.servers),
+            may_hedge=lambda customer: True,
+            find_detour=lambda customer, group, server_id: "",
+        )
+
+    @property
+    def pool(self):
+        return self.servers.pool(self.servers.group("g").servers["s1"])
+
+    async def run(self, *commands, handle=0):
+        message = RunBatch(
+            "s1", "g", "c", {}, {}, commands, 1.0, 0.5, 0.2, handle=handle
+        )
+        return await self.batches.answer(message)
+
+
+class TestHomeBatches:
+    async def test_keep_a_transaction_whose_batch_has_no_commands(self):
+        """Guards against another caller's statements in a transaction still open."""
+        world = World()
+        begun = await world.run(BEGIN)
+        answer = await world.run(handle=begun.handle)
+        assert answer == BatchRun(
+            answers=(), handle=begun.handle, load=answer.load, server_s=answer.server_s
+        )
+        assert not world.pool.has_idle("c")
+
+
+class TestFailedRollback:
+    async def test_leaves_no_transaction_for_the_next_statement(self, monkeypatch):
+        """Guards against a write that is acknowledged and never committed."""
+        find_refusal = wire_group._ConnectionHandler._find_refusal
+        monkeypatch.setattr(
+            wire_group._ConnectionHandler,
+            "_find_refusal",
+            lambda handler, command: (
+                Refusal.BUSY
+                if isinstance(command, RollBack)
+                else find_refusal(handler, command)
+            ),
+        )
+        async with wire_world.World() as world:
+            reader, writer = await world.caller(), await world.caller()
+            assert (await reader.ask("READ a", "read"))[-2].startswith("DONE")
+            assert (await writer.ask("WRITE a 1", "write"))[-2].startswith("DONE")
+            assert world.find_runs("read")[0].in_transaction
+            assert not world.find_runs("write")[0].in_transaction
+            assert [commit.items for commit in world.group.log] == [(("a", "1"),)]
