Release the connection of a batch that cannot be built

What callers would see: fewer and fewer connections to a server at a home, until none of their transactions is begun; or session values that their connection does not have.

Cause: an error other than a lost connection, such as a batch of another instance that runs a prepared statement without its shape, ended the handling of the message, but its connection stayed in use for good, a pinned one also marked as busy, so that it never expired. The values that were to be sent with the batch were noted as set already.

Evidence: the new tests fail on the former code: the pool counts the connection after the error, and the connection goes back to the pool with values that it never got.

Change: any error closes the connection, and a home releases it. The error itself is logged by the link as before (event 104) and the caller's instance gets no answer.

Ruled out: a refusal by the name of the field that is missing; the next one would be another field.

--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -111,23 +111,10 @@
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
                 return BatchOverRate(wait_s=wait_s)
-        if message.handle:
-            pinned = self._pinned.find(
-                message.handle,
-                customer=message.customer,
-                group=message.group,
-                server=message.server,
-            )
-            if pinned is None:
-                # The server has rolled the transaction back with its connection.
-                return BatchNotSent(reason="the connection is not pinned any more")
-            lease = pinned.lease
-        else:
-            acquired = await self._acquire(message)
-            if isinstance(acquired, BatchNotSent):
-                return acquired
-            lease = acquired
-            pinned = None
+        found = await self._find_lease(message)
+        if isinstance(found, BatchNotSent):
+            return found
+        lease, pinned = found
         left = message.timeout_s - (self._clock() - started)
         admitted = await self._admit_batch(message, lease, pinned, left)
         if isinstance(admitted, BatchNotSent):
@@ -151,6 +138,10 @@
             self._pinned.forget(message.handle)
             lease.release()
             return BatchLost(reason=str(exc), answers=exc.answers)
+        except BaseException:
+            self._pinned.forget(message.handle)
+            lease.release()
+            raise
         group = self._servers.group(message.group)
         record_primary_samples(
             group, asked_at, message.commands, answers, message.shapes
@@ -163,6 +154,23 @@
             server_s=self._clock() - asked_at,
         )
 
+    async def _find_lease(
+        self, message: RunBatch
+    ) -> tuple[LocalLease, PinnedLease | None] | BatchNotSent:
+        if not message.handle:
+            acquired = await self._acquire(message)
+            return acquired if isinstance(acquired, BatchNotSent) else (acquired, None)
+        pinned = self._pinned.find(
+            message.handle,
+            customer=message.customer,
+            group=message.group,
+            server=message.server,
+        )
+        if pinned is None:
+            # The server has rolled the transaction back with its connection.
+            return BatchNotSent(reason="the connection is not pinned any more")
+        return pinned.lease, pinned
+
     async def _admit_batch(
         self,
         message: RunBatch,
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -178,6 +178,9 @@
             if not is_timeout or timeout_s >= MIN_CONCLUSIVE_TIMEOUT_S:
                 self.pool.record_failure(sent_at, str(exc))
             raise
+        except BaseException:
+            self.conn.close()  # it may differ from its context
+            raise
         refusals = [a.refusal for a in answers if a.refusal is not None]
         self.pool.record_answer(
             was_refused=Refusal.BUSY in refusals,
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -21,7 +21,7 @@
 from mangoramp.serving.pool import ServerPool, Urgency
 from mangoramp.serving.servers import Servers
 from mangoramp.sessions.reply import SessionState
-from mangoramp.sessions.statement import Write
+from mangoramp.sessions.statement import Execute, Write
 from mangoramp.standins import wire_group
 
 from . import wire_world
@@ -30,6 +30,7 @@
 SOON = Urgency(priority=1, due_s=0.2, timeout_s=0.5)
 BEGIN = OpenTransaction(read_only=False)
 WRITE = RunFor("r1", Write("WRITE a 1"))
+UNKNOWN = RunFor("r2", Execute("unknown", "a 1"))
 EMPTY = SessionContext({}, {})
 
 
@@ -86,6 +87,16 @@
         lease.release()
         assert lease.pool.has_idle("c")
 
+    async def test_returns_no_connection_whose_batch_could_not_be_built(self):
+        """Guards against session values that are noted but were never sent."""
+        lease = await self.acquire()
+        context = SessionContext({"who": "x"}, {})
+        with pytest.raises(KeyError):
+            await lease.run(context, (UNKNOWN,), timeout_s=1.0)
+        lease.release()
+        assert not lease.pool.has_idle("c")
+        assert not lease.pool.connection_count
+
 
 class World:
     """A home that holds connections for other instances."""
@@ -123,6 +134,18 @@
         )
         assert not world.pool.has_idle("c")
 
+    @pytest.mark.parametrize("is_pinned", [False, True])
+    async def test_release_the_connection_of_a_batch_that_cannot_be_run(
+        self, is_pinned
+    ):
+        """Guards against connections that count as in use for ever."""
+        world = World()
+        handle = (await world.run(BEGIN)).handle if is_pinned else 0
+        with pytest.raises(KeyError):
+            await world.run(UNKNOWN, handle=handle)
+        assert not world.pool.connection_count
+        assert world.batches.is_idle
+
 
 class TestFailedRollback:
     async def test_leaves_no_transaction_for_the_next_statement(self, monkeypatch):
