Tell a home that was only silent to drop what its callers gave up

Cause: a caller's instance forgets the handle when a call fails, and told the home only when a transaction ended in another way. A drop was tried once, for 0.5 s.

The tests of TestSilentHome and TestUnansweredCalls fail on the former code.

Change: a failed call drops the connection too, and a drop is repeated until the home answers or has closed the connection itself. Drops no longer count among the unanswered calls after which the link is reset, since a reset ends the calls of others.

This drop is safe as a handle names one life of its home: a restarted home knows none of them, and a handle of a former build is not sent over another connection.

Ruled out: one attempt, as the link is reset after two unanswered calls, so that a drop sent then waits for a connection that a paused home does not accept in time.

--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -301,6 +301,8 @@
             self._record_detour(result.unwrap(), message)
             self._admission.record_hint(home, message, result.unwrap(), asked_at)
             return result
+        if isinstance(message, DropPinned):
+            return result  # repeated anyway; others may wait for answers on the link
         self._unanswered_calls[home] = self._unanswered_calls.get(home, 0) + 1
         if self._unanswered_calls[home] >= MAX_UNANSWERED_CALLS:
             # The link may be dead although the home is alive.
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NoReturn, Protocol
@@ -45,7 +46,9 @@
 MIN_CONCLUSIVE_TIMEOUT_S = 0.2  # a healthy server normally answers within this time
 HOME_ROUND_TRIP_S = 0.1  # allowance in addition to the batch timeout
 SERVER_FAILURES = frozenset({Refusal.FAILED, Refusal.TIMEOUT})
-DROP_TIMEOUT_S = 0.5  # on timeout, the home closes the connection at its expiry
+PIN_TIMEOUT_S = 10.0  # exceeds the limits on transaction idle time and statement time
+DROP_TIMEOUT_S = 0.5  # of one attempt
+DROP_RETRY_S = 0.25  # a home that was only silent is told soon after it is back
 # Former builds number pinned connections from 1 in each process, so that a handle below
 # this is valid only for the process that gave it out.
 MIN_UNIQUE_HANDLE = 2**62
@@ -297,9 +300,7 @@
     server_s: float = 0.0
     _pinned_over: int = 0
     _last_handle: int = 0
-    _drop_tasks: set[asyncio.Future[Result[BatchMessage, Fault]]] = field(
-        default_factory=set, repr=False
-    )
+    _drop_tasks: set[asyncio.Task[None]] = field(default_factory=set, repr=False)
 
     @property
     def home_name(self) -> str:
@@ -328,7 +329,7 @@
         timeout_s: float,
     ) -> tuple[Answer, ...]:
         """Run commands on the home's connection."""
-        if self._may_be_of_former_process:
+        if self._may_be_of_former_process(self.handle):
             self.handle = 0
             raise NotSentError(f"the home {self.home} was restarted or reconnected")
         endpoint = self.server.endpoint
@@ -371,24 +372,19 @@
         assert isinstance(answer, BatchRun)
         self.handle = answer.handle
         self._last_handle = answer.handle or self._last_handle
-        if self._is_of_former_build:
+        if _is_of_former_build(self.handle):
             self._pinned_over = asked_over or self._pinned_over
-            if not self._pinned_over or self._may_be_of_former_process:
+            if not self._pinned_over or self._may_be_of_former_process(self.handle):
                 self.handle = 0
                 reason = f"the home {self.home} was restarted or reconnected meanwhile"
                 raise HomeLostError(reason)
         self.server_s = answer.server_s
         return answer.answers
 
-    @property
-    def _is_of_former_build(self) -> bool:
-        return 0 < self.handle < MIN_UNIQUE_HANDLE
-
-    @property
-    def _may_be_of_former_process(self) -> bool:
-        """Whether a restarted home may use the handle for another connection."""
+    def _may_be_of_former_process(self, handle: int) -> bool:
+        """Return whether a restarted home may use a handle for another connection."""
         return (
-            self._is_of_former_build
+            _is_of_former_build(handle)
             and self.home_client.connection_id(self.home) != self._pinned_over
         )
 
@@ -399,26 +395,40 @@
 
     def discard(self) -> None:
         """Ask the home to close the pinned connection, without waiting for it."""
-        is_valid = not self._may_be_of_former_process
         handle, self.handle = self.handle, 0
-        if not handle or not is_valid:
+        if not handle:
             return
-        drop = self.home_client.call(
-            self.home, DropPinned(handle=handle), timeout_s=DROP_TIMEOUT_S
-        )
-        task = asyncio.ensure_future(drop)
+        task = asyncio.ensure_future(self._drop(handle))
         self._drop_tasks.add(task)
         task.add_done_callback(self._drop_tasks.discard)
 
+    async def _drop(self, handle: int) -> None:
+        """Ask the home to close a connection until it answers or has closed it."""
+        message = DropPinned(handle=handle)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PIN_TIMEOUT_S):
+                while not self._may_be_of_former_process(handle):
+                    result = await self.home_client.call(
+                        self.home, message, timeout_s=DROP_TIMEOUT_S
+                    )
+                    if isinstance(result, Success):
+                        return
+                    await asyncio.sleep(DROP_RETRY_S)
+
     def _raise_call_failed(self, fault: Fault) -> NoReturn:
         self.home_client.suspect(self.home)
-        handle, self.handle = self.handle, 0
+        was_pinned = bool(self.handle)
+        self.discard()
         reason = f"the home {self.home}: {fault.message}"
-        if fault.outcome is Outcome.NOT_RUN and not handle:
+        if fault.outcome is Outcome.NOT_RUN and not was_pinned:
             raise NotSentError(reason)
         raise HomeLostError(reason)
 
 
+def _is_of_former_build(handle: int) -> bool:
+    return 0 < handle < MIN_UNIQUE_HANDLE
+
+
 def _executed_shapes(
     session_context: SessionContext, commands: tuple[Command, ...]
 ) -> dict[str, Shape]:
--- a/mangoramp/serving/pinned_leases.py
+++ b/mangoramp/serving/pinned_leases.py
@@ -13,9 +13,8 @@
 from dataclasses import dataclass
 
 from ..events import PINNED_CLOSED, PINNED_EXPIRED, PINNED_UNKNOWN, emit
-from .lease import MIN_UNIQUE_HANDLE, LocalLease
+from .lease import MIN_UNIQUE_HANDLE, PIN_TIMEOUT_S, LocalLease
 
-PIN_TIMEOUT_S = 10.0  # exceeds the limits on transaction idle time and statement time
 NUMBER_BITS = 32  # of a handle; the other ones are the process's id
 NUMBER_MASK = 0xFFFF_FFFF
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,12 +1,15 @@
+import asyncio
 import time
 
 import pytest
+from returns.result import Failure, Success
 
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.group import Server
+from mangoramp.errors import Code, Fault, Outcome, Step
 from mangoramp.policy.revision import Revision
 from mangoramp.serving.admission import AdmissionControl
-from mangoramp.serving.batches import BatchRun, RunBatch
+from mangoramp.serving.batches import BatchRun, DropPinned, RunBatch
 from mangoramp.serving.command import (
     Answer,
     ConnectionContext,
@@ -16,7 +19,15 @@
     RunFor,
 )
 from mangoramp.serving.home_batches import HomeBatches
-from mangoramp.serving.lease import LocalLease, SessionContext
+from mangoramp.serving.lease import (
+    MIN_UNIQUE_HANDLE,
+    HomeLostError,
+    LocalLease,
+    RemoteLease,
+    SessionContext,
+)
+from mangoramp.serving.operation import Ticket
+from mangoramp.serving.pinned_leases import PIN_TIMEOUT_S
 from mangoramp.serving.pins import Pins
 from mangoramp.serving.pool import ServerPool, Urgency
 from mangoramp.serving.servers import Servers
@@ -24,7 +35,7 @@
 from mangoramp.sessions.statement import Execute, Write
 from mangoramp.standins import wire_group
 
-from . import wire_world
+from . import virtual_time, wire_world
 
 ENDPOINT = Endpoint("s1", "g", ("h", 1), "a", 2, False, True)
 SOON = Urgency(priority=1, due_s=0.2, timeout_s=0.5)
@@ -32,6 +43,7 @@
 WRITE = RunFor("r1", Write("WRITE a 1"))
 UNKNOWN = RunFor("r2", Execute("unknown", "a 1"))
 EMPTY = SessionContext({}, {})
+HANDLE = MIN_UNIQUE_HANDLE + 1
 
 
 class Connection:
@@ -167,3 +179,69 @@
             assert world.find_runs("read")[0].in_transaction
             assert not world.find_runs("write")[0].in_transaction
             assert [commit.items for commit in world.group.log] == [(("a", "1"),)]
+
+
+class SilentHome:
+    """A home that answers nothing for a number of calls after the first one."""
+
+    def __init__(self, silent_calls, fault):
+        self.silent_calls = silent_calls
+        self.fault = fault
+        self.dropped = []
+        self.suspected = 0
+
+    async def call(self, home, message, *, timeout_s):
+        if isinstance(message, RunBatch) and not message.handle:
+            answer = Answer(SessionState.IN_TRANSACTION, None, (), "sig", None, "")
+            return Success(BatchRun(answers=(answer,), handle=HANDLE))
+        if isinstance(message, DropPinned):
+            self.dropped.append(message.handle)
+        self.silent_calls -= 1
+        return Failure(self.fault) if self.silent_calls >= 0 else Success(None)
+
+    def suspect(self, home):
+        self.suspected += 1
+
+    def connection_id(self, home):
+        return 1
+
+
+class TestSilentHome:
+    @pytest.mark.parametrize("outcome", [Outcome.UNKNOWN, Outcome.NOT_RUN])
+    @pytest.mark.parametrize("silent_drops", [0, 2])
+    def test_is_told_to_drop_the_transaction(self, outcome, silent_drops):
+        """Guards against connections held by transactions that callers gave up."""
+        fault = Fault(Code.TIMEOUT, "did not answer", Step.FORWARD, outcome=outcome)
+        home = SilentHome(1 + silent_drops, fault)
+
+        async def play():
+            lease = RemoteLease(
+                Server(ENDPOINT), "h", "c", home, urgency=SOON, ticket=Ticket("r1")
+            )
+            await lease.run(EMPTY, (BEGIN,), timeout_s=1.0)
+            with pytest.raises(HomeLostError):
+                await lease.run(EMPTY, (WRITE,), timeout_s=1.0)
+            assert not lease.in_transaction
+            lease.release()
+            await asyncio.sleep(2 * PIN_TIMEOUT_S)
+
+        virtual_time.run(play())
+        assert home.dropped == [HANDLE] * (1 + silent_drops)
+        assert home.suspected == 1
+
+    def test_is_told_until_it_has_dropped_the_transaction_itself(self):
+        fault = Fault(Code.TIMEOUT, "did not answer", Step.FORWARD)
+        home = SilentHome(1000, fault)
+
+        async def play():
+            lease = RemoteLease(
+                Server(ENDPOINT), "h", "c", home, urgency=SOON, ticket=Ticket("r1")
+            )
+            await lease.run(EMPTY, (BEGIN,), timeout_s=1.0)
+            lease.release()
+            await asyncio.sleep(PIN_TIMEOUT_S)
+            before = len(home.dropped)
+            await asyncio.sleep(PIN_TIMEOUT_S)
+            assert len(home.dropped) == before > 1
+
+        virtual_time.run(play())
--- a/tests/test_serving_homes.py
+++ b/tests/test_serving_homes.py
@@ -1,13 +1,20 @@
 from types import SimpleNamespace
 
 import pytest
+from returns.result import Failure
 
 from mangoramp.control.endpoint import Endpoint
+from mangoramp.errors import Code, Fault, Step
 from mangoramp.policy.handover import Handover
 from mangoramp.policy.homes import Candidate
 from mangoramp.policy.revision import Revision
 from mangoramp.serving import homes
-from mangoramp.serving.batches import BatchNotSent, BatchOverRate, RunBatch
+from mangoramp.serving.batches import (
+    BatchNotSent,
+    BatchOverRate,
+    DropPinned,
+    RunBatch,
+)
 from mangoramp.serving.homes import MIN_SUSPECT_S, Homes
 from mangoramp.serving.servers import Servers
 
@@ -173,3 +180,40 @@
         answer = await self.homes().batches.answer(self.BATCH)
         assert isinstance(answer, BatchOverRate)
         assert self.charged == ["c"]
+
+
+class SilentLinks:
+    def __init__(self):
+        self.resets = 0
+
+    async def call(self, peer, message, *, timeout_s):
+        return Failure(Fault(Code.TIMEOUT, "did not answer", Step.FORWARD))
+
+    def reset(self, peer):
+        self.resets += 1
+
+
+class TestUnansweredCalls:
+    BATCH = RunBatch("s1", "g", "c", None, {}, (), 1.0, 0.5, 0.5)
+    DROP = DropPinned(handle=1)
+
+    @pytest.mark.parametrize(
+        ("messages", "resets"),
+        [([BATCH, BATCH], 1), ([BATCH, DROP, DROP], 0), ([DROP, BATCH, BATCH], 1)],
+    )
+    async def test_reset_the_link_only_if_statements_are_unanswered(
+        self, messages, resets
+    ):
+        """Guards against statements that are lost because a drop is repeated."""
+        links = SilentLinks()
+        homes = Homes(
+            "a",
+            Servers(None, lambda: 0.0),
+            instances=dict,
+            admit=lambda customer, request_id: 0.0,
+            links=links,
+            heard_at=lambda name: 0.0,
+        )
+        for message in messages:
+            await homes.call("h", message, timeout_s=1.0)
+        assert links.resets == resets
