Close a pinned connection soon if no statement follows its begin

What callers saw: after a home was paused, it held connections for 10 s for transactions that nobody had any more.

Cause: a home keeps each pinned connection for 10 s, also one of whose handle it cannot know that it has arrived.

Change: until the first statement has come for a handle, its connection is closed after 2 s.

--- a/mangoramp/serving/pinned_leases.py
+++ b/mangoramp/serving/pinned_leases.py
@@ -15,6 +15,7 @@
 from ..events import PINNED_CLOSED, PINNED_EXPIRED, PINNED_UNKNOWN, emit
 from .lease import MIN_UNIQUE_HANDLE, PIN_TIMEOUT_S, LocalLease
 
+UNUSED_TIMEOUT_S = 2.0  # the first statement follows the answer to the begin at once
 NUMBER_BITS = 32  # of a handle; the other ones are the process's id
 NUMBER_MASK = 0xFFFF_FFFF
 
@@ -27,11 +28,18 @@
         lease: The lease of the connection.
         used_at: When a statement last ended on it, in seconds.
         is_busy: Whether a statement runs on it.
+        is_known: Whether a statement has come for it, so that its handle has arrived.
     """
 
     lease: LocalLease
     used_at: float
     is_busy: bool = False
+    is_known: bool = False
+
+    @property
+    def timeout_s(self) -> float:
+        """Seconds without a statement after which it is closed."""
+        return PIN_TIMEOUT_S if self.is_known else UNUSED_TIMEOUT_S
 
 
 class PinnedLeases:
@@ -109,6 +117,7 @@
         if pinned is None:
             return
         pinned.is_busy, pinned.used_at = False, self._clock()
+        pinned.is_known = True
         if not pinned.lease.conn.is_open:
             self.close(handle, "its connection is closed")
 
@@ -148,14 +157,17 @@
                 self.close(handle, reason)
 
     def evict_expired(self) -> None:
-        """Close the connections that were unused for too long."""
-        oldest = self._clock() - PIN_TIMEOUT_S
+        """Close the connections that were unused for too long.
+
+        An instance that does not get the answer to its begin does not learn the handle.
+        """
+        now = self._clock()
         for handle, pinned in list(self._pinned.items()):
-            if not pinned.is_busy and pinned.used_at < oldest:
+            if not pinned.is_busy and now - pinned.used_at > pinned.timeout_s:
                 emit(
                     PINNED_EXPIRED,
                     handle=f"{handle:x}",
                     customer=pinned.lease.customer,
                     server=pinned.lease.server.id,
                 )
-                self.close(handle, f"it was unused for {PIN_TIMEOUT_S:.0f} s")
+                self.close(handle, f"it was unused for {pinned.timeout_s:.0f} s")
--- a/tests/test_pinned_leases.py
+++ b/tests/test_pinned_leases.py
@@ -95,6 +95,21 @@
         assert not len(world.pinned)
         assert world.lease.ended == ["discarded", "released"]
 
+    @pytest.mark.parametrize("is_known", [False, True])
+    def test_expire_soon_if_no_statement_follows_the_begin(self, world, is_known):
+        """Guards against connections held for a begin whose answer was lost."""
+        if is_known:
+            world.pinned.find(world.handle, **self.OWN).is_busy = True
+            world.pinned.keep(world.handle)
+        world.now = PIN_TIMEOUT_S / 2
+        world.pinned.evict_expired()
+        assert len(world.pinned) == is_known
+
+    def test_are_kept_until_the_first_statement_arrives(self, world):
+        world.now = 1.0
+        world.pinned.evict_expired()
+        assert world.pinned.find(world.handle, **self.OWN) is not None
+
     def test_are_released_once_if_they_are_dropped_during_a_statement(self, world):
         """Guards against a pool that counts a closed connection twice."""
         pinned = world.pinned.find(world.handle, **self.OWN)
