Answer a call whose link is closed between sending and receiving

What callers see: a broken connection where a statement of theirs should have been told ABORTED, BUSY or UNSURE, when the link to their home is reset at that moment: two calls in a row were not answered, or the home has a new address.

Cause: a link closes the contexts of its calls. A call that was sending or receiving gets pynng.Closed, which the link expects; one that had sent and had not begun to receive met a context without a socket, for which pynng raises a TypeError.

The new test fails on the former code with this error.

Change: the link checks that the context is open before it receives; nothing else runs between the check and the receiving.

Ruled out: catching TypeError, which would hide others.

Elsewhere: contexts are acquired and used for sending without a pause; a link server cancels its tasks when it closes its contexts.

--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -175,6 +175,7 @@
         ctx = self._contexts.acquire()
         with self._contexts.releasing(ctx):
             await ctx.asend(data)
+            self._contexts.check_open(ctx)
             return self._codec.decode(await ctx.arecv())
 
     async def _wait_connected(self, timeout_s: float) -> bool:
@@ -236,6 +237,15 @@
         else:
             self._close(ctx)
 
+    def check_open(self, ctx: pynng.Context) -> None:
+        """Raise an error if a context was closed between two of its operations.
+
+        Raises:
+            pynng.Closed: The context is closed; pynng itself raises a ``TypeError``.
+        """
+        if ctx not in self._all:
+            raise pynng.Closed("the link was closed", pynng.lib.NNG_ECLOSED)
+
     def close(self) -> None:
         """Close all contexts, which ends pending exchanges.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -106,6 +106,27 @@
         await asyncio.wait({serving, serving_again}, timeout=1)
 
 
+class TestClosedLink:
+    async def test_a_call_fails_if_its_link_is_closed_after_sending(self, monkeypatch):
+        """Guards against callers whose session ends with an unexpected error."""
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+        server = LinkServer(address, echo, PROXY_CODEC)
+        serving = asyncio.ensure_future(server.run())
+        to_peer = Link("p1", address, PROXY_CODEC)
+        asend = pynng.Context.asend
+
+        async def send_and_close(ctx, data):
+            await asend(ctx, data)
+            to_peer.close()
+
+        monkeypatch.setattr(pynng.Context, "asend", send_and_close)
+        fault = (await to_peer.call(write("1"), timeout_s=1.0)).failure()
+        assert fault.outcome is Outcome.UNKNOWN
+        assert fault.code is Code.CONNECTION_LOST
+        server.close()
+        await asyncio.wait({serving}, timeout=1)
+
+
 class TestBursts:
     async def test_lose_no_message(self):
         for _ in range(20):
