--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -29,7 +29,6 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 NO_RESEND = -1
 MAX_FREE_CONTEXTS = 128
-NNG_ECLOSED = 7
 
 _connection_ids = itertools.count(1)
 
@@ -233,10 +232,10 @@
         """Check that a context was not closed during a wait.
 
         Raises:
-            pynng.Closed: It was closed; using it would raise an unspecific error.
+            pynng.Closed: The context is closed; pynng itself raises a ``TypeError``.
         """
         if ctx not in self._all:
-            raise pynng.Closed("the context was closed", NNG_ECLOSED)
+            raise pynng.Closed("the link was closed", pynng.lib.NNG_ECLOSED)
 
     @contextlib.contextmanager
     def releasing(self, ctx: pynng.Context) -> Iterator[None]:
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -17,13 +17,12 @@
     RunBatch,
 )
 from .command import (
-    Answer,
     CommitFor,
     ConnectionLostError,
     NotSentError,
     RollBack,
 )
-from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
+from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext
 from .pinned_leases import PinnedLease, PinnedLeases
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
@@ -112,23 +111,10 @@
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
                 return BatchOverRate(wait_s=wait_s)
-        if message.handle:
-            pinned = self._pinned.find(
-                message.handle,
-                customer=message.customer,
-                group=message.group,
-                server=message.server,
-            )
-            if pinned is None:
-                # The server has rolled the transaction back with its connection.
-                return BatchNotSent(reason="the connection is not pinned any more")
-            lease = pinned.lease
-        else:
-            acquired = await self._acquire(message)
-            if isinstance(acquired, BatchNotSent):
-                return acquired
-            lease = acquired
-            pinned = None
+        found = await self._find_lease(message)
+        if isinstance(found, BatchNotSent):
+            return found
+        lease, pinned = found
         left = message.timeout_s - (self._clock() - started)
         admitted = await self._admit_batch(message, lease, pinned, left)
         if isinstance(admitted, BatchNotSent):
@@ -152,18 +138,39 @@
             self._pinned.forget(message.handle)
             lease.release()
             return BatchLost(reason=str(exc), answers=exc.answers)
+        except BaseException:
+            self._pinned.forget(message.handle)
+            lease.release()
+            raise
         group = self._servers.group(message.group)
         record_primary_samples(
             group, asked_at, message.commands, answers, message.shapes
         )
         return BatchRun(
             answers=answers,
-            handle=self._pin_or_release(message.handle, lease, answers),
+            handle=self._pin_or_release(message.handle, lease),
             samples=self._latest_samples(),
             load=self._admission.hint(message.group),
             server_s=self._clock() - asked_at,
         )
 
+    async def _find_lease(
+        self, message: RunBatch
+    ) -> tuple[LocalLease, PinnedLease | None] | BatchNotSent:
+        if not message.handle:
+            acquired = await self._acquire(message)
+            return acquired if isinstance(acquired, BatchNotSent) else (acquired, None)
+        pinned = self._pinned.find(
+            message.handle,
+            customer=message.customer,
+            group=message.group,
+            server=message.server,
+        )
+        if pinned is None:
+            # The server has rolled the transaction back with its connection.
+            return BatchNotSent(reason="the connection is not pinned any more")
+        return pinned.lease, pinned
+
     async def _admit_batch(
         self,
         message: RunBatch,
@@ -224,10 +231,8 @@
             )
         return LocalLease(server, conn, message.customer, pool)
 
-    def _pin_or_release(
-        self, handle: int, lease: LocalLease, answers: tuple[Answer, ...]
-    ) -> int:
-        if not needs_pin(answers):
+    def _pin_or_release(self, handle: int, lease: LocalLease) -> int:
+        if not lease.in_transaction:
             self._pinned.forget(handle)
             lease.release()
             return 0
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,7 +1,6 @@
 import asyncio
 import contextlib
 import random
-import time
 
 import pynng
 import pytest
@@ -109,18 +108,20 @@
 
 
 class TestLinkThatIsClosed:
-    async def test_during_a_send_loses_the_request(self):
+    async def test_after_a_send_loses_the_request(self, monkeypatch):
         """Guards against a session that ends without an answer as its link is reset."""
         address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
         server = LinkServer(address, echo, PROXY_CODEC)
         serving = asyncio.ensure_future(server.run())
         to_peer = Link("p1", address, PROXY_CODEC)
-        assert isinstance(await to_peer.call(write("1"), timeout_s=2.0), Success)
-        call = asyncio.ensure_future(to_peer.call(write("2"), timeout_s=2.0))
-        await asyncio.sleep(0)
-        time.sleep(0.05)  # the send completes before the event loop learns of it
-        to_peer.close()
-        fault = (await call).failure()
+        asend = pynng.Context.asend
+
+        async def send_and_close(ctx, data):
+            await asend(ctx, data)
+            to_peer.close()
+
+        monkeypatch.setattr(pynng.Context, "asend", send_and_close)
+        fault = (await to_peer.call(write("1"), timeout_s=1.0)).failure()
         assert (fault.code, fault.outcome) == (Code.CONNECTION_LOST, Outcome.UNKNOWN)
         server.close()
         await asyncio.wait({serving}, timeout=1)
