Close a busy connection after its next answer when an instance stops

Late in the stop its statements were refused with BUSY, and at the end it was cut.

Both new tests failed on the former code.

Change: the next read is started before the check, which also finds requests that arrived together with the answered one; it is kept if the session goes on.

Ruled out: a check of the socket alone (a second request of the same segment is in the stream's buffer already). Other paths: connections found idle at a look use the same check with a read that has started; the HTTP interface closes each connection with its response.

--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -177,17 +177,24 @@
             written = self._stream.write(wire.encode_reply(reply))
             if self._is_draining() and not self._holds_transaction:
                 await written
+                self._start_reading()
                 if not self._has_unread_request():
                     return
 
     async def _read(self) -> wire.CallerMessage:
-        reading = self._stream.read_until(wire.LINE_END, max_bytes=READ_LIMIT_BYTES)
-        self._reading = asyncio.ensure_future(reading)
+        reading = self._start_reading()
         self._is_busy = False
-        line: bytes = await reading
-        self._is_busy = True
+        line = await reading
+        self._is_busy, self._reading = True, None
         return wire.decode_caller(line)
 
+    def _start_reading(self) -> asyncio.Future[bytes]:
+        """Start to read the next message, unless that has begun already."""
+        if self._reading is None:
+            reading = self._stream.read_until(wire.LINE_END, max_bytes=READ_LIMIT_BYTES)
+            self._reading = asyncio.ensure_future(reading)
+        return self._reading
+
     def _has_unread_request(self) -> bool:
         if self._reading is not None and self._reading.done():
             return True
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,11 +3,16 @@
 import random
 
 import pytest
+from returns.result import Success
 from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
 
 from mangoramp.control.settings import Bounds
+from mangoramp.platform.listener import Listener
+from mangoramp.sessions.reply import Reply, SessionState
+from mangoramp.standins._ports import HOST, free_ports
 
-from .wire_world import World
+from .wire_world import Caller, World
 
 GRACE_S = 4.0
 CALLERS = 12
@@ -107,6 +112,67 @@
             assert not others
 
 
+class HeldSession:
+    """A session that answers once it is told to."""
+
+    def __init__(self):
+        self.asked = asyncio.Semaphore(0)
+        self.may_answer = asyncio.Semaphore(0)
+
+    async def handle(self, req):
+        self.asked.release()
+        await self.may_answer.acquire()
+        return Reply(SessionState.IDLE, signature=req.id)
+
+    def on_disconnect(self):
+        pass
+
+
+class TestConnectionInUse:
+    @contextlib.asynccontextmanager
+    async def open(self, *requests):
+        """Yield a listener, its session and a caller that has sent requests at once."""
+        session = HeldSession()
+
+        async def open_session(database, key):
+            return Success(session)
+
+        listener = Listener(open_session)
+        address = (HOST, *free_ports(1))
+        listener.listen(address)
+        caller = Caller(await TCPClient().connect(*address))
+        await caller.stream.write(b"START orders key\r\n")
+        await caller.read_line()
+        sent = "".join(f"QUERY {request} READ a\r\n" for request in requests)
+        await caller.stream.write(sent.encode())
+        await session.asked.acquire()
+        try:
+            yield listener, session, caller
+        finally:
+            listener.close()
+            caller.close()
+
+    async def test_is_closed_after_the_next_answer(self):
+        """Guards against a drain that waits until it finds a session idle."""
+        async with self.open("r1") as (listener, session, caller):
+            listener.drain()
+            session.may_answer.release()
+            assert (await caller.read_reply())[0] == "DONE r1"
+            with pytest.raises(StreamClosedError):
+                await asyncio.wait_for(caller.read_line(), 1.0)
+
+    async def test_is_closed_only_after_requests_that_have_arrived(self):
+        """Guards against requests that are cut although they were read."""
+        async with self.open("r1", "r2") as (listener, session, caller):
+            await caller.send("READ a", "r3")
+            listener.drain()
+            for request in ("r1", "r2", "r3"):
+                session.may_answer.release()
+                assert (await caller.read_reply())[0] == f"DONE {request}"
+            with pytest.raises(StreamClosedError):
+                await asyncio.wait_for(caller.read_line(), 1.0)
+
+
 class TestNewSessions:
     async def test_are_refused_at_once_late_in_a_stop(self):
         """Guards against callers who wait for an instance that is about to end."""
