Keep a connection open until its caller has taken the whole answer

What callers saw: an answer that ended in the middle, in a planned stop or when their instance was cut off from the servers.

Cause: a session counted as idle from the moment its answer was handed to the stream. An answer larger than the kernel's buffers was discarded with the rest of the stream if the connection was closed before the caller had read on.

Evidence: a caller that reads an answer of 15 MB only after a look for idle connections got a closed connection (the new test, on the former code).

Change: a connection that still writes is not idle; a later look closes it.

Ruled out: waiting for each write before the next read (it would hold back a caller's next request for nothing). Other paths: a connection that is closed after its next answer already waits for the write; the end of a stop closes all connections, written or not.

Result: the test passes.

--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -141,9 +141,11 @@
     def close_if_idle(self) -> None:
         """Close the connection if it has no pending statement or open transaction.
 
-        A request that has arrived but has not been processed yet is pending, too.
+        A request that has arrived but has not been processed yet is pending, too, and
+        so is one whose answer the caller has not taken yet.
         """
-        is_idle = not self._is_busy and not self._holds_transaction
+        is_pending = self._is_busy or self._stream.writing()
+        is_idle = not is_pending and not self._holds_transaction
         if is_idle and not self._has_unread_request():
             self._stream.close()
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -115,14 +115,15 @@
 class HeldSession:
     """A session that answers once it is told to."""
 
-    def __init__(self):
+    def __init__(self, rows=()):
+        self.rows = rows
         self.asked = asyncio.Semaphore(0)
         self.may_answer = asyncio.Semaphore(0)
 
     async def handle(self, req):
         self.asked.release()
         await self.may_answer.acquire()
-        return Reply(SessionState.IDLE, signature=req.id)
+        return Reply(SessionState.IDLE, self.rows, req.id)
 
     def on_disconnect(self):
         pass
@@ -130,9 +131,9 @@
 
 class TestConnectionInUse:
     @contextlib.asynccontextmanager
-    async def open(self, *requests):
+    async def open(self, *requests, rows=()):
         """Yield a listener, its session and a caller that has sent requests at once."""
-        session = HeldSession()
+        session = HeldSession(rows)
 
         async def open_session(database, key):
             return Success(session)
@@ -172,6 +173,19 @@
             with pytest.raises(StreamClosedError):
                 await asyncio.wait_for(caller.read_line(), 1.0)
 
+    async def test_is_closed_only_after_the_whole_answer(self):
+        """Guards against answers that are cut because their callers read slowly."""
+        rows = ("x" * 1_000_000,) * 15  # more than the kernel's buffers hold
+        async with self.open("r1", rows=rows) as (listener, session, caller):
+            session.may_answer.release()
+            await asyncio.sleep(0.2)
+            listener.close_idle_connections()
+            reply = await caller.read_reply()
+            assert len(reply) == len(rows) + 2
+            listener.close_idle_connections()
+            with pytest.raises(StreamClosedError):
+                await asyncio.wait_for(caller.read_line(), 1.0)
+
 
 class TestNewSessions:
     async def test_are_refused_at_once_late_in_a_stop(self):
