Hold large statements of callers only within one budget of memory

What callers saw: 300 sessions that send 1 MB each at once took an instance to 618 MB (memory_mb is 300, the process would be killed with all sessions); 1 was answered, 295 refused, 4 got neither; a small statement took 4.4 s meanwhile.

Cause: each connection read its whole line, up to 2 MiB, whatever the others held; with text, encoding and the buffer to the server each statement took more than twice its size.

What is refused is received without being held, and the session goes on. A sender that stops for 2 s, or needs more than 5 s, within a granted line is told so and closed. Connections with large lines yield to the others after each 64 KiB. The limit comes from memory_mb of the settings file, 512 MiB if there is none.

A stopping instance closes a connection after an answer only if no part of the next statement has arrived. So far the read of the statement just answered counted as an unread one, which left the closing to the next look at idle connections.

Ruled out: growing a claim while a line arrives (half-read lines would hold all of the budget and none would end), and IOStream's own limit, which closes the connection.

--- a/mangoramp/control/settings.py
+++ b/mangoramp/control/settings.py
@@ -6,6 +6,8 @@
 
 Address = tuple[str, int]
 
+DEFAULT_MEMORY_BYTES = 512 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -70,6 +72,7 @@
         bounds: The time limits to keep.
         strength: Relative capacity, compared with that of other instances.
         features: The parts that are switched on.
+        memory_bytes: The memory that the process may take, in bytes.
     """
 
     name: str
@@ -85,3 +88,4 @@
     bounds: Bounds = Bounds()
     strength: int = 1
     features: Features = Features()
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -45,6 +45,7 @@
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
 from .policy.isolation import is_cut_off
+from .policy.memory_budget import budget_bytes
 from .policy.quota import RateTolerance
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
@@ -55,6 +56,7 @@
 from .serving.explainer import Explainer
 from .serving.gateway import Gateway
 from .serving.homes import Homes
+from .serving.memory import Memory
 from .serving.operation import Ticket
 from .serving.reading import Reader
 from .serving.server_health import ServerHealth
@@ -94,6 +96,7 @@
         rng = rng or random.Random()
         self.cfg = cfg
         self.registry = CollectorRegistry()
+        self.memory = Memory(budget_bytes(cfg.memory_bytes), boot_time)
         self.servers = Servers(
             WireConnector(),
             boot_time,
@@ -217,7 +220,7 @@
             clock=boot_time,
             metrics=StatementMetrics(self.registry),
         )
-        self._listener = Listener(self.gateway.open)
+        self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
         explainer = Explainer(
             self.gateway,
--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -12,16 +12,16 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from ..control.settings import Address
-from ..errors import Code, Fault, Step
+from ..errors import Code, Fault, FaultError, Step
 from ..events import HANDLER_FAILED, emit
+from ..serving.memory import Memory
 from ..sessions.reply import Reply
-from ..sessions.statement import Request
+from ..sessions.statement import Request, Unread
 from . import wire
 from ._socket import enable_keepalive
+from .caller_lines import READ_LIMIT_BYTES, SMALL_LINE_BYTES, CallerLines
 
 ACCEPT_BACKLOG = 1024  # callers reconnect all at once after an outage
-# A message beyond this limit closes the connection without an answer.
-READ_LIMIT_BYTES = 2 * wire.MAX_MESSAGE_BYTES
 WRITE_BUFFER_BYTES = 16 * 1024 * 1024  # for answers that a caller has not read yet
 
 
@@ -43,10 +43,12 @@
 
     Args:
         open_session: Opens a session, given the database and the API key.
+        memory: The memory for large statements.
     """
 
-    def __init__(self, open_session: OpenSession) -> None:
+    def __init__(self, open_session: OpenSession, memory: Memory) -> None:
         self._open_session = open_session
+        self._memory = memory
         self._callers: set[_CallerConnection] = set()
         self._stop_accepting: list[Callable[[], None]] = []
         self._sockets: list[socket.socket] = []
@@ -96,12 +98,13 @@
         enable_keepalive(sock)
         stream = IOStream(
             sock,
-            max_buffer_size=2 * READ_LIMIT_BYTES,
+            max_buffer_size=READ_LIMIT_BYTES,
+            read_chunk_size=SMALL_LINE_BYTES,
             max_write_buffer_size=WRITE_BUFFER_BYTES,
         )
         stream.set_nodelay(True)
         caller = _CallerConnection(
-            stream, self._open_session, lambda: self._is_draining
+            stream, self._open_session, self._memory, lambda: self._is_draining
         )
         self._callers.add(caller)
         task = asyncio.ensure_future(caller.run())
@@ -115,14 +118,14 @@
         self,
         stream: IOStream,
         open_session: OpenSession,
+        memory: Memory,
         is_draining: Callable[[], bool],
     ) -> None:
         self._stream = stream
         self._open_session = open_session
         self._is_draining = is_draining
         self._session: CallerSession | None = None
-        self._is_busy = True
-        self._reading: asyncio.Future[bytes] | None = None
+        self._lines = CallerLines(stream, memory)
         self._holds_transaction = False
         stream.set_close_callback(self._on_close)
 
@@ -132,10 +135,13 @@
             await self._run()
         except (StreamClosedError, UnsatisfiableReadError):
             return
+        except FaultError as exc:
+            self._write_fault(exc.fault)
         except Exception as exc:
             # A bug in this process ends only the session that hit it.
             emit(HANDLER_FAILED, reason=repr(exc))
         finally:
+            self._lines.release_memory()
             self._stream.close()
 
     def close_if_idle(self) -> None:
@@ -143,7 +149,7 @@
 
         A request that has arrived but has not been processed yet is pending, too.
         """
-        is_idle = not self._is_busy and not self._holds_transaction
+        is_idle = self._lines.is_waiting and not self._holds_transaction
         if is_idle and not self._has_unread_request():
             self._stream.close()
 
@@ -152,10 +158,11 @@
         self._stream.close()
 
     async def _run(self) -> None:
-        start = await self._read()
+        start = await self._lines.read()
         if not isinstance(start, wire.Start):
             self._write_fault(_protocol_fault(start))
             return
+        self._lines.owner = start.key
         opened = await self._open_session(start.database, start.key)
         if not isinstance(opened, Success):
             self._write_fault(opened.failure())
@@ -164,32 +171,30 @@
         if self._stream.closed():
             self._session.on_disconnect()
             return
+        self._lines.release_memory()
         self._stream.write(wire.START_ACCEPTED)
-        while True:
-            message = await self._read()
-            if isinstance(message, wire.Bye):
-                return
-            if not isinstance(message, Request):
-                self._write_fault(_protocol_fault(message))
-                return
-            reply = await self._session.handle(message)
-            self._holds_transaction = reply.state is not reply.state.IDLE
-            written = self._stream.write(wire.encode_reply(reply))
-            if self._is_draining() and not self._holds_transaction:
-                await written
-                if not self._has_unread_request():
-                    return
-
-    async def _read(self) -> wire.CallerMessage:
-        reading = self._stream.read_until(wire.LINE_END, max_bytes=READ_LIMIT_BYTES)
-        self._reading = asyncio.ensure_future(reading)
-        self._is_busy = False
-        line: bytes = await reading
-        self._is_busy = True
-        return wire.decode_caller(line)
+        while await self._answer_next(self._session):
+            pass
+
+    async def _answer_next(self, session: CallerSession) -> bool:
+        """Answer the next message; return whether the session goes on."""
+        message = await self._lines.read()
+        if isinstance(message, wire.Bye):
+            return False
+        if not isinstance(message, Request):
+            self._write_fault(_protocol_fault(message))
+            return False
+        reply = await session.handle(message)
+        self._holds_transaction = reply.state is not reply.state.IDLE
+        written = self._stream.write(wire.encode_reply(reply))
+        self._lines.release_memory()
+        if self._is_draining() and not self._holds_transaction:
+            await written
+            return self._has_unread_request()
+        return True
 
     def _has_unread_request(self) -> bool:
-        if self._reading is not None and self._reading.done():
+        if self._lines.has_unread():
             return True
         try:
             return bool(self._stream.socket.recv(1, socket.MSG_PEEK))
@@ -208,6 +213,8 @@
 def _protocol_fault(message: wire.CallerMessage) -> Fault:
     if isinstance(message, wire.OversizedMessage):
         return Fault(Code.BODY_TOO_LARGE, "the message is too long", Step.PARSE)
+    if isinstance(message, Request) and isinstance(message.statement, Unread):
+        return message.statement.fault
     if isinstance(message, wire.InvalidMessage):
         return Fault(Code.BAD_REQUEST, message.reason, Step.PARSE)
     return Fault(Code.BAD_REQUEST, "the message is out of turn", Step.PARSE)
--- a/mangoramp/platform/settings.py
+++ b/mangoramp/platform/settings.py
@@ -11,7 +11,13 @@
 from returns.result import Failure, Result, Success
 
 from ..control.endpoint import MAX_PORT
-from ..control.settings import Address, Bounds, Features, InstanceSettings
+from ..control.settings import (
+    DEFAULT_MEMORY_BYTES,
+    Address,
+    Bounds,
+    Features,
+    InstanceSettings,
+)
 
 SETTINGS_PATH_VARIABLE = "MANGORAMP_BOOT"
 MAX_PORT_DIGITS = 5
@@ -40,6 +46,7 @@
     cpu_share: float = 1.0  # usable share of each core
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 0  # 0 or absent: unknown
 
 
 class _Server(msgspec.Struct):
@@ -100,6 +107,7 @@
         bounds=_bounds(raw.bounds),
         strength=_statements_per_s(raw.limits),
         features=_features(raw),
+        memory_bytes=_memory_bytes(raw.limits),
     )
 
 
@@ -117,6 +125,10 @@
     return round(min(500 * cores, 50 * raw.link_mbps))
 
 
+def _memory_bytes(raw: _Limits) -> int:
+    return round(raw.memory_mb * 1_000_000) or DEFAULT_MEMORY_BYTES
+
+
 def _bounds(raw: _Bounds) -> Bounds:
     return Bounds(
         settled_s=raw.stable_window_ms / 1000,
--- a/mangoramp/platform/wire.py
+++ b/mangoramp/platform/wire.py
@@ -113,7 +113,7 @@
 CallerMessage = Start | Bye | Request | InvalidMessage | OversizedMessage
 
 
-def decode_caller(line: bytes) -> CallerMessage:
+def decode_caller(line: bytes | bytearray) -> CallerMessage:
     """Decode one line from a caller, including the line terminator."""
     if len(line) > MAX_MESSAGE_BYTES:
         return OversizedMessage()
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -25,6 +25,7 @@
     Read,
     Request,
     Rollback,
+    Unread,
     Write,
 )
 from .executor import writes
@@ -466,6 +467,11 @@
     raise FaultError(Fault(Code.BAD_REQUEST, statement.reason, Step.PARSE))
 
 
+@_change_session.register
+def _(statement: Unread, session: Session) -> None:
+    raise FaultError(statement.fault)
+
+
 def _unknown_database_fault() -> Fault:
     return Fault(Code.GROUP_UNKNOWN, "no route has this database", Step.ROUTE)
 
--- a/mangoramp/sessions/statement.py
+++ b/mangoramp/sessions/statement.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..errors import Fault
+
 
 @dataclass(frozen=True, slots=True)
 class Begin:
@@ -86,6 +88,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Unread:
+    """A statement whose text was discarded on arrival.
+
+    Attributes:
+        fault: Why it was.
+    """
+
+    fault: Fault
+
+
 Statement = (
     Begin
     | Commit
@@ -97,6 +110,7 @@
     | Execute
     | Forget
     | Malformed
+    | Unread
 )
 
 
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -30,6 +30,8 @@
 evacuate_ms = 2000
 cold_overage = 1.5
 cold_slack = 5
+[limits]
+{limits}
 """
 
 
@@ -41,11 +43,14 @@
             from the next start on.
     """
 
-    def __init__(self, folder, name, store, promotion, contracts, build=None):
+    def __init__(
+        self, folder, name, store, promotion, contracts, build=None, limits=""
+    ):
         self.name = name
         self.zone = f"zone-{name}"
         self.build = build
         self._contracts = contracts
+        self._limits = limits
         self._folder = folder
         self.ports = free_ports(3)
         self._service_ports = (store, promotion)
@@ -70,6 +75,7 @@
                 store=store,
                 promotion=promotion,
                 contracts=self._contracts,
+                limits=self._limits,
                 first="true" if self._start_count == 0 else "false",
             )
         )
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,219 @@
+import asyncio
+import contextlib
+import multiprocessing
+import socket
+import time
+from pathlib import Path
+
+from .soak_instance import InstanceProcess
+from .wire_world import GROUP, HOST, World, configuration
+
+SESSIONS = 300
+LIMIT_MB = 300
+LARGE_TEXT = b"x" * 1_000_000
+LARGE = (LARGE_TEXT, b"\r\n")
+STATEMENT_S = 0.05  # that a server takes for each statement
+ANSWER_TIMEOUT_S = 20.0  # of the whole burst; each statement has its own timeout
+READY_TIMEOUT_S = 20.0
+SMALL_ANSWER_S = 0.5  # bound for a small statement, a third of the timeout
+SMALL_PAUSE_S = 0.01
+SLOW_SENDER_S = 4.0  # until the memory of one that sends nothing is free
+PROMISES = (b"ERR BUSY", b"ERR ABORTED")
+KIB = 1024
+
+
+class Session:
+    """A session over a plain socket, which sends without a copy of its statement."""
+
+    def __init__(self, sock):
+        self._loop = asyncio.get_running_loop()
+        self._sock = sock
+        self._received = b""
+
+    @classmethod
+    async def open(cls, port):
+        sock = socket.socket()
+        sock.setblocking(False)
+        self = cls(sock)
+        await self._loop.sock_connect(sock, (HOST, port))
+        await self.send(b"START orders k-alpha\r\n")
+        assert await self.read_line() == b"READY I -"
+        return self
+
+    async def send(self, *parts):
+        for part in parts:
+            await self._loop.sock_sendall(self._sock, part)
+
+    async def read_line(self):
+        """Return the next line, empty at the end of the connection."""
+        while b"\r\n" not in self._received:
+            chunk = await self._loop.sock_recv(self._sock, 64 * KIB)
+            if not chunk:
+                return b""
+            self._received += chunk
+        line, _, self._received = self._received.partition(b"\r\n")
+        return line
+
+    async def read_reply(self):
+        """Return the last line before READY, empty if the connection was cut."""
+        lines = [await self.read_line()]
+        while lines[-1] and not lines[-1].startswith(b"READY"):
+            lines.append(await self.read_line())
+        return lines[-2] if lines[-1] else b""
+
+    async def ask(self, *parts):
+        try:
+            await self.send(*parts)
+            return await self.read_reply()
+        except OSError:
+            return b""
+
+    async def write_large(self, number):
+        return await self.ask(b"QUERY w%d WRITE i%d " % (number, number), *LARGE)
+
+    def close(self):
+        self._sock.close()
+
+
+class Fleet(World):
+    """Instances as processes, each with a memory limit."""
+
+    def __init__(self, folder, *, count=1):
+        super().__init__(instances=0)
+        self.processes = [
+            InstanceProcess(
+                folder,
+                f"i{number}",
+                self._store_port,
+                self._promotion_port,
+                "",
+                limits=f"memory_mb = {LIMIT_MB}",
+            )
+            for number in range(count)
+        ]
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        services = [{"name": GROUP, "max_connections": 64}]
+        self.put("config", "main", configuration(2, services=services))
+        for process in self.processes:
+            process.start()
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for process in self.processes:
+                await self._until_serving(process)
+        for server in self.group.servers.values():
+            server.faults.statement_s = STATEMENT_S
+        return self
+
+    async def __aexit__(self, *exc):
+        for process in self.processes:
+            process.kill()
+        await super().__aexit__(*exc)
+
+    async def open(self, number=0):
+        return await Session.open(self.processes[number].ports[0])
+
+    async def _until_serving(self, process):
+        while True:
+            with contextlib.suppress(OSError, AssertionError):
+                session = await Session.open(process.ports[0])
+                answer = await session.ask(b"QUERY p WRITE a 1\r\n")
+                session.close()
+                if answer.startswith(b"DONE"):
+                    return
+            await asyncio.sleep(0.05)
+
+
+def peak_mb(process):
+    status = Path(f"/proc/{process._process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
+    return int(line.split()[1]) // KIB
+
+
+class TestManyLargeStatements:
+    async def test_are_answered_within_the_memory_limit(self, tmp_path):
+        """Guards against an instance that is killed since many callers send 1 MB."""
+        async with Fleet(tmp_path) as fleet:
+            (process,) = fleet.processes
+            before = peak_mb(process)
+            sessions = [await fleet.open() for _ in range(SESSIONS)]
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                answers = await asyncio.gather(
+                    *(s.write_large(n) for n, s in enumerate(sessions))
+                )
+            done = [a for a in answers if a.startswith(b"DONE")]
+            refused = [a for a in answers if a.startswith(PROMISES)]
+            peak = peak_mb(process)
+            print(f"{before} to {peak} MB, {len(done)} done, {len(refused)} refused")
+            assert peak < LIMIT_MB
+            assert len(done) + len(refused) == SESSIONS
+            assert done
+            assert all(b"retry after" in a for a in refused)
+            # The sessions go on.
+            assert (await sessions[0].ask(b"QUERY z WRITE a 1\r\n")).startswith(b"DONE")
+
+
+def send_small_statements(port, is_over, results):
+    """Send one small statement after another, beside the loop of the large ones."""
+    waits, others = [], []
+    with socket.create_connection((HOST, port), timeout=ANSWER_TIMEOUT_S) as sock:
+        lines = sock.makefile("rb")
+        sock.sendall(b"START orders k-alpha\r\n")
+        others.append(lines.readline())
+        results.put("started")
+        while not is_over.is_set():
+            started = time.monotonic()
+            # The instance answers it by itself, so that no server's load is measured.
+            sock.sendall(b"QUERY s%d SET a 1\r\n" % len(waits))
+            others.append(lines.readline())
+            others.append(lines.readline())
+            waits.append(time.monotonic() - started)
+            time.sleep(SMALL_PAUSE_S)
+    results.put((waits, set(others)))
+
+
+class TestSmallStatements:
+    async def test_are_answered_while_large_ones_wait(self, tmp_path):
+        """Guards against callers who wait behind the large statements of others."""
+        async with Fleet(tmp_path) as fleet:
+            sessions = [await fleet.open() for _ in range(SESSIONS)]
+            # Another process, as the large statements keep the loop of this one busy.
+            spawn = multiprocessing.get_context("spawn")
+            is_over, results = spawn.Event(), spawn.Queue()
+            port = fleet.processes[0].ports[0]
+            args = (port, is_over, results)
+            small = spawn.Process(target=send_small_statements, args=args)
+            small.start()
+            try:
+                await asyncio.to_thread(results.get, timeout=READY_TIMEOUT_S)
+                large = (s.write_large(n) for n, s in enumerate(sessions))
+                await asyncio.gather(*large)
+                is_over.set()
+                waits, answers = await asyncio.to_thread(results.get, timeout=5)
+            finally:
+                small.kill()
+            slowest = max(waits)
+            print(f"{len(waits)} small statements, slowest {slowest:.3f} s")
+
+            assert answers == {b"READY I -\r\n", b"DONE -\r\n"}
+            assert slowest < SMALL_ANSWER_S
+
+
+class TestSlowSenders:
+    async def test_do_not_hold_the_memory(self, tmp_path):
+        """Guards against senders that stop within a statement and block all others."""
+        async with Fleet(tmp_path) as fleet:
+            slow = [await fleet.open() for _ in range(SESSIONS)]
+            started = time.monotonic()
+            for number, session in enumerate(slow):
+                await session.send(b"QUERY h%d WRITE a " % number, b"x" * 100_000)
+            other = await fleet.open()
+            refused = await other.write_large(1)
+            assert refused.startswith(b"ERR BUSY other large statements take")
+            ended = await asyncio.wait_for(slow[0].read_line(), ANSWER_TIMEOUT_S)
+            took_s = time.monotonic() - started
+            assert ended.startswith(b"ERR BUSY the statement did not arrive: ")
+            assert b"none in the last 2.0 s" in ended
+            assert await slow[0].read_line() == b""
+            assert took_s < SLOW_SENDER_S
+            assert (await other.write_large(2)).startswith(b"DONE")
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -2,7 +2,7 @@
 from returns.result import Success
 
 from mangoramp.control.deployment import ReadRule
-from mangoramp.control.settings import Features
+from mangoramp.control.settings import DEFAULT_MEMORY_BYTES, Features
 from mangoramp.platform.configuration import decode_deployment
 from mangoramp.platform.registry import decode_endpoint
 from mangoramp.platform.settings import load_instance_settings
@@ -53,6 +53,15 @@
             5,
         )
 
+    def test_the_memory_limit_is_known(self, tmp_path):
+        """Guards against statements that take more memory than the process may."""
+        limits = "[limits]\nmemory_mb = 300\n"
+        assert self.load(tmp_path, SETTINGS + limits).unwrap().memory_bytes == 3e8
+        for text in (SETTINGS, SETTINGS + "[limits]\nmemory_mb = 0\n"):
+            assert self.load(tmp_path, text).unwrap().memory_bytes == (
+                DEFAULT_MEMORY_BYTES
+            )
+
     @pytest.mark.parametrize(
         ("change", "named"),
         [
