Hold a caller's large answer only within the budget, and one answer at a time

What callers saw: a caller who sends statements without reading the answers (40 reads of 1 MiB) had 19 answers held for it, and was then cut with "Reached maximum write buffer size"; a few tens of such callers are more than the memory of the process.

Cause: the listener read the next statement without looking whether the answer to the former one had left; only IOStream's limit of 16 MiB a connection bounded it, and nothing bounded all connections together.

Change: no statement is read before the caller has taken its last answer (TCP blocks it). Rows of a read beyond 16 KiB claim memory until the caller has received them; without memory the read is refused with a promise (a transaction is rolled back). A caller who has not taken its answer after 5 s is closed (event 252, also for senders that stall).

Other paths: answers on their way from a server are bounded by the connections to servers (8 MiB each), not by the budget.

--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -97,6 +97,7 @@
 TRANSACTION_RETRIED = Event(249, "INFO", "statement of a transaction retried")
 TRANSACTION_LOST = Event(250, "INFO", "transaction lost with its connection")
 COMMIT_OUTCOME_UNKNOWN = Event(251, "WARNING", "commit outcome unknown, no answer")
+CALLER_STALLED = Event(252, "INFO", "caller that stopped sending or reading closed")
 ADMISSION_REJECTED = Event(
     260, "INFO", "statement rejected, it cannot be served in time"
 )
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -219,6 +219,7 @@
             admit=self._admit,
             clock=boot_time,
             metrics=StatementMetrics(self.registry),
+            memory=self.memory,
         )
         self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -13,7 +13,7 @@
 
 from ..control.settings import Address
 from ..errors import Code, Fault, FaultError, Step
-from ..events import HANDLER_FAILED, emit
+from ..events import CALLER_STALLED, HANDLER_FAILED, emit
 from ..serving.memory import Memory
 from ..sessions.reply import Reply
 from ..sessions.statement import Request, Unread
@@ -21,6 +21,7 @@
 from ._socket import enable_keepalive
 from .caller_lines import READ_LIMIT_BYTES, SMALL_LINE_BYTES, CallerLines
 
+WRITE_TIMEOUT_S = 5.0  # until a caller has received its answer
 ACCEPT_BACKLOG = 1024  # callers reconnect all at once after an outage
 WRITE_BUFFER_BYTES = 16 * 1024 * 1024  # for answers that a caller has not read yet
 
@@ -125,6 +126,7 @@
         self._open_session = open_session
         self._is_draining = is_draining
         self._session: CallerSession | None = None
+        self._memory = memory
         self._lines = CallerLines(stream, memory)
         self._holds_transaction = False
         stream.set_close_callback(self._on_close)
@@ -136,6 +138,7 @@
         except (StreamClosedError, UnsatisfiableReadError):
             return
         except FaultError as exc:
+            emit(CALLER_STALLED, reason=exc.fault.message)
             self._write_fault(exc.fault)
         except Exception as exc:
             # A bug in this process ends only the session that hit it.
@@ -186,13 +189,29 @@
             return False
         reply = await session.handle(message)
         self._holds_transaction = reply.state is not reply.state.IDLE
-        written = self._stream.write(wire.encode_reply(reply))
-        self._lines.release_memory()
+        try:
+            written = self._stream.write(wire.encode_reply(reply))
+            self._lines.release_memory()
+            if self._stream.writing():
+                # A caller who does not read its answers is not read from either.
+                await self._finish_write(written)
+        finally:
+            if reply.claim is not None:
+                self._memory.release(reply.claim)
         if self._is_draining() and not self._holds_transaction:
             await written
             return self._has_unread_request()
         return True
 
+    async def _finish_write(self, written: asyncio.Future[None]) -> None:
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await written
+        except TimeoutError:
+            reason = f"it did not take its answer within {WRITE_TIMEOUT_S} s"
+            emit(CALLER_STALLED, reason=reason)
+            raise StreamClosedError from None
+
     def _has_unread_request(self) -> bool:
         if self._lines.has_unread():
             return True
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -28,7 +28,9 @@
     Unread,
     Write,
 )
+from .command import Answer
 from .executor import writes
+from .memory import Memory
 from .operation import (
     DEFAULT_RETRY_AFTER_S,
     Operation,
@@ -44,6 +46,8 @@
 
 OPEN_TIMEOUT_S = 1.8  # callers time out after 2 s
 MIN_STATEMENT_S = 0.2  # a healthy server normally answers within this time
+SMALL_ANSWER_BYTES = 16 * 1024  # sent without asking for memory
+ANSWER_COPIES = 2  # the rows and their encoding for the caller
 STOPPING_REASON = "this instance is stopping"
 ANONYMOUS_CUSTOMER = "-"  # the customer of callers without a key
 
@@ -64,6 +68,7 @@
             them; returns the seconds to wait if the operation exceeds them, else 0.
         clock: Returns the time in seconds.
         metrics: Records completed statements.
+        memory: The memory for large answers.
 
     Attributes:
         ends_transactions: Whether open transactions may only be ended any more.
@@ -80,6 +85,7 @@
         admit: Admit,
         clock: Callable[[], float],
         metrics: StatementMetrics,
+        memory: Memory,
     ) -> None:
         self._deployment = deployment
         self._deployed = deployed
@@ -89,6 +95,7 @@
         self.admit = admit
         self.clock = clock
         self.metrics = metrics
+        self.memory = memory
         self.sessions: set[CallerSession] = set()
         self.ends_transactions = False
         self._answers_until = float("inf")
@@ -334,11 +341,27 @@
         if not writes(session, statement):
             assert not isinstance(statement, Write)
             answer = await self._gateway.reader.run(op, statement)
-        else:
-            assert not isinstance(statement, Read)
-            answer = await self._gateway.writer.run(op, statement)
+            return self._read_reply(answer, customer)
+        assert not isinstance(statement, Read)
+        answer = await self._gateway.writer.run(op, statement)
         return Reply(session.state, answer.rows, answer.signature)
 
+    def _read_reply(self, answer: Answer, customer: str) -> Reply:
+        """Build the reply to a read, if there is memory for it.
+
+        Raises:
+            FaultError: Large rows could not be held until the caller has received them.
+        """
+        size = sum(map(len, answer.rows))
+        claim = None
+        if size > SMALL_ANSWER_BYTES:
+            claimed = self._gateway.memory.try_claim(customer, ANSWER_COPIES * size)
+            if not isinstance(claimed, Success):
+                raise FaultError(claimed.failure())
+            claim = claimed.unwrap()
+        state = self.session.state
+        return Reply(state, answer.rows, answer.signature, claim=claim)
+
     async def _run_in(
         self, tx: Transaction, request_id: str, statement: Read | Write | Execute
     ) -> Reply:
@@ -359,6 +382,8 @@
             tx.is_busy = False
             tx.used_at = self._clock()
             self._roll_back_if_disconnected(tx)
+        if not writes(session, statement):
+            return self._read_reply(answer, tx.customer)
         return Reply(session.state, answer.rows, answer.signature)
 
     async def _commit(self, request_id: str) -> Reply:
--- a/mangoramp/serving/memory.py
+++ b/mangoramp/serving/memory.py
@@ -73,6 +73,6 @@
 
 
 def _no_memory_fault(refusal: TooLate) -> Fault:
-    message = "other large statements take all of the memory for them"
+    message = "large statements and answers of others take all memory for them"
     retry_s = round(refusal.retry_after_s, 3)
     return Fault(Code.OVERLOADED, message, Step.QUEUE, retry_after_s=retry_s)
--- a/mangoramp/sessions/reply.py
+++ b/mangoramp/sessions/reply.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from ..errors import Fault
+from ..policy.memory_budget import Claim
 
 
 class SessionState(StrEnum):
@@ -25,9 +26,11 @@
         rows: The rows, exactly as the server sent them.
         signature: The server's signature, empty if the statement needed no server.
         fault: Why the statement failed, None if it succeeded.
+        claim: The memory that large rows take until the caller has received them.
     """
 
     state: SessionState
     rows: tuple[str, ...] = ()
     signature: str = ""
     fault: Fault | None = None
+    claim: Claim | None = None
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -18,6 +18,7 @@
 SMALL_ANSWER_S = 0.5  # bound for a small statement, a third of the timeout
 SMALL_PAUSE_S = 0.01
 SLOW_SENDER_S = 4.0  # until the memory of one that sends nothing is free
+NO_MEMORY = b"ERR BUSY large statements and answers of others take all memory"
 PROMISES = (b"ERR BUSY", b"ERR ABORTED")
 KIB = 1024
 
@@ -28,7 +29,7 @@
     def __init__(self, sock):
         self._loop = asyncio.get_running_loop()
         self._sock = sock
-        self._received = b""
+        self._received = bytearray()
 
     @classmethod
     async def open(cls, port):
@@ -46,12 +47,15 @@
 
     async def read_line(self):
         """Return the next line, empty at the end of the connection."""
-        while b"\r\n" not in self._received:
-            chunk = await self._loop.sock_recv(self._sock, 64 * KIB)
+        searched = 0
+        while (end := self._received.find(b"\r\n", searched)) < 0:
+            searched = max(0, len(self._received) - 1)
+            chunk = await self._loop.sock_recv(self._sock, 256 * KIB)
             if not chunk:
                 return b""
             self._received += chunk
-        line, _, self._received = self._received.partition(b"\r\n")
+        line = bytes(self._received[:end])
+        del self._received[: end + 2]
         return line
 
     async def read_reply(self):
@@ -209,7 +213,9 @@
                 await session.send(b"QUERY h%d WRITE a " % number, b"x" * 100_000)
             other = await fleet.open()
             refused = await other.write_large(1)
-            assert refused.startswith(b"ERR BUSY other large statements take")
+            assert refused.startswith(
+                b"ERR BUSY large statements and answers of others"
+            )
             ended = await asyncio.wait_for(slow[0].read_line(), ANSWER_TIMEOUT_S)
             took_s = time.monotonic() - started
             assert ended.startswith(b"ERR BUSY the statement did not arrive: ")
@@ -217,3 +223,27 @@
             assert await slow[0].read_line() == b""
             assert took_s < SLOW_SENDER_S
             assert (await other.write_large(2)).startswith(b"DONE")
+
+
+class TestManyLargeAnswers:
+    async def test_are_sent_within_the_memory_limit(self, tmp_path):
+        """Guards against an instance that is killed since many callers read 1 MB."""
+        async with Fleet(tmp_path) as fleet:
+            (process,) = fleet.processes
+            sessions = [await fleet.open() for _ in range(SESSIONS)]
+            assert (await sessions[0].write_large(0)).startswith(b"DONE")
+            before = peak_mb(process)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                answers = await asyncio.gather(
+                    *(
+                        s.ask(b"QUERY r%d READ i0\r\n" % n)
+                        for n, s in enumerate(sessions)
+                    )
+                )
+            done = [a for a in answers if a.startswith(b"DONE")]
+            refused = [a for a in answers if a.startswith(PROMISES)]
+            peak = peak_mb(process)
+            print(f"{before} to {peak} MB, {len(done)} done, {len(refused)} refused")
+            assert peak < LIMIT_MB
+            assert len(done) + len(refused) == SESSIONS
+            assert done
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -94,6 +94,7 @@
             admit=None,
             clock=lambda: self.now,
             metrics=None,
+            memory=None,
         )
         self.explainer = Explainer(
             self.gateway,
