Hold large statements of other instances within the budget of their home

What callers would see: statements of 1 MB that arrive at many instances meet at the home of their customer, which holds all of them while they wait for a connection, and is killed with the sessions of its own callers.

Cause: as for callers' connections: nothing bounded what a home holds for others.

Change: a batch with more than 4 KiB of statements claims three times their size from the same budget, after it has been charged to its customer's limits (the other instance counts a refused batch as charged), and without a wait, since it has arrived already. Without memory it is not sent, with the time to come back; messages are unchanged.

Ruled out: refusing in the link by the size of a message, before the charge.

Other paths: nng holds one message more for each link, up to 64 MiB; answers with large rows are held by the home until they are sent, and by the caller's instance on arrival, where they claim memory as any answer does.

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -183,6 +183,7 @@
             has_majority=lambda: self.peers.has_majority,
             admission=self._admission,
             may_hedge=self._may_hedge,
+            memory=self.memory,
             primary_heard_s=self._promoter.primary_heard_s,
         )
         self._load_reports = LoadReports(
--- a/mangoramp/serving/command.py
+++ b/mangoramp/serving/command.py
@@ -85,6 +85,17 @@
 )
 
 
+def statement_bytes(commands: tuple[Command, ...]) -> int:
+    """Return the size of the callers' statements among some commands, in bytes."""
+    return sum(
+        len(c.statement.arguments)
+        if isinstance(c.statement, Execute)
+        else len(c.statement.text)
+        for c in commands
+        if isinstance(c, RunFor)
+    )
+
+
 class Refusal(StrEnum):
     """Why a server refused a command."""
 
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from returns.result import Success
+
 from ..proxies.envelope import Envelope
 from .admission import AdmissionControl
 from .batches import (
@@ -22,8 +24,10 @@
     ConnectionLostError,
     NotSentError,
     RollBack,
+    statement_bytes,
 )
 from .lease import MIN_ROUND_TRIP_S, LocalLease, SessionContext, needs_pin
+from .memory import Memory
 from .pinned_leases import PinnedLease, PinnedLeases
 from .pool import NoConnectionError, Urgency
 from .primary_samples import PrimarySampleReport, record_primary_samples
@@ -31,6 +35,9 @@
 from .servers import Servers
 from .workload import workload_of
 
+SMALL_STATEMENT_BYTES = 4096  # held without asking for memory
+# The received message, the decoded text, and its encoding for the server.
+COPIES = 3
 MAX_SAMPLE_AGE_S = 2.0  # older samples rarely serve reads of data seconds old
 
 
@@ -44,6 +51,7 @@
             operation exceeds them, else 0.
         admission: Reports the load of the servers.
         may_hedge: Returns whether a customer's limits allow a hedged read.
+        memory: The memory for large statements.
         find_detour: Returns the home that reaches a server which this one does not,
             given customer, group and server id; empty if none is known.
     """
@@ -55,6 +63,7 @@
         admit: Callable[[str, str], float],
         admission: AdmissionControl,
         may_hedge: Callable[[str], bool],
+        memory: Memory,
         find_detour: Callable[[str, str, str], str],
     ) -> None:
         self._servers = servers
@@ -62,6 +71,7 @@
         self._admit = admit
         self._admission = admission
         self._may_hedge = may_hedge
+        self._memory = memory
         self._find_detour = find_detour
         self._pinned = PinnedLeases(self._clock)
         self._running = 0
@@ -98,20 +108,39 @@
             return BatchNotSent(reason="this message asks for nothing")
         if self._is_ending and not _ends_transaction(message):
             return BatchNotSent(reason="this home is stopping")
+        refused = self._refuse(message)
+        if refused is not None:
+            return refused
+        claim = None
+        size = statement_bytes(message.commands)
+        if size > SMALL_STATEMENT_BYTES:
+            claimed = self._memory.try_claim(message.customer, COPIES * size)
+            if not isinstance(claimed, Success):
+                fault = claimed.failure()
+                return BatchNotSent(
+                    reason=fault.message, wait_s=fault.retry_after_s or 0.0
+                )
+            claim = claimed.unwrap()
         self._running += 1
         try:
             return await self._run(message)
         finally:
             self._running -= 1
+            if claim is not None:
+                self._memory.release(claim)
 
-    async def _run(self, message: RunBatch) -> BatchMessage:
-        started = self._clock()
+    def _refuse(self, message: RunBatch) -> BatchMessage | None:
+        """Charge a batch to its customer's limits, or return why it may not run."""
         if message.is_hedge and not self._has_room_to_hedge(message):
             return BatchNotSent(reason="no capacity for a hedged read")
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
                 return BatchOverRate(wait_s=wait_s)
+        return None
+
+    async def _run(self, message: RunBatch) -> BatchMessage:
+        started = self._clock()
         if message.handle:
             pinned = self._pinned.find(
                 message.handle,
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result, Success
 
+from ..control.settings import DEFAULT_MEMORY_BYTES
 from ..errors import Fault
 from ..events import HOME_SUSPECTED, HOMES_CHANGED, emit
 from ..policy.cold_limit import Holders
@@ -30,6 +31,7 @@
     RunBatch,
 )
 from .home_batches import HomeBatches
+from .memory import Memory
 from .servers import Servers
 
 MIN_SUSPECT_S = 0.5  # long enough to reconnect a link
@@ -55,6 +57,8 @@
         heard_at: Returns when a message from an instance was last received, in seconds.
         has_majority: Returns whether most of the instances are in touch.
         admission: Rejects what cannot be served in time, None for no such control.
+        memory: The memory for large statements of other instances, None for the
+            default.
         may_hedge: Returns whether a customer's limits allow a hedged read.
         primary_heard_s: Returns the seconds since a server, given its group and id,
             answered other instances as primary, by instance.
@@ -74,6 +78,7 @@
         heard_at: Callable[[str], float],
         has_majority: Callable[[], bool] = lambda: True,
         admission: AdmissionControl | None = None,
+        memory: Memory | None = None,
         may_hedge: Callable[[str], bool] = lambda customer: True,
         primary_heard_s: Callable[[str, str], Mapping[str, float]] = (
             lambda group, server_id: {}
@@ -101,6 +106,7 @@
             admit=admit,
             admission=self._admission,
             may_hedge=may_hedge,
+            memory=memory or Memory(DEFAULT_MEMORY_BYTES, servers.clock),
             find_detour=self.find_detour,
         )
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -10,6 +10,7 @@
 
 SESSIONS = 300
 LIMIT_MB = 300
+FEW_CONNECTIONS = 6  # too few to be split among three instances
 LARGE_TEXT = b"x" * 1_000_000
 LARGE = (LARGE_TEXT, b"\r\n")
 STATEMENT_S = 0.05  # that a server takes for each statement
@@ -82,8 +83,9 @@
 class Fleet(World):
     """Instances as processes, each with a memory limit."""
 
-    def __init__(self, folder, *, count=1):
+    def __init__(self, folder, *, count=1, connections=64):
         super().__init__(instances=0)
+        self._connections = connections
         self.processes = [
             InstanceProcess(
                 folder,
@@ -98,7 +100,7 @@
 
     async def __aenter__(self):
         await super().__aenter__()
-        services = [{"name": GROUP, "max_connections": 64}]
+        services = [{"name": GROUP, "max_connections": self._connections}]
         self.put("config", "main", configuration(2, services=services))
         for process in self.processes:
             process.start()
@@ -176,6 +178,25 @@
     results.put((waits, set(others)))
 
 
+class TestManyLargeStatementsForAHome:
+    async def test_are_answered_within_the_memory_limit(self, tmp_path):
+        """Guards against a home that is killed since all instances send it 1 MB."""
+        async with Fleet(tmp_path, count=3, connections=FEW_CONNECTIONS) as fleet:
+            sessions = [await fleet.open(n % 3) for n in range(SESSIONS)]
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                answers = await asyncio.gather(
+                    *(s.write_large(n) for n, s in enumerate(sessions))
+                )
+            done = [a for a in answers if a.startswith(b"DONE")]
+            refused = [a for a in answers if a.startswith(PROMISES)]
+            peaks = [peak_mb(process) for process in fleet.processes]
+            print(f"{peaks} MB, {len(done)} done, {len(refused)} refused")
+            print({a[:60] for a in answers if a not in done and a not in refused})
+            assert max(peaks) < LIMIT_MB
+            assert len(done) + len(refused) == SESSIONS
+            assert done
+
+
 class TestSmallStatements:
     async def test_are_answered_while_large_ones_wait(self, tmp_path):
         """Guards against callers who wait behind the large statements of others."""
