Bound what sessions keep: their variables and prepared statements

What callers saw: 300 sessions that set a variable of 1 MB each took an instance to 333 MB for as long as they were open (the limit is 300); also one after the other, so that no budget for statements in progress helps.

Cause: values and shapes of a session had no bound but the length of a statement.

Change: what a session keeps beyond 2 KiB claims memory from a budget of its own (0.1 of the process's memory) until the session ends; what is replaced or forgotten is given back. Without memory SET or PREPARE is refused with a promise. The budget is a separate one, so that sessions that stay open take nothing from statements in progress. A home counts the values that come with a batch as a part of its size.

Other paths: a pooled connection to a server keeps the values of its last session.

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -45,7 +45,7 @@
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
 from .policy.isolation import is_cut_off
-from .policy.memory_budget import budget_bytes
+from .policy.memory_budget import budget_bytes, state_bytes
 from .policy.quota import RateTolerance
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
@@ -221,6 +221,7 @@
             clock=boot_time,
             metrics=StatementMetrics(self.registry),
             memory=self.memory,
+            state_memory=Memory(state_bytes(cfg.memory_bytes), boot_time),
         )
         self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
--- a/mangoramp/platform/caller_lines.py
+++ b/mangoramp/platform/caller_lines.py
@@ -133,23 +133,25 @@
     async def _receive_in_time(self, received: int, started: float) -> bytes:
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
-        try:
-            async with asyncio.timeout_at(min(asked_at + STALL_S, started + ARRIVAL_S)):
-                chunk: bytes = await self._stream.read_bytes(
-                    LARGE_CHUNK_BYTES, partial=True
-                )
-        except TimeoutError:
-            now = loop.time()
-            raise FaultError(
-                Fault(
-                    Code.OVERLOADED,
-                    f"the statement did not arrive: {received} bytes in "
-                    f"{now - started:.1f} s, none in the last {now - asked_at:.1f} s",
-                    Step.PARSE,
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            ) from None
-        return chunk
+        until = min(asked_at + STALL_S, started + ARRIVAL_S)
+        reading = self._stream.read_bytes(LARGE_CHUNK_BYTES, partial=True)
+        fut = asyncio.ensure_future(reading)
+        if not fut.done():
+            # Unlike a timeout, this keeps bytes that arrived while the loop was late.
+            await asyncio.wait((fut,), timeout=max(0.0, until - loop.time()))
+        if fut.done() and asked_at < started + ARRIVAL_S:
+            chunk: bytes = fut.result()
+            return chunk
+        now = loop.time()
+        raise FaultError(
+            Fault(
+                Code.OVERLOADED,
+                f"the statement did not arrive: {received} bytes in "
+                f"{now - started:.1f} s, none in the last {now - asked_at:.1f} s",
+                Step.PARSE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
 
     async def _discard_line(self, size: int) -> None:
         """Receive the rest of a line without holding it.
--- a/mangoramp/policy/memory_budget.py
+++ b/mangoramp/policy/memory_budget.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 BUDGET_PART = 0.4  # of the process's memory; the rest is for all that is not counted
+STATE_PART = 0.1  # of the process's memory, for what sessions keep until they end
 MAX_WAIT_S = 0.5  # a third of a usual statement's timeout
 FIRST_HOLD_S = 0.1  # estimate before the first claim has ended
 HOLD_WEIGHT = 0.1  # of the newest sample in the mean
@@ -26,6 +27,11 @@
     return round(BUDGET_PART * memory_bytes)
 
 
+def state_bytes(memory_bytes: int) -> int:
+    """Return the part of a process's memory that sessions' state may take, in bytes."""
+    return round(STATE_PART * memory_bytes)
+
+
 @dataclass(slots=True, eq=False)
 class Claim:
     """A claim to a part of the budget.
@@ -108,6 +114,14 @@
         self._grant(claim, now)
         return claim
 
+    def try_resize(self, claim: Claim, size: int, now: float) -> TooLate | None:
+        """Change the size of a granted claim, which may grow only if there is room."""
+        growth = size - claim.size
+        if growth > 0 and self.held + growth > self.limit:
+            return self._refuse(claim.owner, growth, now)
+        self.resize(claim, size, now)
+        return None
+
     def give_up(self, claim: Claim, now: float) -> TooLate:
         """End the wait of a claim that has waited for too long."""
         self._remove(claim)
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -40,6 +40,7 @@
     refused_error,
 )
 from .reading import Reader
+from .session_state import StateMemory
 from .statement_metrics import StatementMetrics
 from .transactions import Transaction, TransactionRunner, abort_transaction
 from .writing import Writer
@@ -69,6 +70,7 @@
         clock: Returns the time in seconds.
         metrics: Records completed statements.
         memory: The memory for large answers.
+        state_memory: The memory for the variables and prepared statements of sessions.
 
     Attributes:
         ends_transactions: Whether open transactions may only be ended any more.
@@ -86,6 +88,7 @@
         clock: Callable[[], float],
         metrics: StatementMetrics,
         memory: Memory,
+        state_memory: Memory,
     ) -> None:
         self._deployment = deployment
         self._deployed = deployed
@@ -96,6 +99,7 @@
         self.clock = clock
         self.metrics = metrics
         self.memory = memory
+        self.state_memory = state_memory
         self.sessions: set[CallerSession] = set()
         self.ends_transactions = False
         self._answers_until = float("inf")
@@ -218,6 +222,7 @@
         self.session = session
         self._gateway = gateway
         self._clock = gateway.clock
+        self._state_memory = StateMemory(gateway.state_memory, session)
 
     async def handle(self, req: Request) -> Reply:
         """Run one statement and return the reply."""
@@ -234,6 +239,7 @@
         """Roll back the open transaction after the caller has disconnected."""
         self.session.is_disconnected = True
         self._gateway.sessions.discard(self)
+        self._state_memory.release()
         tx = self.session.transaction
         if tx is not None and not tx.is_busy:
             abort_transaction(
@@ -278,6 +284,9 @@
                 return self._begin(req.id, read_only)
             case Read() | Write() | Execute():
                 return await self._run(req.id, statement)
+        reserved = self._state_memory.reserve(statement)
+        if not isinstance(reserved, Success):
+            raise FaultError(reserved.failure())
         _change_session(statement, session)
         return Reply(session.state)
 
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -113,6 +113,8 @@
             return refused
         claim = None
         size = statement_bytes(message.commands)
+        if message.values:
+            size += sum(map(len, message.values.values()))
         if size > SMALL_STATEMENT_BYTES:
             claimed = self._memory.try_claim(message.customer, COPIES * size)
             if not isinstance(claimed, Success):
--- a/mangoramp/serving/memory.py
+++ b/mangoramp/serving/memory.py
@@ -59,6 +59,13 @@
         """Change the size of a granted claim, once the actual size is known."""
         self.budget.resize(claim, size, self._clock())
 
+    def try_resize(self, claim: Claim, size: int) -> Result[Claim, Fault]:
+        """Change the size of a granted claim, if there is memory for it."""
+        refusal = self.budget.try_resize(claim, size, self._clock())
+        if refusal is not None:
+            return Failure(_no_memory_fault(refusal))
+        return Success(claim)
+
     def release(self, claim: Claim) -> None:
         """End a claim."""
         self.budget.release(claim, self._clock())
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -95,6 +95,7 @@
             clock=lambda: self.now,
             metrics=None,
             memory=None,
+            state_memory=None,
         )
         self.explainer = Explainer(
             self.gateway,
