--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -46,6 +46,7 @@
 from .platform.readiness import ReadinessServer
 from .policy.homes import Candidate, hubs_per_domain
 from .policy.isolation import is_cut_off
+from .policy.memory_budget import budget_bytes, state_bytes
 from .policy.quota import RateTolerance
 from .proxies.envelope import Codec
 from .proxies.link import LinkServer
@@ -56,6 +57,7 @@
 from .serving.explainer import Explainer
 from .serving.gateway import Gateway
 from .serving.homes import Homes
+from .serving.memory import Memory
 from .serving.operation import Ticket
 from .serving.reading import Reader
 from .serving.server_health import ServerHealth
@@ -95,6 +97,7 @@
         rng = rng or random.Random()
         self.cfg = cfg
         self.registry = CollectorRegistry()
+        self.memory = Memory(budget_bytes(cfg.memory_bytes), boot_time)
         self.servers = Servers(
             WireConnector(),
             boot_time,
@@ -181,6 +184,7 @@
             has_majority=lambda: self.peers.has_majority,
             admission=self._admission,
             may_hedge=self._may_hedge,
+            memory=self.memory,
             primary_heard_s=self._promoter.primary_heard_s,
         )
         self._load_reports = LoadReports(
@@ -217,8 +221,10 @@
             admit=self._admit,
             clock=boot_time,
             metrics=StatementMetrics(self.registry),
+            memory=self.memory,
+            state_memory=Memory(state_bytes(cfg.memory_bytes), boot_time),
         )
-        self._listener = Listener(self.gateway.open)
+        self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
         explainer = Explainer(
             self.gateway,
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -25,9 +25,12 @@
     Read,
     Request,
     Rollback,
+    Unread,
     Write,
 )
+from .command import Answer
 from .executor import writes
+from .memory import Memory
 from .operation import (
     DEFAULT_RETRY_AFTER_S,
     Operation,
@@ -37,12 +40,15 @@
     refused_error,
 )
 from .reading import Reader
+from .session_state import StateMemory
 from .statement_metrics import StatementMetrics
 from .transactions import Transaction, TransactionRunner, abort_transaction
 from .writing import Writer
 
 OPEN_TIMEOUT_S = 1.8  # callers time out after 2 s
 MIN_STATEMENT_S = 0.2  # a healthy server normally answers within this time
+SMALL_ANSWER_BYTES = 16 * 1024  # sent without asking for memory
+ANSWER_COPIES = 2  # the rows and their encoding for the caller
 STOPPING_REASON = "this instance is stopping"
 ANONYMOUS_CUSTOMER = "-"  # the customer of callers without a key
 
@@ -63,6 +69,8 @@
             them; returns the seconds to wait if the operation exceeds them, else 0.
         clock: Returns the time in seconds.
         metrics: Records completed statements.
+        memory: The memory for large answers.
+        state_memory: The memory for the variables and prepared statements of sessions.
 
     Attributes:
         ends_transactions: Whether open transactions may only be ended any more.
@@ -79,6 +87,8 @@
         admit: Admit,
         clock: Callable[[], float],
         metrics: StatementMetrics,
+        memory: Memory,
+        state_memory: Memory,
     ) -> None:
         self._deployment = deployment
         self._deployed = deployed
@@ -88,6 +98,8 @@
         self.admit = admit
         self.clock = clock
         self.metrics = metrics
+        self.memory = memory
+        self.state_memory = state_memory
         self.sessions: set[CallerSession] = set()
         self.ends_transactions = False
         self._answers_until = float("inf")
@@ -210,6 +222,7 @@
         self.session = session
         self._gateway = gateway
         self._clock = gateway.clock
+        self._state_memory = StateMemory(gateway.state_memory, session)
 
     async def handle(self, req: Request) -> Reply:
         """Run one statement and return the reply."""
@@ -226,6 +239,7 @@
         """Roll back the open transaction after the caller has disconnected."""
         self.session.is_disconnected = True
         self._gateway.sessions.discard(self)
+        self._state_memory.release()
         tx = self.session.transaction
         if tx is not None and not tx.is_busy:
             abort_transaction(
@@ -270,6 +284,9 @@
                 return self._begin(req.id, read_only)
             case Read() | Write() | Execute():
                 return await self._run(req.id, statement)
+        reserved = self._state_memory.reserve(statement)
+        if not isinstance(reserved, Success):
+            raise FaultError(reserved.failure())
         _change_session(statement, session)
         return Reply(session.state)
 
@@ -333,11 +350,27 @@
         if not writes(session, statement):
             assert not isinstance(statement, Write)
             answer = await self._gateway.reader.run(op, statement)
-        else:
-            assert not isinstance(statement, Read)
-            answer = await self._gateway.writer.run(op, statement)
+            return self._read_reply(answer, customer)
+        assert not isinstance(statement, Read)
+        answer = await self._gateway.writer.run(op, statement)
         return Reply(session.state, answer.rows, answer.signature)
 
+    def _read_reply(self, answer: Answer, customer: str) -> Reply:
+        """Build the reply to a read, if there is memory for it.
+
+        Raises:
+            FaultError: Large rows could not be held until the caller has received them.
+        """
+        size = sum(map(len, answer.rows))
+        claim = None
+        if size > SMALL_ANSWER_BYTES:
+            claimed = self._gateway.memory.try_claim(customer, ANSWER_COPIES * size)
+            if not isinstance(claimed, Success):
+                raise FaultError(claimed.failure())
+            claim = claimed.unwrap()
+        state = self.session.state
+        return Reply(state, answer.rows, answer.signature, claim=claim)
+
     async def _run_in(
         self, tx: Transaction, request_id: str, statement: Read | Write | Execute
     ) -> Reply:
@@ -358,6 +391,8 @@
             tx.is_busy = False
             tx.used_at = self._clock()
             self._roll_back_if_disconnected(tx)
+        if not writes(session, statement):
+            return self._read_reply(answer, tx.customer)
         return Reply(session.state, answer.rows, answer.signature)
 
     async def _commit(self, request_id: str) -> Reply:
@@ -466,6 +501,11 @@
     raise FaultError(Fault(Code.BAD_REQUEST, statement.reason, Step.PARSE))
 
 
+@_change_session.register
+def _(statement: Unread, session: Session) -> None:
+    raise FaultError(statement.fault)
+
+
 def _unknown_database_fault() -> Fault:
     return Fault(Code.GROUP_UNKNOWN, "no route has this database", Step.ROUTE)
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -26,6 +26,7 @@
     RemoteLease,
     SessionContext,
 )
+from mangoramp.serving.memory import Memory
 from mangoramp.serving.operation import Ticket
 from mangoramp.serving.pinned_leases import PIN_TIMEOUT_S
 from mangoramp.serving.pins import Pins
@@ -120,6 +121,7 @@
             self.servers,
             admit=lambda customer, request_id: 0.0,
             admission=AdmissionControl(self.servers),
+            memory=Memory(2**20, time.monotonic),
             may_hedge=lambda customer: True,
             find_detour=lambda customer, group, server_id: "",
         )
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import time
 
 import pytest
 from returns.result import Success
@@ -8,7 +9,9 @@
 from tornado.tcpclient import TCPClient
 
 from mangoramp.control.settings import Bounds
+from mangoramp.platform import wire
 from mangoramp.platform.listener import Listener
+from mangoramp.serving.memory import Memory
 from mangoramp.sessions.reply import Reply, SessionState
 from mangoramp.standins._ports import HOST, free_ports
 
@@ -138,7 +141,8 @@
         async def open_session(database, key):
             return Success(session)
 
-        listener = Listener(open_session)
+        memory = Memory(64 * wire.MAX_MESSAGE_BYTES, time.monotonic)
+        listener = Listener(open_session, memory)
         address = (HOST, *free_ports(1))
         listener.listen(address)
         caller = Caller(await TCPClient().connect(*address))
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -94,6 +94,8 @@
             admit=None,
             clock=lambda: self.now,
             metrics=None,
+            memory=None,
+            state_memory=None,
         )
         self.explainer = Explainer(
             self.gateway,
