Judge commits without writes, signatures and prepared names in the soak of restarts

The check compared what was committed with who asked for it, so that a stranger's COMMIT of a transaction that only read was not seen, and a commit that nobody sent ended the check with a KeyError. A DONE with the signature of another request, a prepared name that is unknown although its preparing was acknowledged, and a prepared statement that ran unprepared (or the other way round) passed too.

Change: the servers record each COMMIT with the transaction that it ended, and all of these are judged. No check is removed: the shape that ran is compared for every run.

Evidence: each case has a test in test_soak_checks.

--- a/mangoramp/standins/wire_group.py
+++ b/mangoramp/standins/wire_group.py
@@ -77,6 +77,21 @@
         return self.transaction > 0
 
 
+@dataclass(frozen=True, slots=True)
+class CommitRequest:
+    """A COMMIT that a server got.
+
+    Attributes:
+        server: The id of the server.
+        request_id: The id of the request.
+        transaction: The number of the transaction that it ended, 0 for none.
+    """
+
+    server: str
+    request_id: str
+    transaction: int
+
+
 _transaction_numbers = itertools.count(1)
 
 
@@ -91,6 +106,7 @@
         log: The current commits.
         all_commits: All commits, including those discarded by a promotion.
         runs: All executed statements.
+        commit_requests: All requests to commit, also those that had nothing to write.
     """
 
     def __init__(self, name: str, server_ids: tuple[str, ...]) -> None:
@@ -99,6 +115,7 @@
         self.log: list[LogEntry] = []
         self.all_commits: list[LogEntry] = []
         self.runs: list[Run] = []
+        self.commit_requests: list[CommitRequest] = []
         self.servers = {i: WireServer(self, i) for i in server_ids}
         self.primary = server_ids[0]
 
@@ -364,6 +381,12 @@
         return Answer(self._state, self._server.visible_position, (row,))
 
     def _run_commit(self, request_id: str) -> Answer:
+        is_open = self._state is SessionState.IN_TRANSACTION
+        self._group.commit_requests.append(
+            CommitRequest(
+                self._server.id, request_id, self._transaction if is_open else 0
+            )
+        )
         self._state = SessionState.IDLE
         if self._pending_writes:
             self._group.commit(tuple(self._pending_writes), request_id)
--- a/tests/soak_attempts.py
+++ b/tests/soak_attempts.py
@@ -16,9 +16,11 @@
         values: The session variables that were acknowledged to the caller.
         shape: The text of the shape that the caller prepared.
         sent: The item and data of each statement that was sent, by request id.
+        executed: The ids of the requests that run the prepared statement.
         commit_id: The id of the request that asked for the commit, empty for none.
         promise: The answer that promised that nothing is kept, empty for none.
         acknowledged: The items whose write or commit was acknowledged.
+        wrong_answers: The answers that broke a rule, as ``RULE: text``.
     """
 
     customer: str
@@ -27,15 +29,22 @@
     values: dict = field(default_factory=dict)
     shape: str = ""
     sent: dict = field(default_factory=dict)
+    executed: set = field(default_factory=set)
     commit_id: str = ""
     promise: str = ""
     acknowledged: tuple = ()
+    wrong_answers: list = field(default_factory=list)
 
-    def record_answer(self, answer):
-        """Record the first line of a reply."""
+    def record_answer(self, answer, request_id=""):
+        """Record the line of a reply that tells the outcome."""
         word, code, *_ = f"{answer} ".split(" ")
         if word == "ERR" and code in NOT_RUN_CODES:
             self.promise = code
+        if word == "ERR" and code == "NOSTMT" and request_id in self.executed:
+            self.wrong_answers.append(f"PINNED: {request_id}: its name is unknown")
+        is_signed = request_id in self.sent or request_id == self.commit_id
+        if word == "DONE" and request_id and is_signed and code != f"sig.{request_id}":
+            self.wrong_answers.append(f"MIXED: {request_id} was told {answer!r}")
 
 
 def attempt_of(request_id):
@@ -62,7 +71,9 @@
         return [
             *self._check_runs(),
             *self._check_transactions(),
+            *self._check_commit_requests(),
             *self._check_commits(),
+            *(text for a in self.attempts.values() for text in a.wrong_answers),
         ]
 
     def _all_runs(self):
@@ -85,8 +96,10 @@
                 yield f"PINNED: {where}: in transaction {run.transaction}"
             if dict(run.values) != attempt.values:
                 yield f"PINNED: {where}: ran with the values {dict(run.values)}"
-            if run.shape is not None and run.shape.text != attempt.shape:
-                yield f"PINNED: {where}: ran the shape {run.shape.text}"
+            shape = attempt.shape if run.request_id in attempt.executed else None
+            ran = run.shape.text if run.shape is not None else None
+            if ran != shape:
+                yield f"PINNED: {where}: ran the shape {ran} in place of {shape}"
 
     def _check_transactions(self):
         attempts, transactions = {}, {}
@@ -102,6 +115,29 @@
             if len(numbers) > 1:
                 yield f"PINNED: {name} ran in the transactions {sorted(numbers)}"
 
+    def _check_commit_requests(self):
+        """Check also the transactions that wrote nothing."""
+        names = {}
+        for _, run in self._all_runs():
+            if run.in_transaction:
+                name = attempt_of(run.request_id)
+                names.setdefault(run.transaction, set()).add(name)
+        for group in self.groups:
+            for req in group.commit_requests:
+                where = f"{req.request_id} at {req.server}"
+                attempt = self.attempts.get(attempt_of(req.request_id))
+                if attempt is None or req.request_id != attempt.commit_id:
+                    yield f"UNASKED: {where}: nobody asked for this commit"
+                elif group.name != attempt.group:
+                    yield f"ROUTE: {where}: belongs to {attempt.group}"
+                if not req.transaction:
+                    yield f"PINNED: {where}: committed outside a transaction"
+                others = names.get(req.transaction, set()) - {
+                    attempt_of(req.request_id)
+                }
+                if others:
+                    yield f"UNASKED: {where}: ended the one of {sorted(others)}"
+
     def _check_commits(self):
         counts = {}
         for group in self.groups:
@@ -118,7 +154,10 @@
                     yield f"LOST: {item} of {name} was acknowledged, never committed"
 
     def _check_commit(self, item, commit):
-        attempt = self.attempts[attempt_of(item)]
+        attempt = self.attempts.get(attempt_of(item))
+        if attempt is None:
+            yield f"UNASKED: {item} was committed, nobody sent it"
+            return
         if attempt.promise:
             yield f"REFUSED: {item}, told {attempt.promise}, is committed"
         is_own = attempt_of(commit.request_id) == attempt_of(item)
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -334,6 +334,8 @@
         if kind == "execute" and not self._shape:
             kind = "write"
         attempt.sent[request_id] = name if kind == "read" else f"{request_id} 1"
+        if kind == "execute":
+            attempt.executed.add(request_id)
         text = {
             "read": f"READ {name}",
             "write": f"WRITE {request_id} 1",
@@ -345,7 +347,7 @@
         await self._caller.send(text, request_id)
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             reply = await self._caller.read_reply()
-        attempt.record_answer(reply[-2])
+        attempt.record_answer(reply[-2], request_id)
         return reply[-2]
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mangoramp.sessions.statement import Shape
-from mangoramp.standins.wire_group import Run, WireGroup
+from mangoramp.standins.wire_group import CommitRequest, Run, WireGroup
 
 from .soak_attempts import Attempt, AttemptChecker
 from .soak_cold import LIMIT, ColdSpell, Disturbances
@@ -161,6 +161,49 @@
         found = world.checker.find_violations()
         assert [v.partition(":")[0] for v in found] == ["PINNED", "PINNED"]
 
+    def test_finds_a_prepared_statement_that_ran_unprepared(self, world):
+        world.checker.attempts["a"].executed.add("a.0")
+        world.checker.attempts["a"].shape = "shape-a"
+        world.group.runs.append(world.run("a.0", shape=Shape(True, "shape-a")))
+        assert not self.rules(world)
+        world.group.runs.append(world.run("a.0"))
+        assert self.rules(world) == ["PINNED"]
+
+    def test_finds_a_prepared_name_that_is_unknown(self, world):
+        found = world.checker.attempts["a"]
+        found.record_answer("ERR NOSTMT p", "a.0")
+        assert not self.rules(world)
+        found.executed.add("a.0")
+        found.record_answer("ERR NOSTMT p", "a.0")
+        assert self.rules(world) == ["PINNED"]
+
+    def test_finds_the_signature_of_another_request(self, world):
+        found = world.checker.attempts["a"]
+        found.record_answer("DONE -", "a.b")
+        found.record_answer("DONE sig.a.0", "a.0")
+        found.record_answer("DONE sig.a.c", "a.c")
+        assert not self.rules(world)
+        found.record_answer("DONE sig.a.0", "a.c")
+        assert self.rules(world) == ["MIXED"]
+
+    @pytest.mark.parametrize("request_id", ["b.c", "b.0", "x.c"])
+    def test_finds_a_commit_of_a_transaction_that_only_reads(self, world, request_id):
+        world.group.runs.append(world.run("a.0"))
+        world.group.commit_requests.append(CommitRequest("s1", "a.c", 1))
+        assert not self.rules(world)
+        world.group.commit_requests.append(CommitRequest("s1", request_id, 1))
+        assert self.rules(world) == ["UNASKED"]
+
+    def test_finds_a_commit_outside_a_transaction_or_at_another_group(self, world):
+        world.group.commit_requests.append(CommitRequest("s1", "a.c", 0))
+        assert self.rules(world) == ["PINNED"]
+        world.other.commit_requests.append(CommitRequest("t1", "a.c", 1))
+        assert self.rules(world) == ["PINNED", "ROUTE"]
+
+    def test_finds_a_commit_of_what_nobody_sent(self, world):
+        world.group.commit((("x.0", "1"),), "x.c")
+        assert self.rules(world) == ["UNASKED"]
+
     def test_finds_a_statement_at_another_group(self, world):
         world.other.runs.append(world.run("a.0"))
         assert self.rules(world) == ["ROUTE"]
