Answer a call whose link is closed just after its request was sent

The log has "request handler failed: 'NoneType' object is not subscriptable".

Cause: after several unanswered calls to a home, the link to it is closed for all calls. For one whose request pynng has sent, but whose task has not resumed, the wait for the answer starts on a closed context. pynng then fails with a TypeError and not with Closed, so that no path of retries handled it, and the session ended with its connection.

At front-luzon-c-1, SIGTERM at 21.012 s, calls to the home front-luzon-a-1 failed at 23.731, 23.746 and 23.749 s, the link was closed, and at 23.754 s a statement ended with the error; in a machine that is overloaded, the loop is late often enough. The new test closes a link in this moment and failed on the former code, three times of three, with the same error.

Change: an exchange checks that its context is still open before it waits for the answer; the call fails as lost, with its outcome unknown.

Other paths: the server's side of a link receives without a pause between its context and the wait, and its handlers are cancelled with the contexts; calls that wait for a connection or an answer get pynng's own error. The HTTP interface uses the same link.

--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -175,6 +175,7 @@
         ctx = self._contexts.acquire()
         with self._contexts.releasing(ctx):
             await ctx.asend(data)
+            self._contexts.check_open(ctx)
             return self._codec.decode(await ctx.arecv())
 
     async def _wait_connected(self, timeout_s: float) -> bool:
@@ -236,6 +237,15 @@
         else:
             self._close(ctx)
 
+    def check_open(self, ctx: pynng.Context) -> None:
+        """Check that a context was not closed while its exchange awaited something.
+
+        Raises:
+            pynng.Closed: It was closed; pynng would fail with a ``TypeError``.
+        """
+        if ctx not in self._all:
+            raise pynng.Closed("the link was closed", pynng.lib.NNG_ECLOSED)
+
     def close(self) -> None:
         """Close all contexts, which ends pending exchanges.
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+import time
 
 import pynng
 import pytest
@@ -106,6 +107,30 @@
         await asyncio.wait({serving, serving_again}, timeout=1)
 
 
+class TestClosedLink:
+    async def test_answers_a_call_whose_request_was_just_sent(self):
+        """Guards against an error of pynng that ends the session of the caller."""
+        address = f"tcp://127.0.0.1:{free_ports(1)[0]}"
+
+        async def never_answer(req):
+            await asyncio.sleep(60)
+
+        server = LinkServer(address, never_answer, PROXY_CODEC)
+        serving = asyncio.ensure_future(server.run())
+        to_peer = Link("p1", address, PROXY_CODEC)
+        while not to_peer.is_connected:
+            await asyncio.sleep(0.005)
+        call = asyncio.ensure_future(to_peer.call(write("1"), timeout_s=2.0))
+        await asyncio.sleep(0)
+        time.sleep(0.1)  # nng sends the request, which the event loop does not notice
+        to_peer.close()
+        fault = (await call).failure()
+        assert fault.code is Code.CONNECTION_LOST
+        assert fault.outcome is Outcome.UNKNOWN
+        server.close()
+        await asyncio.wait({serving}, timeout=1)
+
+
 class TestBursts:
     async def test_lose_no_message(self):
         for _ in range(20):
