Answer a statement whose handling failed before its session ends

Cause: the listener logged an unhandled exception and closed the connection. The HTTP interface answers "internal", outcome unknown, in the same case.

Change: the listener answers ERR FAILED and the state, or ERR alone to START, before it closes the connection.

Ruled out: keeping the session open (its state is unknown after a bug). Other paths: a handler of a link that fails sends no answer, and the calling instance waits until its timeout, then retries or answers; that is unchanged.

--- a/mangoramp/platform/listener.py
+++ b/mangoramp/platform/listener.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from returns.result import Result, Success
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import (
+    IOStream,
+    StreamBufferFullError,
+    StreamClosedError,
+    UnsatisfiableReadError,
+)
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from ..control.settings import Address
-from ..errors import Code, Fault, Step
+from ..errors import Code, Fault, Outcome, Step
 from ..events import HANDLER_FAILED, emit
-from ..sessions.reply import Reply
+from ..sessions.reply import Reply, SessionState
 from ..sessions.statement import Request
 from . import wire
 from ._socket import enable_keepalive
@@ -135,6 +141,7 @@
         except Exception as exc:
             # A bug in this process ends only the session that hit it.
             emit(HANDLER_FAILED, reason=repr(exc))
+            self._write_internal_fault()
         finally:
             self._stream.close()
 
@@ -209,6 +216,21 @@
         if not self._stream.closed():
             self._stream.write(wire.encode_error(fault))
 
+    def _write_internal_fault(self) -> None:
+        fault = Fault(
+            Code.INTERNAL,
+            "this instance failed; the outcome is unknown",
+            Step.RUN,
+            outcome=Outcome.UNKNOWN,
+        )
+        with contextlib.suppress(StreamClosedError, StreamBufferFullError):
+            if self._session is None:
+                self._write_fault(fault)
+                return
+            has_ended = not self._holds_transaction
+            state = SessionState.IDLE if has_ended else SessionState.FAILED
+            self._stream.write(wire.encode_reply(Reply(state, fault=fault)))
+
     def _on_close(self) -> None:
         if self._session is not None:
             self._session.on_disconnect()
