Charge an operation that a stopping home did not charge

What callers could get: more operations than a customer's limit, while a home stops.

Cause: a home that stops, or has no capacity for a hedged read, refuses a batch before it charges the operation. The caller's instance took each answer but "over the limit" as a sign that it was charged, and the next home runs a charged operation without charging it: state at another process that the answer did not tell apart.

Evidence: TestStoppingHome fails on the former code: the ticket is admitted.

Change: "not sent" tells whether the operation was charged, by default yes. It is a new field at the end; the former build ignores it, and its answers read as before.

Not measured: how many operations it is; the instances choose another home soon after one has told that it drains.

--- a/mangoramp/serving/batches.py
+++ b/mangoramp/serving/batches.py
@@ -133,10 +133,12 @@
         load: The home's load at the group's servers, None if it does not report it.
         reachable_from: The home that reaches a server which this one does not, empty
             if none is known.
+        is_charged: Whether the operation has been charged to the customer's limits.
     """
 
     load: LoadHint | None = None
     reachable_from: str = ""
+    is_charged: bool = True
 
 
 class BatchOverRate(Envelope, frozen=True, array_like=True):
--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -96,7 +96,9 @@
         if not isinstance(message, RunBatch):
             return BatchNotSent(reason="this message asks for nothing")
         if self._is_ending and not _ends_transaction(message):
-            return BatchNotSent(reason="this home is stopping")
+            return BatchNotSent(
+                reason="this home is stopping", is_charged=not message.ticket
+            )
         self._running += 1
         try:
             return await self._run(message)
@@ -106,7 +108,9 @@
     async def _run(self, message: RunBatch) -> BatchMessage:
         started = self._clock()
         if message.is_hedge and not self._has_room_to_hedge(message):
-            return BatchNotSent(reason="no capacity for a hedged read")
+            return BatchNotSent(
+                reason="no capacity for a hedged read", is_charged=not message.ticket
+            )
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -361,7 +361,8 @@
         answer = result.unwrap()
         if isinstance(answer, BatchOverRate):
             raise over_rate_error(answer.wait_s)
-        self.ticket.is_admitted = True
+        if not isinstance(answer, BatchNotSent) or answer.is_charged:
+            self.ticket.is_admitted = True
         if isinstance(answer, BatchNotSent):
             if not answer.is_reachable and not answer.reachable_from:
                 raise ServerUnreachableError(answer.reason)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
@@ -8,11 +9,13 @@
 from mangoramp.control.group import Server
 from mangoramp.errors import Code, Fault, Outcome, Step
 from mangoramp.policy.revision import Revision
+from mangoramp.proxies.envelope import Envelope
 from mangoramp.serving.admission import AdmissionControl
-from mangoramp.serving.batches import BatchRun, DropPinned, RunBatch
+from mangoramp.serving.batches import BatchNotSent, BatchRun, DropPinned, RunBatch
 from mangoramp.serving.command import (
     Answer,
     ConnectionContext,
+    NotSentError,
     OpenTransaction,
     Refusal,
     RollBack,
@@ -134,6 +137,12 @@
         )
         return await self.batches.answer(message)
 
+    async def call(self, home, message, *, timeout_s):
+        return Success(await self.batches.answer(message))
+
+    def connection_id(self, home):
+        return 1
+
 
 class TestHomeBatches:
     async def test_keep_a_transaction_whose_batch_has_no_commands(self):
@@ -159,6 +168,40 @@
         assert world.batches.is_idle
 
 
+class FormerNotSent(Envelope, frozen=True, array_like=True, tag="BatchNotSent"):
+    reason: str
+    is_reachable: bool = True
+    wait_s: float = 0.0
+
+
+class FormerNotSentTail(FormerNotSent, frozen=True, array_like=True, kw_only=True):
+    load: None = None
+    reachable_from: str = ""
+
+
+class TestStoppingHome:
+    async def test_is_asked_for_nothing_that_is_then_not_charged(self):
+        """Guards against operations beyond a customer's limits while a home stops."""
+        world = World()
+        world.batches.end_transactions()
+        ticket = Ticket("r1")
+        lease = RemoteLease(
+            Server(ENDPOINT), "h", "c", world, urgency=SOON, ticket=ticket
+        )
+        with pytest.raises(NotSentError, match="stopping"):
+            await lease.run(EMPTY, (WRITE,), timeout_s=1.0)
+        assert not ticket.is_admitted
+
+    def test_its_answer_can_be_read_in_both_builds(self):
+        former = FormerNotSentTail("r", False, 1.0, reachable_from="h", id=3)
+        read = msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=BatchNotSent)
+        assert read == BatchNotSent("r", False, 1.0, reachable_from="h", id=3)
+        assert read.is_charged
+        new = BatchNotSent("r", False, 1.0, reachable_from="h", is_charged=False, id=3)
+        data = msgspec.msgpack.encode(new)
+        assert msgspec.msgpack.decode(data, type=FormerNotSentTail) == former
+
+
 class TestFailedRollback:
     async def test_leaves_no_transaction_for_the_next_statement(self, monkeypatch):
         """Guards against a write that is acknowledged and never committed."""
