--- a/mangoramp/platform/wire.py
+++ b/mangoramp/platform/wire.py
@@ -230,6 +230,8 @@
 
 def _error_line(fault: Fault) -> str:
     text = fault.message.replace("\r", " ").replace("\n", " ")
+    # Other instances and servers are named as the store and the peers spell them.
+    text = text.encode(ENCODING, "replace").decode(ENCODING)
     if fault.retry_after_s is not None:
         text = f"{text}; retry after {round(fault.retry_after_s * 1000)} ms"
     return f"ERR {error_word(fault)} {text}"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -94,6 +94,16 @@
         raw = wire.encode_reply(Reply(SessionState.IDLE, fault=fault))
         assert raw == b"ERR BUSY full  x; retry after 250 ms\r\nREADY I -\r\n"
 
+    @pytest.mark.parametrize("name", ["kad\u0131k\u00f6y", "\udc80"])
+    def test_a_refusal_may_name_an_instance_in_any_script(self, name):
+        """Guards against a promise that is never sent, as its text cannot be."""
+        fault = Fault(Code.TRANSACTION_ABORTED, f"the home {name}", Step.TRANSACTION)
+        replies = (
+            wire.encode_reply(Reply(SessionState.FAILED, fault=fault)),
+            wire.encode_error(fault),
+        )
+        assert all(raw.startswith(b"ERR ABORTED the home ") for raw in replies)
+
 
 class TestServers:
     @given(COMMANDS)
