--- a/mangoramp/serving/home_batches.py
+++ b/mangoramp/serving/home_batches.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from ..policy.memory_budget import Claim
 from ..proxies.envelope import Envelope
 from .admission import AdmissionControl
 from .batches import (
@@ -106,22 +107,15 @@
         if not isinstance(message, RunBatch):
             return BatchNotSent(reason="this message asks for nothing")
         if self._is_ending and not _ends_transaction(message):
-            return BatchNotSent(reason="this home is stopping")
+            return BatchNotSent(
+                reason="this home is stopping", is_charged=not message.ticket
+            )
         refused = self._refuse(message)
         if refused is not None:
             return refused
-        claim = None
-        size = statement_bytes(message.commands)
-        if message.values:
-            size += sum(map(len, message.values.values()))
-        if size > SMALL_STATEMENT_BYTES:
-            claimed = self._memory.try_claim(message.customer, COPIES * size)
-            if not isinstance(claimed, Success):
-                fault = claimed.failure()
-                return BatchNotSent(
-                    reason=fault.message, wait_s=fault.retry_after_s or 0.0
-                )
-            claim = claimed.unwrap()
+        claim = self._claim_memory(message)
+        if isinstance(claim, BatchNotSent):
+            return claim
         self._running += 1
         try:
             return await self._run(message)
@@ -130,10 +124,26 @@
             if claim is not None:
                 self._memory.release(claim)
 
+    def _claim_memory(self, message: RunBatch) -> Claim | BatchNotSent | None:
+        """Claim the memory for a batch, None for one that is small."""
+        size = statement_bytes(message.commands)
+        if message.values:
+            size += sum(map(len, message.values.values()))
+        if size <= SMALL_STATEMENT_BYTES:
+            return None
+        claimed = self._memory.try_claim(message.customer, COPIES * size)
+        if isinstance(claimed, Success):
+            claim: Claim = claimed.unwrap()
+            return claim
+        fault = claimed.failure()
+        return BatchNotSent(reason=fault.message, wait_s=fault.retry_after_s or 0.0)
+
     def _refuse(self, message: RunBatch) -> BatchMessage | None:
         """Charge a batch to its customer's limits, or return why it may not run."""
         if message.is_hedge and not self._has_room_to_hedge(message):
-            return BatchNotSent(reason="no capacity for a hedged read")
+            return BatchNotSent(
+                reason="no capacity for a hedged read", is_charged=not message.ticket
+            )
         if message.ticket:
             wait_s = self._admit(message.customer, message.ticket)
             if wait_s > 0:
