Run an attempt of a read with what the session had when it began

What callers could see: a read that ran with session values, or a prepared name with a shape, that they set after it had been answered (PINNED).

Cause: of two attempts of an overdue read the slower one goes on. If it still waits for the limit of a cold server, the session's values are read when it is sent, and the caller may have changed them.

Change: they are copied before that wait. An attempt that waits for a connection was dropped already once another one has answered.

Evidence: the new test fails on the former code (values "after"). Ruled out: sending the slower attempt without a context, as its connection would keep another session's.

Other paths: batches to homes copy the values when they are built; writes and statements of transactions have no second attempt.

Result: test_executor, test_transactions, test_session_state and test_lease pass.

--- a/mangoramp/serving/executor.py
+++ b/mangoramp/serving/executor.py
@@ -250,8 +250,9 @@
         if not self.may_send(lease):
             lease.discard()
             raise NotSentError(EVACUATED_REASON)
+        # Copied: if another attempt of a read wins meanwhile, the session goes on.
+        session_context = SessionContext(dict(session.values), dict(session.shapes))
         timeout_s = await lease.admit(commands, timeout_s=timeout_s)
-        session_context = SessionContext(session.values, session.shapes)
         with recording_outcome(server, self.clock, timeout_s) as outcome:
             answers = await lease.run(session_context, commands, timeout_s=timeout_s)
             outcome.answers = answers
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -20,7 +20,7 @@
 from mangoramp.serving.transactions import Transaction, TransactionRunner
 from mangoramp.sessions.reply import SessionState
 from mangoramp.sessions.session import Session
-from mangoramp.sessions.statement import Write
+from mangoramp.sessions.statement import Shape, Write
 
 COMMANDS = (RunFor("w1", Write("WRITE a 1")),)
 
@@ -46,7 +46,34 @@
     return Executor(Servers(None, lambda: 0.0))
 
 
+class WaitingLease(StubLease):
+    """A lease whose session goes on while a server's limit delays the commands."""
+
+    def __init__(self, session):
+        super().__init__(NotSentError("test"))
+        self.session = session
+
+    async def admit(self, commands, *, timeout_s):
+        self.session.values["who"] = "after"
+        self.session.shapes["p"] = Shape(True, "after")
+        return timeout_s
+
+    async def run(self, session_context, commands, *, timeout_s):
+        self.context = session_context
+        raise self.outcome
+
+
 class TestExecutor:
+    async def test_runs_with_what_the_session_had_before_a_wait(self):
+        """Guards against a losing attempt of a read that takes later session values."""
+        shape = Shape(False, "before")
+        session = Session("d", "", {"who": "before"}, {"p": shape})
+        lease = WaitingLease(session)
+        with pytest.raises(NotSentError):
+            await executor().run(lease, session, COMMANDS, timeout_s=1.0)
+        assert lease.context.values == {"who": "before"}
+        assert lease.context.shapes == {"p": shape}
+
     @pytest.mark.parametrize("timeout_s", [-0.01, 0.0, 0.001])
     async def test_sends_nothing_once_the_time_is_over(self, timeout_s):
         lease = StubLease(AnswerTimeoutError("late"))
