Split the run of a batch at a home into its parts

RemoteLease.run built the message, sent it, judged the answer and kept the handle in one function of 60 lines. The message and the handle have functions of their own; no behaviour changes.

--- a/mangoramp/serving/lease.py
+++ b/mangoramp/serving/lease.py
@@ -332,25 +332,7 @@
         if self._may_be_of_former_process(self.handle):
             self.handle = 0
             raise NotSentError(f"the home {self.home} was restarted or reconnected")
-        endpoint = self.server.endpoint
-        message = RunBatch(
-            server=endpoint.id,
-            group=endpoint.group,
-            customer=self.customer,
-            values=None if session_context is None else dict(session_context.values),
-            shapes={}
-            if session_context is None
-            else _executed_shapes(session_context, commands),
-            commands=commands,
-            timeout_s=timeout_s,
-            wait_s=self.urgency.timeout_s,
-            due_s=self.urgency.due_s,
-            priority=self.urgency.priority,
-            handle=self.handle,
-            ticket="" if self.ticket.is_admitted else self.ticket.request_id,
-            is_deferrable=self.urgency.is_deferrable,
-            is_hedge=self.ticket.is_hedge,
-        )
+        message = self._batch(session_context, commands, timeout_s)
         may_pin = any(isinstance(command, OpenTransaction) for command in commands)
         asked_over = self.home_client.connection_id(self.home) if may_pin else 0
         result = await self.home_client.call(
@@ -371,17 +353,57 @@
             self.handle = 0
             raise ConnectionLostError(answer.reason, answer.answers)
         assert isinstance(answer, BatchRun)
-        self.handle = answer.handle
-        self._last_handle = answer.handle or self._last_handle
-        if _is_of_former_build(self.handle):
-            self._pinned_over = asked_over or self._pinned_over
-            if not self._pinned_over or self._may_be_of_former_process(self.handle):
-                self.handle = 0
-                reason = f"the home {self.home} was restarted or reconnected meanwhile"
-                raise HomeLostError(reason)
+        self._accept_handle(answer.handle, asked_over)
         self.server_s = answer.server_s
         return answer.answers
 
+    def _batch(
+        self,
+        session_context: SessionContext | None,
+        commands: tuple[Command, ...],
+        timeout_s: float,
+    ) -> RunBatch:
+        endpoint = self.server.endpoint
+        return RunBatch(
+            server=endpoint.id,
+            group=endpoint.group,
+            customer=self.customer,
+            values=None if session_context is None else dict(session_context.values),
+            shapes={}
+            if session_context is None
+            else _executed_shapes(session_context, commands),
+            commands=commands,
+            timeout_s=timeout_s,
+            wait_s=self.urgency.timeout_s,
+            due_s=self.urgency.due_s,
+            priority=self.urgency.priority,
+            handle=self.handle,
+            ticket="" if self.ticket.is_admitted else self.ticket.request_id,
+            is_deferrable=self.urgency.is_deferrable,
+            is_hedge=self.ticket.is_hedge,
+        )
+
+    def _accept_handle(self, handle: int, asked_over: int) -> None:
+        """Keep the home's handle of the connection, 0 if none is pinned.
+
+        Args:
+            handle: The handle.
+            asked_over: The id of the link's connection before the batch that opened the
+                transaction, 0 for a later batch.
+
+        Raises:
+            HomeLostError: It is a former build's, and may be of an earlier process.
+        """
+        self.handle = handle
+        self._last_handle = handle or self._last_handle
+        if not _is_of_former_build(handle):
+            return
+        self._pinned_over = asked_over or self._pinned_over
+        if not self._pinned_over or self._may_be_of_former_process(handle):
+            self.handle = 0
+            reason = f"the home {self.home} was restarted or reconnected meanwhile"
+            raise HomeLostError(reason)
+
     def _may_be_of_former_process(self, handle: int) -> bool:
         """Return whether a restarted home may use a handle for another connection."""
         return (
