--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -160,6 +160,8 @@
     def _find_failures(self):
         """Return the failures that processes of this build have logged."""
         for path in self.folder.glob("*.log"):
+            if path.name.endswith(".other-build.log"):
+                continue
             for line in path.read_text(errors="replace").splitlines():
                 event = _event_of(line)
                 if event.get("event") in FAILURE_EVENTS:
