--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -110,7 +110,7 @@
         *answers, last = await asyncio.to_thread(results.get, timeout=ANSWER_TIMEOUT_S)
     finally:
         callers.kill()
-    assert last == b"DONE -"
+    assert last == b"DONE -", answers[0]
     return answers
 
 
