--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -43,6 +43,7 @@
 READY_TIMEOUT_S = 20.0
 RECOVERY_S = 10.0  # from the last fault until each instance serves again
 OPEN_TIMEOUT_S = 2.0
+HOME_PART = 0.8  # of the faults strike a home
 MAX_PRINTED = 20  # violations of one run
 # Instances, and connections that each server accepts: one home, and two.
 FLEETS = ((4, 6), (6, 12))
@@ -213,8 +214,8 @@
             if process.log_path.exists():
                 homes |= _latest_homes(process.log_path)
         found = [p for p in self.processes if p.name in homes]
-        return self.rng.choice(found if found and self.rng.random() < 0.8 else
-                               self.processes)  # fmt: skip
+        is_home = found and self.rng.random() < HOME_PART
+        return self.rng.choice(found if is_home else self.processes)
 
     def restart(self, process):
         """Start a process that has ended, of any of the builds."""
@@ -298,8 +299,8 @@
     async def _transact(self, name, rng):
         attempt = self._begin(name, in_transaction=True)
         read_only = rng.random() < 0.2
-        begin = await self._ask(attempt, f"{name}.b", "BEGIN READ" if read_only else
-                                "BEGIN")  # fmt: skip
+        text = "BEGIN READ" if read_only else "BEGIN"
+        begin = await self._ask(attempt, f"{name}.b", text)
         if not begin.startswith("DONE"):
             return
         items = []
