--- a/mangoramp/control/news.py
+++ b/mangoramp/control/news.py
@@ -337,13 +337,24 @@
             evacuations_at=self.evacuations_at,
             reads_packed=True,
         )
-        result = await self._fetch(peer, req, self._timeout_s)
+        asked_at, limit_s = self._peers.now, self._timeout_s
+        missing = self._missing_from(peer)
+        result = await self._fetch(peer, req, limit_s)
+        waited_s = round(self._peers.now - asked_at, 3)
         if not isinstance(result, Success):
             self._excluded_peers.add(peer)
             # An answer that comes too late uses the link all the same; asking again as
             # soon would keep a slow link full.
             self._timeout_s = min(MAX_FETCH_TIMEOUT_S, 2 * self._timeout_s)
-            emit(NEWS_FAILED, peer=peer, reason=result.failure().message)
+            emit(
+                NEWS_FAILED,
+                peer=peer,
+                reason=result.failure().message,
+                missing=missing,
+                version=cluster_state.version,
+                waited_s=waited_s,
+                limit_s=limit_s,
+            )
             return
         news: News = result.unwrap()
         emit(
@@ -352,9 +363,11 @@
             revision=news.revision,
             configuration=news.has_deployment,
             endpoints=len(news.endpoints),
+            missing=missing,
+            waited_s=waited_s,
         )
         self._timeout_s = FETCH_TIMEOUT_S
-        self._apply(news)
+        self._apply(news, peer)
         self._has_fetched = True
         self._fetched_at = self._peers.now
         self._refreshed_from.add(peer)
@@ -362,7 +375,12 @@
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
         self.on_fetched()
 
-    def _apply(self, news: News) -> None:
+    def _missing_from(self, name: str) -> tuple[str, ...]:
+        """Return what a peer is known to have more of, for the log."""
+        peer = self._peers.peers.get(name)
+        return self._known().missing(peer.report) if peer is not None else ()
+
+    def _apply(self, news: News, source: str = "peer") -> None:
         self._cluster_state.record_departed(news.departed)
         unusable = set()
         for entry in news.endpoints:
@@ -381,7 +399,7 @@
             deployment = unpack_deployment(news.packed_deployment)
         if deployment is not None:
             self._cluster_state.apply_deployment(
-                deployment, Revision(news.era, news.revision)
+                deployment, Revision(news.era, news.revision), source=source
             )
         if self._evacuations.is_enabled and news.evacuations_at is not None:
             self._evacuations.apply_news(
--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from ..decoding import MAX_INTEGER
 from ..policy.hubs import HubFields
 from ..policy.revision import Revision
 
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """The status of one instance.
@@ -34,6 +38,8 @@
         evacuations_at: Era and number of the newest revision of the evacuations that it
             knows, None if it knows none.
         is_isolated: Whether it hears no other failure domain any more.
+        confirmed_ms: Milliseconds since its configuration was known to be the newest,
+            None if it never was, and in reports of former builds.
     """
 
     name: str
@@ -53,6 +59,7 @@
     hub: HubFields | None = None
     evacuations_at: tuple[int, int] | None = None
     is_isolated: bool = False
+    confirmed_ms: _Milliseconds | None = None
 
     @property
     def registry_at(self) -> Revision:
@@ -80,15 +87,22 @@
 
     def is_behind(self, report: Report) -> bool:
         """Return whether the sender of a report knows more."""
+        return bool(self.missing(report))
+
+    def is_behind_on_configuration(self, report: Report) -> bool:
+        """Return whether the sender of a report has a newer configuration in force."""
         if report.version:
-            has_newer_version = report.version > self.version
-        else:  # a former build, which reports no version
-            has_newer_version = report.revision > self.revision
-        return (
-            has_newer_version
-            or report.registry_at > self.registry
-            or self._is_behind_on_evacuations(report)
-        )
+            return report.version > self.version
+        return report.revision > self.revision  # a former build reports no version
+
+    def missing(self, report: Report) -> tuple[str, ...]:
+        """Return the names of what the sender of a report knows more of."""
+        parts = {
+            "configuration": self.is_behind_on_configuration(report),
+            "registry": report.registry_at > self.registry,
+            "evacuations": self._is_behind_on_evacuations(report),
+        }
+        return tuple(name for name, is_missing in parts.items() if is_missing)
 
     def _is_behind_on_evacuations(self, report: Report) -> bool:
         if not self.follows_evacuations or report.evacuations_at is None:
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import fields, replace
@@ -223,6 +224,7 @@
             metrics=StatementMetrics(self.registry),
             memory=self.memory,
             state_memory=Memory(state_bytes(cfg.memory_bytes), boot_time),
+            confirmed_at=lambda: self.cluster_state.confirmed_at,
         )
         self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
@@ -397,11 +399,23 @@
                 self._listener.close_idle_connections()
 
     def _on_report(self, report: Report) -> None:
+        self._confirm_configuration(report)
         self._news_fetcher.on_report(report)
         self._check_caught_up()
         if report.is_isolated:
             self._path_prober.check()
 
+    def _confirm_configuration(self, report: Report) -> None:
+        """Take over a peer's proof that there was no newer configuration at a time."""
+        state = self.cluster_state
+        if report.confirmed_ms is not None and report.version <= state.version:
+            state.confirm(boot_time() - report.confirmed_ms / 1000)
+
+    @property
+    def _confirmed_ms(self) -> int | None:
+        unconfirmed_s = self.gateway.unconfirmed_s
+        return None if math.isinf(unconfirmed_s) else math.ceil(1000 * unconfirmed_s)
+
     def _check_caught_up(self) -> None:
         """Open to callers once no peer is known to have a newer configuration.
 
@@ -533,6 +547,7 @@
             era=self.cluster_state.registry_revision.era,
             evacuations_at=self._news_fetcher.evacuations_at,
             is_isolated=self.peers.is_isolated,
+            confirmed_ms=self._confirmed_ms,
         )
 
 
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -34,6 +34,11 @@
         yield _gauge("ready", "Whether it takes new callers", instance.is_ready)
         version = instance.gateway.version
         yield _gauge("configuration_version", "Version in force", version)
+        yield _gauge(
+            "configuration_unconfirmed_seconds",
+            "Seconds since the configuration was known to be the newest",
+            instance.gateway.unconfirmed_s,
+        )
         peers = instance.peers
         yield _gauge(
             "instances", "Instances that are known", len(peers.known_instances)
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -45,6 +45,9 @@
     def apply_deployment(self, deployment: Deployment, revision: Revision) -> None:
         """Apply a configuration."""
 
+    def confirm(self, as_of: float) -> None:
+        """Note that the configuration in force was the newest at a time, in seconds."""
+
     def apply_endpoint(self, endpoint: Endpoint, revision: Revision) -> None:
         """Apply a server's registry entry."""
 
@@ -222,6 +225,7 @@
                 log_unreadable(CONFIGURATION_KIND, found.name, found.version, exc)
                 continue
             self._receiver.apply_deployment(deployment, found.revision)
+        self._receiver.confirm(asked_at)
 
     def _apply_registry(
         self, changes: Changes[msgspec.Raw], since: int, asked_at: float
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -11,7 +11,13 @@
 from returns.result import Result, Success
 
 from ..errors import Fault
-from ..events import PLATFORM_LOST, PLATFORM_RECOVERED, emit
+from ..events import (
+    PLATFORM_LOST,
+    PLATFORM_RECOVERED,
+    WATCH_ENDED,
+    WATCH_STARTED,
+    emit,
+)
 from .client import Changes, PlatformClient
 
 T = TypeVar("T")
@@ -72,6 +78,7 @@
         self._retry_max_s = retry_max_s
         self._era = era
         self._is_needed = is_needed
+        self._is_watching = False
 
     @property
     def is_failing(self) -> bool:
@@ -82,6 +89,7 @@
         """Poll until cancelled."""
         while True:
             known = self._since()
+            self._log_role()
             if not self._is_enabled() and (known > 0 or not self._is_needed()):
                 self._failures = 0
                 if not await self._wait_for_request():
@@ -110,6 +118,12 @@
         """Poll at once, because peers know a newer revision than the current poll."""
         self._poll_requested.set()
 
+    def _log_role(self) -> None:
+        is_enabled = self._is_enabled()
+        if is_enabled != self._is_watching:
+            self._is_watching = is_enabled
+            emit(WATCH_STARTED if is_enabled else WATCH_ENDED, kind=self._kind)
+
     async def _wait_for_request(self) -> bool:
         try:
             async with asyncio.timeout(ENABLED_CHECK_INTERVAL_S):
--- a/mangoramp/standins/platform.py
+++ b/mangoramp/standins/platform.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import defaultdict
 from collections.abc import Awaitable
 from dataclasses import dataclass
@@ -72,12 +73,16 @@
         late_s: Delay of each answer, in seconds.
         lose_answers: Number of the next changes to make without sending an answer.
         forget: Answer watches from a revision below this one with 410.
+        refused_part: Part of the calls that is refused.
+        refusal: HTTP status of these refusals.
     """
 
     down: bool = False
     late_s: float = 0.0
     lose_answers: int = 0
     forget: int = 0
+    refused_part: float = 0.0
+    refusal: int = 429
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,8 +222,11 @@
         method = self.request.method or ""
         self.platform.calls[method] += 1
         await asyncio.sleep(self.platform.faults.late_s)
-        if self.platform.faults.down:
+        faults = self.platform.faults
+        if faults.down:
             self.send_error(503)
+        elif random.random() < faults.refused_part:
+            self.send_error(faults.refusal)
 
     def send_json(self, value: Any) -> None:
         """Send a value as JSON."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -357,9 +357,12 @@
         """Guards against instances of two builds that cannot hear each other."""
         report = Report("i", 1, 2, evacuations_at=(1, 2), is_isolated=True)
         fields = msgspec.to_builtins(report)
-        assert msgspec.convert(fields[:-2], Report).evacuations_at is None
-        assert msgspec.convert(fields[:-1], Report).evacuations_at == (1, 2)
-        assert not msgspec.convert(fields[:-1], Report).is_isolated
+        names = Report.__struct_fields__
+        before_both = fields[: names.index("evacuations_at")]
+        before_one = fields[: names.index("is_isolated")]
+        assert msgspec.convert(before_both, Report).evacuations_at is None
+        assert msgspec.convert(before_one, Report).evacuations_at == (1, 2)
+        assert not msgspec.convert(before_one, Report).is_isolated
         for message in (
             AskNews(1, 2, evacuations_at=(1, 2)),
             News(1, 2, None, (), frozenset(), True, evacuations=(("a", 1, 2, True),)),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -163,3 +163,19 @@
             receiver.peers.send()
         assert receiver.peers.is_watcher
         assert receiver.peers.is_preferred_watcher
+
+
+class TestConfirmation:
+    """How old the proof is that a configuration is the newest, in a report."""
+
+    def test_a_former_build_neither_sends_nor_expects_it(self):
+        fields = msgspec.to_builtins(Report("i", 1, 2, version=7, confirmed_ms=250))
+        former = fields[: Report.__struct_fields__.index("confirmed_ms")]
+        assert msgspec.convert(former, Report).confirmed_ms is None
+        data = msgspec.msgpack.encode(fields)
+        assert msgspec.msgpack.decode(data, type=Report).confirmed_ms == 250
+
+    def test_a_time_in_the_future_is_no_report(self):
+        receiver = ReceivingInstance()
+        receiver.receive(5, confirmed_ms=-1)
+        assert not receiver.peers.peers
