--- a/tests/relay.py
+++ b/tests/relay.py
@@ -25,6 +25,7 @@
         self.port = 0
         self._writers = set()
         self._tasks = set()
+        self._silent = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._relay_connection, HOST, 0)
@@ -34,6 +35,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_connections(self):
+        """Let the open connections carry nothing any more; new ones work."""
+        self._silent |= self._tasks
+
     def clear_faults(self):
         self.delay_s = 0.0
         self.dropped_directions = set()
@@ -52,7 +57,7 @@
             target_reader, target_writer = await asyncio.open_connection(
                 HOST, self.target()
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         pair = (writer, target_writer)
@@ -67,6 +72,7 @@
         for task in tasks:
             task.cancel()
             self._tasks.discard(task)
+            self._silent.discard(task)
         for side in pair:
             self._writers.discard(side)
             side.transport.abort()
@@ -77,7 +83,8 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 # After dropped data this direction stays silent until the close.
-                if direction in self.dropped_directions:
+                is_silent = asyncio.current_task() in self._silent
+                if is_silent or direction in self.dropped_directions:
                     await asyncio.Event().wait()
                 writer.write(data)
                 await writer.drain()
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -26,8 +26,8 @@
 address = "{host}:{promotion}"
 [bounds]
 grace_s = 3
-stable_window_ms = 1000
-config_apply_ms = 2000
+stable_window_ms = {settled_ms}
+config_apply_ms = {configuration_ms}
 evacuate_ms = 2000
 cold_overage = 1.5
 cold_slack = 5
@@ -54,6 +54,9 @@
             from the next start on.
     """
 
+    SETTLED_MS = 1000
+    CONFIGURATION_MS = 2000
+
     def __init__(
         self, folder, name, store, promotion, contracts, build=None, limits=""
     ):
@@ -87,19 +90,31 @@
                 promotion=promotion,
                 contracts=self._contracts,
                 limits=self._limits,
+                settled_ms=self.SETTLED_MS,
+                configuration_ms=self.CONFIGURATION_MS,
                 first="true" if self._start_count == 0 else "false",
             )
         )
         self._start_count += 1
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "mangoramp.serve"],
-                env=os.environ | {"MANGORAMP_BOOT": str(path)},
+                [sys.executable, *self._program],
+                env=os.environ | {"MANGORAMP_BOOT": str(path)} | self._environment,
                 cwd=self.build,
                 stdout=log,
                 stderr=log,
             )
 
+    @property
+    def _program(self):
+        """The arguments of the interpreter."""
+        return ("-m", "mangoramp.serve")
+
+    @property
+    def _environment(self):
+        """Variables of the process beside those of the test."""
+        return {}
+
     @property
     def log_path(self):
         """The log of the processes of its present build."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 import pytest
 
 from .soak import soak_once
+from .soak_configuration import soak_configuration_once
 from .soak_restarts import soak_restarts_once
 
 SECONDS = 5.0
@@ -29,3 +30,15 @@
         )
         assert not violations
         assert outcomes["DONE"]
+
+
+class TestConfigurationOfManyInstances:
+    """Guards against incident 47: confirmed routes that some instances refuse."""
+
+    @pytest.mark.timeout(180)
+    async def test_is_in_force_though_connections_fell_silent(self, tmp_path):
+        soak = await soak_configuration_once(
+            1, 2 * SECONDS, tmp_path, kinds=("silence_links",)
+        )
+        assert not soak.violations
+        assert soak.delays
