Ask several sources for a change, over new connections

Cause: an instance that does not watch the store asks the hub that reports more, over the one connection it has had all along. If that connection falls silent, as after a cut or behind a firewall that has lost track of it, each request waits out its limit of 0.5, 1, 2, then 4 s, on the same connection; nothing opened a new one, and nobody else was asked. Class of fault: a promise with a bound rests on one attempt at one neighbour whose failure takes longer than the bound.

An attempt goes on for up to 4 s, as a large configuration takes that long on a slow link, but after 0.5, 1, 2 and 4 s another source is asked beside it: other peers that know more, the other hubs, then the same peer over a new connection; the store after 1 s, again and again while behind, not once. Updates have links of their own, so that replacing one cuts no statement, and they do not wait behind statements. Only live peers count as newer. Reports carry the ages of the proofs of all three topics.

The same cause elsewhere: statements for homes (the link is reset when the home is suspected), beats of the HTTP interface (reset after a failed beat), watches of the store (a new connection for each poll, ended after its wait and 1 s): not affected. Registry and evacuations come by the same request: fixed with it.

--- a/mangoramp/control/cluster_state.py
+++ b/mangoramp/control/cluster_state.py
@@ -78,8 +78,6 @@
         deployment: The configuration in force, None until one is applied.
         revision: The store's revision of the configuration.
         registry_revision: The highest revision of any registry entry applied.
-        confirmed_at: The latest time, in seconds, at which the configuration in force
-            was known to be the newest; minus infinity if it never was.
         has_deployment: Set once a configuration is in force.
         has_registry: Set once a full list of the servers has been applied.
         on_deployment: Called when the configuration has changed.
@@ -90,7 +88,6 @@
         self.deployment: Deployment | None = None
         self.revision = NO_REVISION
         self.registry_revision = NO_REVISION
-        self.confirmed_at = float("-inf")
         self.has_deployment = asyncio.Event()
         self.has_registry = asyncio.Event()
         self.on_deployment: Callable[[], None] = lambda: None
@@ -113,11 +110,6 @@
         """The version of the configuration in force, 0 before the first one."""
         return self.deployment.version if self.deployment is not None else 0
 
-    def confirm(self, as_of: float) -> None:
-        """Note that the configuration in force was the newest at a time, in seconds."""
-        if self.deployment is not None:
-            self.confirmed_at = max(self.confirmed_at, as_of)
-
     def apply_deployment(
         self, deployment: Deployment, revision: Revision, *, source: str = "store"
     ) -> None:
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -26,7 +26,7 @@
     emit,
 )
 from ..policy import hubs
-from ..policy._rendezvous import rendezvous
+from ..policy._rendezvous import rendezvous_order
 from ..policy.hubs import HubFields, HubMembership, Listed, Member
 from ..policy.isolation import has_majority, is_isolated
 from ..policy.revision import Revision
@@ -230,9 +230,8 @@
         """The live instances that may replace a primary."""
         if self.is_flat:
             return self.live_instances
-        now = self._clock()
-        domains = {*self._rosters.live_domains(now), self._failure_domain}
-        return [m.name for d in domains for m in self._rosters.hubs(d, now)]
+        found = self._hubs_by_domain(self._clock())
+        return [name for members in found.values() for name in members]
 
     @property
     def source(self) -> str:
@@ -244,8 +243,8 @@
         self._rosters.hubs_per_domain = count
 
     def has_newer(self, known: KnownState) -> bool:
-        """Return whether any peer has reported more than is known here."""
-        return any(known.is_behind(peer.report) for peer in self.peers.values())
+        """Return whether a live peer has reported more than is known here."""
+        return bool(self.newer_peers(known))
 
     def knows_newer_registry(self, revision: Revision) -> bool:
         """Return whether a live peer has reported a registry newer than a revision."""
@@ -255,27 +254,46 @@
             for peer in self.peers.values()
         )
 
-    def choose_newer_peer(
-        self, known: KnownState, excluded: Collection[str]
-    ) -> str | None:
-        """Choose a live peer that has reported more, None if there is none.
+    def newer_peers(self, known: KnownState) -> list[str]:
+        """Return the live peers that have reported more, in the order to ask them.
 
-        Peers in this failure domain are preferred, and instances choose different
-        peers to spread the load.
+        Peers in this failure domain come first, and instances ask different peers to
+        spread the load.
 
         Args:
             known: What is known here.
-            excluded: Peers to exclude.
         """
-        candidates = [
-            name
+        oldest = self._clock() - self.liveness_timeout_s
+        found = {
+            name: peer
             for name, peer in self.peers.items()
-            if name not in excluded
-            and known.is_behind(peer.report)
-            and self._clock() - peer.last_report_at < self.liveness_timeout_s
+            if peer.last_report_at > oldest and known.is_behind(peer.report)
+        }
+        nearby = {name for name, peer in found.items() if self._is_nearby(peer)}
+        return [
+            *rendezvous_order(self._name, nearby),
+            *rendezvous_order(self._name, found.keys() - nearby),
+        ]
+
+    def other_sources(self) -> list[str]:
+        """Return the live peers that hear of changes first, in the order to ask them.
+
+        They need not have reported anything to this instance.
+        """
+        domain, now = self._failure_domain, self._clock()
+        members = self._flat_members(now) if self.is_flat else self._hubs_by_domain(now)
+        nearby = members.get(domain, {}).keys() - {self._name}
+        remote = {n for d, found in members.items() if d != domain for n in found}
+        return [
+            *rendezvous_order(self._name, nearby),
+            *rendezvous_order(self._name, remote),
         ]
-        nearby = [n for n in candidates if self._is_nearby(self.peers[n])]
-        return rendezvous(self._name, nearby or candidates)
+
+    def _hubs_by_domain(self, now: float) -> hubs.Domains:
+        return {
+            domain: {m.name: m for m in self._rosters.hubs(domain, now)}
+            for domain in {*self._rosters.live_domains(now), self._failure_domain}
+        }
 
     def last_report_at(self, name: str) -> float:
         """Return the time of a peer's last report, in seconds."""
--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -14,6 +14,20 @@
 _Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
+class Confirmed(msgspec.Struct, frozen=True, array_like=True):
+    """Milliseconds since the sender knew all changes of what it follows in the store.
+
+    Attributes:
+        configuration: The age for the configuration, None if it never did.
+        registry: The age for the server registry, None if it never did.
+        evacuations: The age for the evacuations, None if it never did.
+    """
+
+    configuration: _Milliseconds | None = None
+    registry: _Milliseconds | None = None
+    evacuations: _Milliseconds | None = None
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """The status of one instance.
 
@@ -38,8 +52,8 @@
         evacuations_at: Era and number of the newest revision of the evacuations that it
             knows, None if it knows none.
         is_isolated: Whether it hears no other failure domain any more.
-        confirmed_ms: Milliseconds since its configuration was known to be the newest,
-            None if it never was, and in reports of former builds.
+        confirmed: How long ago it knew all changes in the store; None in reports of
+            former builds.
     """
 
     name: str
@@ -59,7 +73,7 @@
     hub: HubFields | None = None
     evacuations_at: tuple[int, int] | None = None
     is_isolated: bool = False
-    confirmed_ms: _Milliseconds | None = None
+    confirmed: Confirmed | None = None
 
     @property
     def registry_at(self) -> Revision:
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import fields, replace
@@ -16,11 +15,13 @@
 
 from .clock import boot_time
 from .control.cluster_state import ClusterState
+from .control.confirmations import Confirmations, Topic
 from .control.evacuations import Evacuations
 from .control.instance_list import InstanceList
 from .control.limits import CustomerLimits
 from .control.load_reports import LoadReports
-from .control.news import AskNews, News, NewsFetcher, NewsMessage
+from .control.news import AskNews, News, NewsMessage
+from .control.news_fetcher import NewsFetcher
 from .control.path_prober import PathProber
 from .control.peers import Peers
 from .control.promoter import Promoter
@@ -131,6 +132,8 @@
         self._client = PlatformClient(cfg.store_url)
         self._promotion_client = PromotionClient(cfg.promotion_url)
         self._instance_list = InstanceList(cfg, self._client, self.peers, rng)
+        self.confirmations = Confirmations(boot_time)
+        peers_first_s = FIRST_START_PEERS_S if cfg.is_first_start else PEERS_FIRST_S
         self._feed = Feed(
             self._client,
             self.cluster_state,
@@ -140,7 +143,8 @@
             rng=rng,
             clock=boot_time,
             evacuations=self.evacuations if cfg.features.evacuation else None,
-            peers_first_s=FIRST_START_PEERS_S if cfg.is_first_start else PEERS_FIRST_S,
+            peers_first_s=peers_first_s,
+            confirm=self.confirmations.confirm,
         )
         self._promoter = Promoter(
             cfg.name,
@@ -161,6 +165,9 @@
             probe_host,
         )
         self._links = Links(self._link_address, LINK_CODEC)
+        # Separate links: updates do not wait behind callers' statements, and a silent
+        # one is replaced without a statement that is cut.
+        self._update_links = Links(self._link_address, LINK_CODEC)
         self._link_server: LinkServer | None = None
         self._news_fetcher = NewsFetcher(
             self.cluster_state,
@@ -168,6 +175,7 @@
             self._feed.poll_now,
             self._request_news,
             self.evacuations,
+            self._update_links.renew,
         )
         self._admission = AdmissionControl(
             self.servers,
@@ -224,7 +232,7 @@
             metrics=StatementMetrics(self.registry),
             memory=self.memory,
             state_memory=Memory(state_bytes(cfg.memory_bytes), boot_time),
-            confirmed_at=lambda: self.cluster_state.confirmed_at,
+            unconfirmed_s=lambda: self.confirmations.age_s(Topic.CONFIGURATION),
         )
         self._listener = Listener(self.gateway.open, self.memory)
         self.registry.register(InstanceCollector(self))
@@ -357,6 +365,7 @@
         if self._link_server is not None:
             self._link_server.close()
         self._links.close()
+        self._update_links.close()
         self.servers.close()
         self._load_reports.close()
         self.peers.close()
@@ -399,23 +408,12 @@
                 self._listener.close_idle_connections()
 
     def _on_report(self, report: Report) -> None:
-        self._confirm_configuration(report)
+        self.confirmations.apply_report(report, self._news_fetcher.known)
         self._news_fetcher.on_report(report)
         self._check_caught_up()
         if report.is_isolated:
             self._path_prober.check()
 
-    def _confirm_configuration(self, report: Report) -> None:
-        """Take over a peer's proof that there was no newer configuration at a time."""
-        state = self.cluster_state
-        if report.confirmed_ms is not None and report.version <= state.version:
-            state.confirm(boot_time() - report.confirmed_ms / 1000)
-
-    @property
-    def _confirmed_ms(self) -> int | None:
-        unconfirmed_s = self.gateway.unconfirmed_s
-        return None if math.isinf(unconfirmed_s) else math.ceil(1000 * unconfirmed_s)
-
     def _check_caught_up(self) -> None:
         """Open to callers once no peer is known to have a newer configuration.
 
@@ -450,7 +448,7 @@
     async def _request_news(
         self, peer: str, message: AskNews, timeout_s: float
     ) -> Result[News, Fault]:
-        return await self._links.call(peer, message, timeout_s=timeout_s)
+        return await self._update_links.call(peer, message, timeout_s=timeout_s)
 
     def _on_store_restored(self) -> None:
         self._feed.on_store_restored()
@@ -547,7 +545,7 @@
             era=self.cluster_state.registry_revision.era,
             evacuations_at=self._news_fetcher.evacuations_at,
             is_isolated=self.peers.is_isolated,
-            confirmed_ms=self._confirmed_ms,
+            confirmed=self.confirmations.to_report(),
         )
 
 
--- a/mangoramp/instance_metrics.py
+++ b/mangoramp/instance_metrics.py
@@ -37,7 +37,7 @@
         yield _gauge(
             "configuration_unconfirmed_seconds",
             "Seconds since the configuration was known to be the newest",
-            instance.gateway.unconfirmed_s,
+            instance.gateway.unconfirmed_s(),
         )
         peers = instance.peers
         yield _gauge(
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
 from returns.result import Success
 
+from ..control.confirmations import Topic
 from ..control.deployment import Deployment
 from ..control.endpoint import Endpoint
 from ..control.settings import Bounds
@@ -30,6 +31,11 @@
 EVACUATION_WAIT_PART = 0.4  # of the bound; a hung poll ends 1 s later and is repeated
 EVACUATION_RECHECK_S = 0.5
 MAX_POLL_GAP_S = 1.0  # between polls that succeed one after the other
+TOPICS = {
+    CONFIGURATION_KIND: Topic.CONFIGURATION,
+    REGISTRY_KIND: Topic.REGISTRY,
+    EVACUATION_KIND: Topic.EVACUATIONS,
+}
 
 
 class FeedReceiver(Protocol):
@@ -45,9 +51,6 @@
     def apply_deployment(self, deployment: Deployment, revision: Revision) -> None:
         """Apply a configuration."""
 
-    def confirm(self, as_of: float) -> None:
-        """Note that the configuration in force was the newest at a time, in seconds."""
-
     def apply_endpoint(self, endpoint: Endpoint, revision: Revision) -> None:
         """Apply a server's registry entry."""
 
@@ -90,6 +93,8 @@
         evacuations: Receives the changes of the evacuations, None to watch none.
         peers_first_s: Seconds for which an instance that does not watch relies on its
             peers alone after its start.
+        confirm: Called with the time, in seconds, up to which all changes of a topic
+            are known.
     """
 
     def __init__(
@@ -104,6 +109,7 @@
         clock: Callable[[], float],
         evacuations: EvacuationReceiver | None = None,
         peers_first_s: float = PEERS_FIRST_S,
+        confirm: Callable[[Topic, float], None] = lambda topic, as_of: None,
     ) -> None:
         self._client = client
         self._clock = clock
@@ -132,8 +138,8 @@
             waits[EVACUATION_KIND] = min(
                 wait_s, max(MIN_POLL_WAIT_S, EVACUATION_WAIT_PART * bounds.evacuation_s)
             )
-        self._watches = [
-            Watch(
+        self._watches = {
+            TOPICS[kind]: Watch(
                 client,
                 kind,
                 msgspec.Raw,
@@ -148,18 +154,32 @@
                 retry_max_s=lambda: (
                     RETRY_MAX_S if is_preferred_watcher() else FALLBACK_RETRY_MAX_S
                 ),
+                on_current=lambda as_of, kind=kind: confirm(  # type: ignore[misc]
+                    TOPICS[kind], as_of
+                ),
             )
             for kind, handler in handlers.items()
-        ]
+        }
 
     @property
     def is_failing(self) -> bool:
         """Whether the last poll of any watch failed."""
-        return any(watch.is_failing for watch in self._watches)
+        return any(watch.is_failing for watch in self._watches.values())
 
     def poll_now(self) -> None:
         """Poll the store at once, because peers know a newer revision."""
-        for watch in self._watches:
+        for watch in self._watches.values():
+            watch.poll_now()
+
+    @property
+    def topics(self) -> Iterable[Topic]:
+        """What is followed."""
+        return self._watches.keys()
+
+    def poll_topic_now(self, topic: Topic) -> None:
+        """Poll the store at once for one topic, unless a failed poll is due again."""
+        watch = self._watches[topic]
+        if not (watch.is_failing and self._is_watcher()):
             watch.poll_now()
 
     async def run(self) -> None:
@@ -168,7 +188,7 @@
         await asyncio.gather(
             self._recheck_registry(),
             self._recheck_evacuations(),
-            *(watch.run() for watch in self._watches),
+            *(watch.run() for watch in self._watches.values()),
         )
 
     def on_store_restored(self) -> None:
@@ -225,7 +245,6 @@
                 log_unreadable(CONFIGURATION_KIND, found.name, found.version, exc)
                 continue
             self._receiver.apply_deployment(deployment, found.revision)
-        self._receiver.confirm(asked_at)
 
     def _apply_registry(
         self, changes: Changes[msgspec.Raw], since: int, asked_at: float
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -37,6 +37,8 @@
         since: Returns the last known revision of the kind, -1 if none is known.
         on_changes: Called with the changes of each poll, the revision from which they
             continue (0 for a complete list), and the start of the poll, in seconds.
+        on_current: Called after them with the time, in seconds, up to which all changes
+            are known.
         rng: Source of the jitter of retries.
         clock: Returns the current time in seconds.
         wait_s: Returns the time limit of a long poll, in seconds.
@@ -63,6 +65,7 @@
         retry_max_s: Callable[[], float] = lambda: RETRY_MAX_S,
         era: Callable[[], int | None] = lambda: None,
         is_needed: Callable[[], bool] = lambda: True,
+        on_current: Callable[[float], None] = lambda as_of: None,
     ) -> None:
         self._client = client
         self._kind = kind
@@ -78,6 +81,7 @@
         self._retry_max_s = retry_max_s
         self._era = era
         self._is_needed = is_needed
+        self._on_current = on_current
         self._is_watching = False
 
     @property
@@ -92,10 +96,14 @@
             self._log_role()
             if not self._is_enabled() and (known > 0 or not self._is_needed()):
                 self._failures = 0
-                if not await self._wait_for_request():
+                if not await self._wait_for_request(ENABLED_CHECK_INTERVAL_S):
                     continue
             asked_at = self._clock()
-            answer = await self._poll(known, is_long=known > 0 and not self.is_failing)
+            is_long = known > 0 and not self.is_failing
+            wait_s = self._wait_s() if is_long else 0.0
+            if self._poll_requested.is_set():
+                wait_s = 0.0
+            answer = await self._poll(known, wait_s)
             if answer is None:
                 continue
             if not isinstance(answer, Success):
@@ -103,7 +111,7 @@
                 reason = answer.failure().message
                 if self._failures == 1:
                     emit(PLATFORM_LOST, kind=self._kind, reason=reason)
-                await asyncio.sleep(self._backoff(self._failures))
+                await self._wait_for_request(self._backoff(self._failures))
                 continue
             if self.is_failing:
                 emit(PLATFORM_RECOVERED, kind=self._kind, failures=self._failures)
@@ -111,11 +119,13 @@
             changes = answer.unwrap()
             since = 0 if changes.is_complete else known
             self._on_changes(changes, since, asked_at)
+            has_waited = not changes.objects and self._clock() - asked_at >= wait_s
+            self._on_current(asked_at + wait_s if has_waited else asked_at)
             if known == 0 == changes.version:
                 await asyncio.sleep(self._backoff(1))
 
     def poll_now(self) -> None:
-        """Poll at once, because peers know a newer revision than the current poll."""
+        """Poll at once, without waiting for a change."""
         self._poll_requested.set()
 
     def _log_role(self) -> None:
@@ -124,16 +134,16 @@
             self._is_watching = is_enabled
             emit(WATCH_STARTED if is_enabled else WATCH_ENDED, kind=self._kind)
 
-    async def _wait_for_request(self) -> bool:
+    async def _wait_for_request(self, timeout_s: float) -> bool:
         try:
-            async with asyncio.timeout(ENABLED_CHECK_INTERVAL_S):
+            async with asyncio.timeout(timeout_s):
                 await self._poll_requested.wait()
         except TimeoutError:
             return False
         return True
 
     async def _poll(
-        self, known: int, *, is_long: bool
+        self, known: int, wait_s: float
     ) -> Result[Changes[T], Fault] | None:
         self._poll_requested.clear()
         polling = asyncio.ensure_future(
@@ -141,7 +151,7 @@
                 self._kind,
                 self._type,
                 since=max(0, known),
-                wait_s=self._wait_s() if is_long else 0.0,
+                wait_s=wait_s,
                 era=self._era(),
             )
         )
--- a/mangoramp/proxies/link.py
+++ b/mangoramp/proxies/link.py
@@ -107,6 +107,7 @@
 
     Attributes:
         connection_id: The id of the current connection, 0 before the first one.
+        calls_in_progress: The number of calls that have not ended.
     """
 
     def __init__(self, peer: str, address: str, codec: Codec) -> None:
@@ -114,6 +115,7 @@
         self.peer = peer
         self.address = address
         self.connection_id = 0
+        self.calls_in_progress = 0
         self._ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._connected = asyncio.Event()
@@ -142,6 +144,13 @@
         Returns:
             The answer. A fault's outcome is ``not_run`` only if nothing was sent.
         """
+        self.calls_in_progress += 1
+        try:
+            return await self._call(req, timeout_s)
+        finally:
+            self.calls_in_progress -= 1
+
+    async def _call(self, req: Envelope, timeout_s: float) -> Result[Any, Fault]:
         deadline = self._loop.time() + timeout_s
         if not await self._wait_connected(min(timeout_s, CONNECT_WAIT_S)):
             return Failure(self._unreachable_fault())
--- a/mangoramp/proxies/links.py
+++ b/mangoramp/proxies/links.py
@@ -26,6 +26,7 @@
         self._address_of = address_of
         self._codec = codec
         self._links: dict[str, Link] = {}
+        self._replaced: set[Link] = set()
 
     async def call(
         self, peer: str, req: Envelope, *, timeout_s: float
@@ -45,7 +46,10 @@
             message = f"the proxy {peer} is not known"
             fault = Fault(Code.NO_HOME, message, Step.FORWARD, peer)
             return Failure(fault)
-        return await link.call(req, timeout_s=timeout_s)
+        try:
+            return await link.call(req, timeout_s=timeout_s)
+        finally:
+            self._close_if_unused(link)
 
     def connection_id(self, peer: str) -> int:
         """Return the id of the current connection to a proxy, 0 if there is none.
@@ -61,9 +65,24 @@
         if existing is not None:
             existing.close()
 
+    def renew(self, peer: str) -> None:
+        """Let the next call open a new link; calls in progress keep the present one.
+
+        A connection may carry nothing any more although the proxy can be reached.
+        """
+        existing = self._links.pop(peer, None)
+        if existing is not None:
+            self._replaced.add(existing)
+            self._close_if_unused(existing)
+
     def close(self) -> None:
         """Close every link."""
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._replaced):
+            link.close()
+
+    def _close_if_unused(self, link: Link) -> None:
+        if link in self._replaced and not link.calls_in_progress:
+            self._replaced.discard(link)
             link.close()
 
     def _get_link(self, peer: str) -> Link | None:
--- a/mangoramp/serving/gateway.py
+++ b/mangoramp/serving/gateway.py
@@ -71,8 +71,8 @@
         metrics: Records completed statements.
         memory: The memory for large answers.
         state_memory: The memory for the variables and prepared statements of sessions.
-        confirmed_at: Returns when the configuration was last known to be the newest, in
-            seconds.
+        unconfirmed_s: Returns the seconds since the configuration was known to be the
+            newest.
 
     Attributes:
         ends_transactions: Whether open transactions may only be ended any more.
@@ -91,7 +91,7 @@
         metrics: StatementMetrics,
         memory: Memory,
         state_memory: Memory,
-        confirmed_at: Callable[[], float] = lambda: float("-inf"),
+        unconfirmed_s: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         self._deployment = deployment
         self._deployed = deployed
@@ -103,7 +103,7 @@
         self.metrics = metrics
         self.memory = memory
         self.state_memory = state_memory
-        self._confirmed_at = confirmed_at
+        self.unconfirmed_s = unconfirmed_s
         self.sessions: set[CallerSession] = set()
         self.ends_transactions = False
         self._answers_until = float("inf")
@@ -132,7 +132,7 @@
                 database=database,
                 code=fault.code,
                 version=self.version,
-                unconfirmed_s=round(self.unconfirmed_s, 3),
+                unconfirmed_s=round(self.unconfirmed_s(), 3),
             )
             return Failure(fault)
         opened = CallerSession(self, session)
@@ -179,11 +179,6 @@
         known = self._deployment()
         return known.version if known is not None else 0
 
-    @property
-    def unconfirmed_s(self) -> float:
-        """Seconds since the configuration was known to be the newest."""
-        return self.clock() - self._confirmed_at()
-
     def abort_idle_transactions(self) -> None:
         """Abort transactions that exceed the idle timeout or whose key was revoked."""
         known = self._deployment()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -11,7 +11,8 @@
 from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.endpoint import Endpoint
 from mangoramp.control.evacuations import Evacuations
-from mangoramp.control.news import AskNews, News, NewsFetcher
+from mangoramp.control.news import AskNews, News
+from mangoramp.control.news_fetcher import NewsFetcher
 from mangoramp.control.reports import Report
 from mangoramp.errors import FaultError
 from mangoramp.policy.evacuation import (
@@ -329,8 +330,8 @@
             def has_newer(self, known):
                 return False
 
-            def choose_newer_peer(self, known, excluded):
-                return next((n for n in "xyz" if n not in excluded), None)
+            def newer_peers(self, known):
+                return ["x", "y", "z"]
 
         async def fetch(peer, message, timeout_s):
             asked.append(peer)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -9,7 +9,8 @@
 from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.deployment import Deployment, ReadRule, Route
 from mangoramp.control.evacuations import Evacuations
-from mangoramp.control.news import AskNews, News, NewsFetcher, unpack_deployment
+from mangoramp.control.news import AskNews, News, unpack_deployment
+from mangoramp.control.news_fetcher import NewsFetcher
 from mangoramp.errors import Code, Fault, Step
 from mangoramp.policy.revision import Revision
 from mangoramp.serving.servers import Servers
@@ -50,8 +51,11 @@
     def has_newer(self, known):
         return known.version < 2
 
-    def choose_newer_peer(self, known, excluded):
-        return next((n for n in "xyz" if n not in excluded), None)
+    def newer_peers(self, known):
+        return ["x", "y", "z"] if self.has_newer(known) else []
+
+    def other_sources(self):
+        return []
 
 
 class TestLargeConfiguration:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,8 @@
 from mangoramp.control.endpoint import Endpoint, find_problem, is_address
 from mangoramp.control.evacuations import Evacuations
 from mangoramp.control.load_reports import LoadReports
-from mangoramp.control.news import News, NewsFetcher
+from mangoramp.control.news import News
+from mangoramp.control.news_fetcher import NewsFetcher
 from mangoramp.control.peers import Peers
 from mangoramp.control.reports import Report
 from mangoramp.control.settings import Features
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from mangoramp.control.peers import Peers
-from mangoramp.control.reports import Report
+from mangoramp.control.reports import Confirmed, Report
 
 ADDRESS = ("127.0.0.1", 7560)
 
@@ -169,13 +169,14 @@
     """How old the proof is that a configuration is the newest, in a report."""
 
     def test_a_former_build_neither_sends_nor_expects_it(self):
-        fields = msgspec.to_builtins(Report("i", 1, 2, version=7, confirmed_ms=250))
-        former = fields[: Report.__struct_fields__.index("confirmed_ms")]
-        assert msgspec.convert(former, Report).confirmed_ms is None
+        confirmed = Confirmed(250, None, 12)
+        fields = msgspec.to_builtins(Report("i", 1, 2, version=7, confirmed=confirmed))
+        former = fields[: Report.__struct_fields__.index("confirmed")]
+        assert msgspec.convert(former, Report).confirmed is None
         data = msgspec.msgpack.encode(fields)
-        assert msgspec.msgpack.decode(data, type=Report).confirmed_ms == 250
+        assert msgspec.msgpack.decode(data, type=Report).confirmed == confirmed
 
     def test_a_time_in_the_future_is_no_report(self):
         receiver = ReceivingInstance()
-        receiver.receive(5, confirmed_ms=-1)
+        receiver.receive(5, confirmed=Confirmed(-1))
         assert not receiver.peers.peers
