Ask the store when nobody confirms that nothing is newer

Cause: most instances of a large fleet learn of a change because a peer reports it. If all whom an instance hears are cut off from the store, paused or wait on a connection that fell silent, nothing is reported, and nothing was done.

Change: the proof that nothing newer exists has an age (answered polls, passed on in reports). An instance whose proof is older than 0.55 to 0.65 of the bound polls the store itself, watchers at 0.35 to 0.45, since their answers renew the proofs of the others; again after 0.5, 1, 2, 4 s. The topics are configuration, registry and evacuations, each with its own bound. A poll on request does not wait for a change, and a backoff ends when a poll is requested.

--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -27,6 +27,7 @@
 from .control.promoter import Promoter
 from .control.reports import Report
 from .control.settings import Address, InstanceSettings
+from .control.staleness_checks import StalenessChecks
 from .decoding import msgpack_decoder
 from .errors import Fault
 from .events import (
@@ -146,6 +147,15 @@
             peers_first_s=peers_first_s,
             confirm=self.confirmations.confirm,
         )
+        self._staleness_checks = StalenessChecks(
+            self.confirmations,
+            self._feed,
+            lambda: self.cfg.bounds,
+            is_watcher=lambda: self.peers.is_watcher,
+            rng=rng,
+            clock=boot_time,
+            peers_first_s=peers_first_s,
+        )
         self._promoter = Promoter(
             cfg.name,
             self.servers,
@@ -294,6 +304,7 @@
         await self.peers.listen(self.cfg.peers, self.cfg.seeds)
         for duty in (
             self._run_feed,
+            self._staleness_checks.run,
             self.peers.run,
             self._instance_list.run,
             self._promoter.run,
--- /dev/null
+++ b/tests/test_staleness.py
@@ -0,0 +1,171 @@
+"""When an instance asks the store whether it knows all changes."""
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Failure, Success
+
+from mangoramp.control.confirmations import Confirmations, Topic
+from mangoramp.control.reports import Confirmed, KnownState, Report
+from mangoramp.control.settings import Bounds
+from mangoramp.control.staleness_checks import StalenessChecks
+from mangoramp.errors import Code, Fault, Step
+from mangoramp.platform.client import Changes
+from mangoramp.platform.watch import Watch
+from mangoramp.policy.revision import Revision
+from mangoramp.policy.staleness import StalenessLimit
+
+from .virtual_time import run
+
+BOUND_S = 3.0
+KNOWN = KnownState(7, Revision(1, 40), evacuations=None)
+
+
+class TestConfirmations:
+    def apply(self, report, known=KNOWN):
+        confirmations = Confirmations(lambda: 10.0)
+        confirmations.apply_report(report, known)
+        return {topic: confirmations.age_s(topic) for topic in Topic}
+
+    def report(self, **changes):
+        fields = {"version": 7, "era": 1, "registry_revision": 40}
+        confirmed = Confirmed(200, 400, None)
+        return Report("p", 1, 1, confirmed=confirmed, **fields | changes)
+
+    def test_come_from_a_peer_that_knows_no_more(self):
+        ages = self.apply(self.report())
+        assert ages[Topic.CONFIGURATION] == pytest.approx(0.2)
+        assert ages[Topic.REGISTRY] == pytest.approx(0.4)
+        assert ages[Topic.EVACUATIONS] == float("inf")
+
+    def test_of_what_a_peer_knows_more_of_prove_nothing(self):
+        ages = self.apply(self.report(version=8))
+        assert ages[Topic.CONFIGURATION] == float("inf")
+        assert ages[Topic.REGISTRY] == pytest.approx(0.4)
+
+    def test_of_a_former_build_prove_nothing(self):
+        ages = self.apply(Report("p", 1, 1, version=7))
+        assert set(ages.values()) == {float("inf")}
+
+    def test_are_passed_on_with_their_age(self):
+        now = 10.0
+        confirmations = Confirmations(lambda: now)
+        confirmations.confirm(Topic.CONFIGURATION, 9.0)
+        confirmations.confirm(Topic.CONFIGURATION, 8.0)
+        assert confirmations.to_report() == Confirmed(1000, None, None)
+
+
+class Store:
+    """Answers polls; counts them."""
+
+    def __init__(self):
+        self.polls = []
+        self.is_down = False
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        self.polls.append((asyncio.get_running_loop().time(), wait_s))
+        if self.is_down:
+            return Failure(Fault(Code.NO_SERVER, "status 503", Step.PLATFORM))
+        await asyncio.sleep(wait_s)
+        return Success(Changes(7, ()))
+
+
+class TestWatch:
+    """What an answered poll proves."""
+
+    def play(self, seconds, poll_at=()):
+        async def play():
+            loop, store, proofs = asyncio.get_running_loop(), Store(), []
+            watch = Watch(
+                store,
+                "kind",
+                dict,
+                since=lambda: 7,
+                on_changes=lambda changes, since, asked_at: None,
+                clock=loop.time,
+                wait_s=lambda: 4.0,
+                on_current=lambda as_of: proofs.append((loop.time(), as_of)),
+            )
+            for at in poll_at:
+                loop.call_at(at, watch.poll_now)
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(seconds)
+            task.cancel()
+            return proofs, store.polls
+
+        return run(play())
+
+    def test_without_changes_holds_until_its_end(self):
+        proofs, _ = self.play(8.5)
+        assert proofs == [(4.0, 4.0), (8.0, 8.0)]
+
+    def test_at_once_asks_without_waiting(self):
+        proofs, polls = self.play(2.0, poll_at=[1.0])
+        assert proofs == [(1.0, 1.0)]
+        assert polls == [(0.0, 4.0), (1.0, 0.0), (1.0, 4.0)]
+
+
+class Poller:
+    topics = (Topic.CONFIGURATION,)
+
+    def __init__(self, confirmations):
+        self.polls = []
+        self.answers = True
+        self._confirmations = confirmations
+
+    def poll_topic_now(self, topic):
+        now = asyncio.get_running_loop().time()
+        self.polls.append(now)
+        if self.answers:
+            self._confirmations.confirm(topic, now)
+
+
+class TestStalenessChecks:
+    def play(self, seconds, *, is_watcher, answers=True, confirmed_each_s=None):
+        async def play():
+            loop = asyncio.get_running_loop()
+            confirmations = Confirmations(loop.time)
+            poller = Poller(confirmations)
+            poller.answers = answers
+            checks = StalenessChecks(
+                confirmations,
+                poller,
+                lambda: Bounds(configuration_s=BOUND_S),
+                is_watcher=lambda: is_watcher,
+                rng=random.Random(1),
+                clock=loop.time,
+                peers_first_s=0.0,
+            )
+            task = asyncio.ensure_future(checks.run())
+            for _ in range(int(seconds / (confirmed_each_s or seconds))):
+                await asyncio.sleep(confirmed_each_s or seconds)
+                if confirmed_each_s:
+                    confirmations.confirm(Topic.CONFIGURATION, loop.time())
+            task.cancel()
+            return poller.polls
+
+        return run(play())
+
+    @pytest.mark.parametrize("is_watcher", [True, False])
+    def test_a_change_that_nobody_reports_is_found_within_the_bound(self, is_watcher):
+        """Guards against a failure domain in which nobody hears of a change."""
+        polls = self.play(30.0, is_watcher=is_watcher)
+        times = [0.0, *polls]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert polls
+        assert max(gaps) <= 0.7 * BOUND_S
+
+    def test_a_follower_that_hears_of_proofs_does_not_ask(self):
+        assert not self.play(30.0, is_watcher=False, confirmed_each_s=1.0)
+
+    def test_a_store_that_does_not_answer_is_asked_ever_less(self):
+        polls = self.play(60.0, is_watcher=False, answers=False)
+        assert polls[1] - polls[0] <= 0.6
+        assert len(polls) <= 20
+
+    def test_watchers_ask_before_the_others(self):
+        slowest = StalenessLimit(1.0).limit_s(BOUND_S, is_watcher=True)
+        fastest = StalenessLimit(0.0).limit_s(BOUND_S, is_watcher=False)
+        report_s = 0.3
+        assert slowest + report_s / 2 <= fastest
