Pass on with a proof the revision from which to continue

Cause: a follower that asked the store listed all objects, as it had read none itself; with a large configuration that fills a slow link.

Change: a proof carries the store's revision; a poll continues from it, also that of an instance which becomes a watcher. Instances ask a little later (watchers at 0.45 to 0.6 of the bound, the others at 0.65 to 0.8).

--- a/mangoramp/control/confirmations.py
+++ b/mangoramp/control/confirmations.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-from .reports import Confirmed, KnownState, Report
+from ..policy.revision import NO_REVISION, Revision
+from .reports import Confirmed, KnownState, Proof, Report
 
 
 class Topic(Enum):
@@ -30,15 +31,21 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._confirmed_at = dict.fromkeys(Topic, float("-inf"))
+        self._known_to = dict.fromkeys(Topic, NO_REVISION)
 
-    def confirm(self, topic: Topic, as_of: float) -> None:
-        """Note that all changes up to a time, in seconds, are known."""
+    def confirm(self, topic: Topic, as_of: float, known_to: Revision) -> None:
+        """Note that all changes up to a time, in seconds, and a revision are known."""
         self._confirmed_at[topic] = max(self._confirmed_at[topic], as_of)
+        self._known_to[topic] = max(self._known_to[topic], known_to)
 
     def age_s(self, topic: Topic) -> float:
         """Return the seconds since all changes were known, infinity if never."""
         return self._clock() - self._confirmed_at[topic]
 
+    def known_to(self, topic: Topic) -> Revision:
+        """Return the revision of the store up to which all changes are known."""
+        return self._known_to[topic]
+
     def apply_report(self, report: Report, known: KnownState) -> None:
         """Take over the proofs of a peer for what it knows no more of.
 
@@ -50,14 +57,17 @@
             return
         now, missing = self._clock(), known.missing(report)
         for topic in Topic:
-            age_ms = getattr(report.confirmed, topic.value)
-            if age_ms is not None and topic.value not in missing:
-                self.confirm(topic, now - age_ms / 1000)
+            proof: Proof | None = getattr(report.confirmed, topic.value)
+            if proof is not None and topic.value not in missing:
+                self.confirm(topic, now - proof.age_ms / 1000, proof.known_to)
 
     def to_report(self) -> Confirmed:
-        """Return the ages of the proofs, for this instance's report."""
-        return Confirmed(*(_milliseconds(self.age_s(topic)) for topic in Topic))
-
-
-def _milliseconds(age_s: float) -> int | None:
-    return None if math.isinf(age_s) else max(0, math.ceil(1000 * age_s))
+        """Return the proofs, for this instance's report."""
+        return Confirmed(*map(self._proof, Topic))
+
+    def _proof(self, topic: Topic) -> Proof | None:
+        age_s, known_to = self.age_s(topic), self.known_to(topic)
+        if math.isinf(age_s):
+            return None
+        age_ms = max(0, math.ceil(1000 * age_s))
+        return Proof(age_ms, known_to.number, known_to.era)
--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -11,21 +11,40 @@
 from ..policy.hubs import HubFields
 from ..policy.revision import Revision
 
-_Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
+class Proof(msgspec.Struct, frozen=True, array_like=True):
+    """That the sender of a report knew all changes in the store some time ago.
+
+    Attributes:
+        age_ms: Milliseconds since then.
+        revision: The store's revision of then.
+        era: The era of the revision.
+    """
+
+    age_ms: _Number
+    revision: _Number
+    era: _Number = 0
+
+    @property
+    def known_to(self) -> Revision:
+        """The revision up to which all changes were known."""
+        return Revision(self.era, self.revision)
 
 
 class Confirmed(msgspec.Struct, frozen=True, array_like=True):
-    """Milliseconds since the sender knew all changes of what it follows in the store.
+    """The latest proofs of what the sender of a report follows in the store.
 
     Attributes:
-        configuration: The age for the configuration, None if it never did.
-        registry: The age for the server registry, None if it never did.
-        evacuations: The age for the evacuations, None if it never did.
+        configuration: The proof for the configuration, None if there is none.
+        registry: The proof for the server registry, None if there is none.
+        evacuations: The proof for the evacuations, None if there is none.
     """
 
-    configuration: _Milliseconds | None = None
-    registry: _Milliseconds | None = None
-    evacuations: _Milliseconds | None = None
+    configuration: Proof | None = None
+    registry: Proof | None = None
+    evacuations: Proof | None = None
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
--- a/mangoramp/events.py
+++ b/mangoramp/events.py
@@ -117,7 +117,7 @@
 NEWS_APPLIED = Event(332, "INFO", "update from a peer applied")
 NEWS_FAILED = Event(333, "WARNING", "update could not be fetched from a peer")
 STALENESS_CHECKED = Event(
-    352, "DEBUG", "store asked, as no peer has confirmed the latest state"
+    352, "INFO", "store asked, as no peer has confirmed the latest state"
 )
 WATCH_STARTED = Event(350, "INFO", "watch of the store begun")
 WATCH_ENDED = Event(351, "INFO", "watch of the store ended, peers report changes")
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -145,7 +145,7 @@
             clock=boot_time,
             evacuations=self.evacuations if cfg.features.evacuation else None,
             peers_first_s=peers_first_s,
-            confirm=self.confirmations.confirm,
+            confirmations=self.confirmations,
         )
         self._staleness_checks = StalenessChecks(
             self.confirmations,
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -5,18 +5,19 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from typing import Protocol
 
 import msgspec
 from returns.result import Success
 
-from ..control.confirmations import Topic
+from ..control.confirmations import Confirmations, Topic
 from ..control.deployment import Deployment
 from ..control.endpoint import Endpoint
 from ..control.settings import Bounds
 from ..decoding import log_unreadable
 from ..policy.evacuation import Entry
-from ..policy.revision import Revision
+from ..policy.revision import NO_REVISION, Revision
 from .client import Changes, PlatformClient, Versioned
 from .configuration import CONFIGURATION_KIND, CONFIGURATION_NAME, decode_deployment
 from .registry import REGISTRY_KIND, decode_endpoint
@@ -93,8 +94,7 @@
         evacuations: Receives the changes of the evacuations, None to watch none.
         peers_first_s: Seconds for which an instance that does not watch relies on its
             peers alone after its start.
-        confirm: Called with the time, in seconds, up to which all changes of a topic
-            are known.
+        confirmations: The proofs that all changes are known, None to keep them here.
     """
 
     def __init__(
@@ -109,7 +109,7 @@
         clock: Callable[[], float],
         evacuations: EvacuationReceiver | None = None,
         peers_first_s: float = PEERS_FIRST_S,
-        confirm: Callable[[Topic, float], None] = lambda topic, as_of: None,
+        confirmations: Confirmations | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
@@ -119,6 +119,7 @@
         self._receiver = receiver
         self._evacuations = evacuations
         self._evacuations_at = float("-inf")
+        self._confirmations = confirmations or Confirmations(clock)
         self._revisions: dict[str, Revision | None] = {
             CONFIGURATION_KIND: None,
             REGISTRY_KIND: None,
@@ -154,9 +155,7 @@
                 retry_max_s=lambda: (
                     RETRY_MAX_S if is_preferred_watcher() else FALLBACK_RETRY_MAX_S
                 ),
-                on_current=lambda as_of, kind=kind: confirm(  # type: ignore[misc]
-                    TOPICS[kind], as_of
-                ),
+                on_current=partial(self._confirmations.confirm, TOPICS[kind]),
             )
             for kind, handler in handlers.items()
         }
@@ -225,13 +224,19 @@
         return not is_known and self._clock() - self._started_at >= self._peers_first_s
 
     def _since(self, kind: str) -> int:
-        revision = self._revisions[kind]
+        revision = self._known_to(kind)
         return -1 if revision is None else revision.number
 
     def _era(self, kind: str) -> int | None:
-        revision = self._revisions[kind]
+        revision = self._known_to(kind)
         return None if revision is None else revision.era
 
+    def _known_to(self, kind: str) -> Revision | None:
+        """Return the revision from which to continue, which a peer may have told."""
+        own = self._revisions[kind]
+        told = self._confirmations.known_to(TOPICS[kind])
+        return max(own or told, told) if told > NO_REVISION else own
+
     def _apply_configuration(
         self, changes: Changes[msgspec.Raw], since: int, asked_at: float
     ) -> None:
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -18,6 +18,7 @@
     WATCH_STARTED,
     emit,
 )
+from ..policy.revision import Revision
 from .client import Changes, PlatformClient
 
 T = TypeVar("T")
@@ -37,8 +38,8 @@
         since: Returns the last known revision of the kind, -1 if none is known.
         on_changes: Called with the changes of each poll, the revision from which they
             continue (0 for a complete list), and the start of the poll, in seconds.
-        on_current: Called after them with the time, in seconds, up to which all changes
-            are known.
+        on_current: Called after them with the time, in seconds, and the revision up to
+            which all changes are known.
         rng: Source of the jitter of retries.
         clock: Returns the current time in seconds.
         wait_s: Returns the time limit of a long poll, in seconds.
@@ -65,7 +66,7 @@
         retry_max_s: Callable[[], float] = lambda: RETRY_MAX_S,
         era: Callable[[], int | None] = lambda: None,
         is_needed: Callable[[], bool] = lambda: True,
-        on_current: Callable[[float], None] = lambda as_of: None,
+        on_current: Callable[[float, Revision], None] = lambda as_of, known_to: None,
     ) -> None:
         self._client = client
         self._kind = kind
@@ -120,7 +121,8 @@
             since = 0 if changes.is_complete else known
             self._on_changes(changes, since, asked_at)
             has_waited = not changes.objects and self._clock() - asked_at >= wait_s
-            self._on_current(asked_at + wait_s if has_waited else asked_at)
+            as_of = asked_at + wait_s if has_waited else asked_at
+            self._on_current(as_of, changes.revision)
             if known == 0 == changes.version:
                 await asyncio.sleep(self._backoff(1))
 
--- a/mangoramp/policy/staleness.py
+++ b/mangoramp/policy/staleness.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
-WATCHER_PART = 0.35  # of the bound
-FOLLOWER_PART = 0.55  # of the bound; a report of a watcher arrives within the rest
-JITTER_PART = 0.1  # of the bound; keeps instances from asking at the same time
+WATCHER_PART = 0.45  # of the bound
+FOLLOWER_PART = 0.65  # of the bound; leaves time to ask again after a refusal
+JITTER_PART = 0.15  # of the bound; one answer often reaches the others meanwhile
+    0.15  # of the bound; one answer usually reaches the others before they ask
+)
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 
