--- a/mangoramp/policy/staleness.py
+++ b/mangoramp/policy/staleness.py
@@ -12,8 +12,6 @@
 WATCHER_PART = 0.45  # of the bound
 FOLLOWER_PART = 0.65  # of the bound; leaves time to ask again after a refusal
 JITTER_PART = 0.15  # of the bound; one answer often reaches the others meanwhile
-    0.15  # of the bound; one answer usually reaches the others before they ask
-)
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 
