--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,3 +42,10 @@
         )
         assert not soak.violations
         assert soak.delays
+
+    @pytest.mark.timeout(180)
+    @pytest.mark.parametrize("build", ["new", "mixed"])
+    async def test_is_in_force_during_all_kinds_of_faults(self, build, tmp_path):
+        soak = await soak_configuration_once(5, 2 * SECONDS, tmp_path, build=build)
+        assert not soak.violations
+        assert soak.delays
