--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -21,11 +21,14 @@
         age_ms: Milliseconds since then.
         revision: The store's revision of then.
         era: The era of the revision.
+        hops: How often it was passed on from the instance that the store answered to
+            the sender.
     """
 
     age_ms: _Number
     revision: _Number
     era: _Number = 0
+    hops: _Number = 0
 
     @property
     def known_to(self) -> Revision:
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -170,3 +170,44 @@
         fastest = StalenessLimit(0.0).limit_s(BOUND_S, is_watcher=False)
         report_s = 0.3
         assert slowest + report_s / 2 <= fastest
+
+
+class TestPassedOnProofs:
+    """Guards against proofs that stay young because instances pass them around."""
+
+    INTERVAL_S = 0.3
+    SECONDS = 6.0
+
+    def play(self, instances, latency_s):
+        """Return the youngest proof some seconds after the store's last answer."""
+
+        async def play():
+            loop = asyncio.get_running_loop()
+            found = [Confirmations(loop.time) for _ in range(instances)]
+            for confirmations in found:
+                confirmations.confirm(Topic.CONFIGURATION, 0.0, Revision(1, 44))
+
+            def deliver(sender, report):
+                for receiver in found:
+                    if receiver is not sender:
+                        receiver.apply_report(report, KNOWN)
+
+            def send(confirmations):
+                confirmed = confirmations.to_report()
+                report = Report("p", 1, 1, version=7, confirmed=confirmed)
+                loop.call_later(latency_s, deliver, confirmations, report)
+                loop.call_later(self.INTERVAL_S, send, confirmations)
+
+            for number, confirmations in enumerate(found):
+                loop.call_later(
+                    self.INTERVAL_S * number / instances, send, confirmations
+                )
+            await asyncio.sleep(self.SECONDS)
+            return min(c.age_s(Topic.CONFIGURATION) for c in found)
+
+        return run(play())
+
+    @pytest.mark.parametrize("instances", [2, 9, 30])
+    @pytest.mark.parametrize("latency_s", [0.005, 0.05, 0.2])
+    def test_grow_old_while_the_store_is_silent(self, instances, latency_s):
+        assert self.play(instances, latency_s) >= self.SECONDS - 4 * latency_s
