Leave a poll that does not wait in progress when another is requested

Cause: a request cancelled the poll in progress, also one that does not wait for a change and has nothing to gain from a new start. Until now an instance that was behind asked for one poll; catching up asks after 1, 1, 2 and 4 s and the staleness checks after 0.5, 1, 2 and 4 s, each for as long as the store has not answered. So a store that takes 0.6 s answers the second request instead of the first, and a list that takes longer than 4 s, of a large registry on a slow link, never arrives; each start costs the store a call.

Change: the other poll is made beside it, two at most, and the first success counts, so that a silent connection is not waited for either. A poll that waits for a change ends upon a request as before.

--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from returns.result import Result, Success
 
@@ -26,6 +26,7 @@
 ENABLED_CHECK_INTERVAL_S = 2.0  # while the watch is disabled
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 5.0
+MAX_POLLS = 2  # in progress at the same time, if one does not wait for changes
 
 
 class Watch(Generic[T]):
@@ -147,8 +148,41 @@
     async def _poll(
         self, known: int, wait_s: float
     ) -> Result[Changes[T], Fault] | None:
+        """Poll; return None if a poll is requested while this one waits for changes.
+
+        A poll that does not wait goes on if another one is requested, or a slow store
+        or link would never complete any. The other one is made beside it.
+        """
+        polls: set[asyncio.Future[Any]] = {self._start_poll(known, wait_s)}
+        requested: asyncio.Future[Any] = self._next_request()
+        try:
+            while True:
+                awaited = {*polls, requested} if len(polls) < MAX_POLLS else polls
+                done, _ = await asyncio.wait(
+                    awaited, return_when=asyncio.FIRST_COMPLETED
+                )
+                for poll in polls & done:
+                    polls.discard(poll)
+                    answer: Result[Changes[T], Fault] = poll.result()
+                    if isinstance(answer, Success) or not polls:
+                        return answer
+                if requested in done:
+                    if wait_s > 0:
+                        return None
+                    requested = self._next_request()
+                    polls.add(self._start_poll(known, wait_s))
+        finally:
+            for unused in (*polls, requested):
+                unused.cancel()
+
+    def _next_request(self) -> asyncio.Future[Any]:
         self._poll_requested.clear()
-        polling = asyncio.ensure_future(
+        return asyncio.ensure_future(self._poll_requested.wait())
+
+    def _start_poll(
+        self, known: int, wait_s: float
+    ) -> asyncio.Future[Result[Changes[T], Fault]]:
+        return asyncio.ensure_future(
             self._client.fetch_changes(
                 self._kind,
                 self._type,
@@ -157,15 +191,6 @@
                 era=self._era(),
             )
         )
-        requested = asyncio.ensure_future(self._poll_requested.wait())
-        try:
-            await asyncio.wait(
-                (polling, requested), return_when=asyncio.FIRST_COMPLETED
-            )
-            return polling.result() if polling.done() else None
-        finally:
-            polling.cancel()
-            requested.cancel()
 
     def _backoff(self, failures: int) -> float:
         longest = min(self._retry_max_s(), RETRY_BASE_S * 2 ** min(failures, 10))
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -211,3 +211,68 @@
     @pytest.mark.parametrize("latency_s", [0.005, 0.05, 0.2])
     def test_grow_old_while_the_store_is_silent(self, instances, latency_s):
         assert self.play(instances, latency_s) >= self.SECONDS - 4 * latency_s
+
+
+class SlowStore:
+    """Answers some time after each poll.
+
+    Args:
+        after_s: The seconds until each answer; the last one repeats.
+    """
+
+    def __init__(self, *after_s):
+        self._after_s = list(after_s)
+        self.polls = 0
+        self.in_progress = 0
+        self.most_in_progress = 0
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        after_s = self._after_s[min(self.polls, len(self._after_s) - 1)]
+        self.polls += 1
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        try:
+            await asyncio.sleep(after_s + wait_s)
+        finally:
+            self.in_progress -= 1
+        return Success(Changes(7, ()))
+
+
+class TestRepeatedRequests:
+    """Guards against polls that are cut short by the next request, and never end."""
+
+    def play(self, store, interval_s):
+        async def play():
+            loop, proofs = asyncio.get_running_loop(), []
+            watch = Watch(
+                store,
+                "kind",
+                dict,
+                since=lambda: 7,
+                on_changes=lambda changes, since, asked_at: None,
+                clock=loop.time,
+                is_enabled=lambda: False,
+                on_current=lambda as_of, known_to: proofs.append((loop.time(), as_of)),
+            )
+            task = asyncio.ensure_future(watch.run())
+            for _ in range(10):
+                watch.poll_now()
+                await asyncio.sleep(interval_s)
+            task.cancel()
+            return proofs
+
+        return run(play())
+
+    @pytest.mark.parametrize(("after_s", "interval_s"), [(0.6, 0.5), (4.5, 4.0)])
+    def test_leave_a_poll_that_does_not_wait_in_progress(self, after_s, interval_s):
+        store = SlowStore(after_s)
+        proofs = self.play(store, interval_s)
+        assert proofs
+        assert proofs[0] == (pytest.approx(after_s), 0.0)
+        assert store.polls <= 10
+        assert store.most_in_progress <= 2
+
+    def test_do_not_wait_for_a_poll_that_is_silent(self):
+        proofs = self.play(SlowStore(60.0, 0.01), 0.5)
+        assert proofs
+        assert proofs[0][0] == pytest.approx(0.51)
