Ask the store from a revision and an era that belong together

Cause: a watch that is disabled reads its revision, waits up to 2 s for a request, and reads the era only then. Since peers tell the revision from which to continue, both can change in between: after a restoration of the store it asks for what follows number 100 of the new era, in which the changes up to 100 are still to come. It would miss them for good, with a proof that it did not.

Change: both are read after the wait, and once for all polls beside each other.

--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -100,6 +100,7 @@
                 self._failures = 0
                 if not await self._wait_for_request(ENABLED_CHECK_INTERVAL_S):
                     continue
+                known = self._since()  # peers have told more meanwhile
             asked_at = self._clock()
             is_long = known > 0 and not self.is_failing
             wait_s = self._wait_s() if is_long else 0.0
@@ -153,7 +154,8 @@
         A poll that does not wait goes on if another one is requested, or a slow store
         or link would never complete any. The other one is made beside it.
         """
-        polls: set[asyncio.Future[Any]] = {self._start_poll(known, wait_s)}
+        era = self._era()
+        polls: set[asyncio.Future[Any]] = {self._start_poll(known, era, wait_s)}
         requested: asyncio.Future[Any] = self._next_request()
         try:
             while True:
@@ -170,7 +172,7 @@
                     if wait_s > 0:
                         return None
                     requested = self._next_request()
-                    polls.add(self._start_poll(known, wait_s))
+                    polls.add(self._start_poll(known, era, wait_s))
         finally:
             for unused in (*polls, requested):
                 unused.cancel()
@@ -180,7 +182,7 @@
         return asyncio.ensure_future(self._poll_requested.wait())
 
     def _start_poll(
-        self, known: int, wait_s: float
+        self, known: int, era: int | None, wait_s: float
     ) -> asyncio.Future[Result[Changes[T], Fault]]:
         return asyncio.ensure_future(
             self._client.fetch_changes(
@@ -188,7 +190,7 @@
                 self._type,
                 since=max(0, known),
                 wait_s=wait_s,
-                era=self._era(),
+                era=era,
             )
         )
 
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -276,3 +276,35 @@
         proofs = self.play(SlowStore(60.0, 0.01), 0.5)
         assert proofs
         assert proofs[0][0] == pytest.approx(0.51)
+
+
+class TestRevisionToContinueFrom:
+    def test_is_of_the_era_that_is_asked_for(self):
+        """Guards against a number of one era that is sent as one of another."""
+
+        async def play():
+            asked, known = [], [Revision(1, 100)]
+
+            class Client:
+                async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                    asked.append(Revision(era, since))
+                    return Success(Changes(since, (), era=era))
+
+            watch = Watch(
+                Client(),
+                "kind",
+                dict,
+                since=lambda: known[0].number,
+                era=lambda: known[0].era,
+                on_changes=lambda changes, since, asked_at: None,
+                is_enabled=lambda: False,
+            )
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(0.1)
+            known[0] = Revision(2, 40)  # a peer told it after the store was restored
+            watch.poll_now()
+            await asyncio.sleep(0.1)
+            task.cancel()
+            return asked
+
+        assert run(play()) == [Revision(2, 40)]
