Ignore a list of the servers that peers have overtaken

Cause: a list, or a poll without wait, that is under way while a peer tells that a server left names that server still, and brought it back. The next watch named its removal again, since it continued from the list; with a revision that a peer told it continues after the removal, and the server stays for good, for a watcher until the store is listed anew.

Change: the registry is not changed by an answer of the store that is older than what is known, once a complete registry is known.

--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -44,6 +44,7 @@
 
     has_deployment: asyncio.Event
     has_registry: asyncio.Event
+    registry_revision: Revision
 
     @property
     def has_doubtful_entries(self) -> bool:
@@ -255,6 +256,12 @@
         self, changes: Changes[msgspec.Raw], since: int, asked_at: float
     ) -> None:
         self._revisions[REGISTRY_KIND] = changes.revision
+        receiver = self._receiver
+        is_known = receiver.has_registry.is_set()
+        if is_known and changes.revision < receiver.registry_revision:
+            # Peers have told more meanwhile. A late answer would bring back servers
+            # that have left since; the next poll may not name them any more.
+            return
         listed = set()
         for found in changes.objects:
             endpoint = _decode_entry(found)
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -3,18 +3,23 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
+from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.confirmations import Confirmations, Topic
 from mangoramp.control.reports import Confirmed, KnownState, Proof, Report
 from mangoramp.control.settings import Bounds
 from mangoramp.control.staleness_checks import StalenessChecks
 from mangoramp.errors import Code, Fault, Step
-from mangoramp.platform.client import Changes
+from mangoramp.platform.client import Changes, Versioned
+from mangoramp.platform.feed import Feed
+from mangoramp.platform.registry import REGISTRY_KIND, decode_endpoint
 from mangoramp.platform.watch import Watch
 from mangoramp.policy.revision import Revision
 from mangoramp.policy.staleness import StalenessLimit
+from mangoramp.serving.servers import Servers
 
 from .virtual_time import run
 
@@ -308,3 +313,73 @@
             return asked
 
         assert run(play()) == [Revision(2, 40)]
+
+
+class TestLateList:
+    """Guards against a server that left while the store's answer was under way."""
+
+    ENTRY = (
+        b'{"service":"g","address":"10.0.0.1:1","zone":"z","slots":2,'
+        b'"state":"ready","db_role":"replica","sequence":1,"born":1000}'
+    )
+
+    @pytest.mark.parametrize("is_watcher", [True, False])
+    def test_does_not_bring_it_back(self, is_watcher):
+        async def play():
+            loop = asyncio.get_running_loop()
+            state = ClusterState(Servers(None, loop.time))
+            confirmations = Confirmations(loop.time)
+            entry = self.ENTRY
+
+            class Client:
+                """Lists a server as of revision 43, which leaves at 45."""
+
+                async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                    if kind != REGISTRY_KIND:
+                        await asyncio.sleep(max(wait_s, 0.5))
+                        return Success(Changes(46, (), is_complete=since <= 0))
+                    if since <= 0:
+                        await asyncio.sleep(0.5)
+                        listed = Versioned("s1", 10, msgspec.Raw(entry))
+                        return Success(Changes(43, (listed,), is_complete=True))
+                    if since < 45:
+                        gone = Versioned("s1", 45, None, is_deleted=True)
+                        return Success(Changes(46, (gone,)))
+                    await asyncio.sleep(max(wait_s, 0.5))
+                    return Success(Changes(46, ()))
+
+            feed = Feed(
+                Client(),
+                state,
+                Bounds(),
+                is_watcher=lambda: is_watcher,
+                is_preferred_watcher=lambda: is_watcher,
+                rng=random.Random(1),
+                clock=loop.time,
+                peers_first_s=0.0,
+                confirmations=confirmations,
+            )
+
+            def learn_from_peer():
+                endpoint = decode_endpoint("s1", entry)
+                state.apply_endpoint(endpoint, Revision(0, 10))
+                state.retain_endpoints(frozenset(), Revision(0, 45))
+                report = Report(
+                    "p",
+                    1,
+                    1,
+                    registry_revision=45,
+                    confirmed=Confirmed(registry=Proof(100, 46)),
+                )
+                known = KnownState(0, state.registry_revision)
+                loop.call_later(0.1, confirmations.apply_report, report, known)
+                loop.call_later(1.0, confirmations.apply_report, report, known)
+
+            loop.call_later(0.2, learn_from_peer)
+            loop.call_later(2.0, feed.poll_now)
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(20.0)
+            task.cancel()
+            return state.server_ids
+
+        assert not run(play())
