Let no proof of a peer stop a watch or the own reports

Cause: any host may send a report. A proof with an era or a revision that the store has never had is the largest, is passed on to all, and each watch continues from it. With a larger era each poll lists the store at once, without a pause; with a larger number the store has nothing newer, each empty answer renews the proof, and no change is seen any more. And an age near the largest that a report may hold is passed on with the time added, so that the others cannot read the instance's reports; where evacuations are not used, nothing ever replaces it.

Change: a watch continues from what a peer told only in the store's era. If the answer's revision is lower than the one continued from, the watch lists, and what the list refutes is not used again. Ages are cut off at the limit.

Not mended: a change that is written while a watch waits on a wrong revision is seen when that watch ends, and a wrong claim to have a newer version or registry is believed as before.

--- a/mangoramp/control/confirmations.py
+++ b/mangoramp/control/confirmations.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from ..decoding import MAX_INTEGER
 from ..policy.revision import NO_REVISION, Revision
 from .reports import Confirmed, KnownState, Proof, Report
 
@@ -89,5 +90,6 @@
         age_s = self._clock() - confirmed_at[hops]
         if math.isinf(age_s):
             return None
-        age_ms = max(0, math.ceil(1000 * age_s))
+        # A peer may have told any age; a larger number would spoil the whole report.
+        age_ms = min(max(0, math.ceil(1000 * age_s)), MAX_INTEGER)
         return Proof(age_ms, known_to.number, known_to.era, hops)
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -125,11 +125,12 @@
             CONFIGURATION_KIND: None,
             REGISTRY_KIND: None,
         }
+        self._refuted = dict.fromkeys(TOPICS, NO_REVISION)
         # A change must be in force within settled_s + configuration_s after a
         # disturbance. A poll that hangs may take half of that time; the other half
         # is left for the next poll.
         wait_s = max(MIN_POLL_WAIT_S, (bounds.settled_s + bounds.configuration_s) / 2)
-        handlers = {
+        self._handlers = handlers = {
             CONFIGURATION_KIND: self._apply_configuration,
             REGISTRY_KIND: self._apply_registry,
         }
@@ -147,7 +148,7 @@
                 msgspec.Raw,
                 since=lambda kind=kind: self._since(kind),  # type: ignore[misc]
                 era=lambda kind=kind: self._era(kind),  # type: ignore[misc]
-                on_changes=handler,
+                on_changes=partial(self._on_changes, kind),
                 rng=rng,
                 clock=clock,
                 wait_s=lambda kind=kind: waits[kind],  # type: ignore[misc]
@@ -158,7 +159,7 @@
                 ),
                 on_current=partial(self._confirmations.confirm, TOPICS[kind]),
             )
-            for kind, handler in handlers.items()
+            for kind in handlers
         }
 
     @property
@@ -236,7 +237,18 @@
         """Return the revision from which to continue, which a peer may have told."""
         own = self._revisions[kind]
         told = self._confirmations.known_to(TOPICS[kind])
-        return max(own or told, told) if told > NO_REVISION else own
+        # Any host may send a report: what the store does not confirm stops no watch.
+        if told <= self._refuted[kind] or told.era != self._client.era:
+            return own
+        return max(own or told, told)
+
+    def _on_changes(
+        self, kind: str, changes: Changes[msgspec.Raw], since: int, asked_at: float
+    ) -> None:
+        told = self._confirmations.known_to(TOPICS[kind])
+        if changes.is_complete and changes.revision < told:
+            self._refuted[kind] = told
+        self._handlers[kind](changes, since, asked_at)
 
     def _apply_configuration(
         self, changes: Changes[msgspec.Raw], since: int, asked_at: float
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -148,6 +148,15 @@
 
     async def _poll(
         self, known: int, wait_s: float
+    ) -> Result[Changes[T], Fault] | None:
+        """Poll; list all objects if the store has not had the known revision."""
+        answer = await self._poll_since(known, wait_s)
+        if isinstance(answer, Success) and _is_ahead(known, answer.unwrap()):
+            return await self._poll_since(0, 0.0)
+        return answer
+
+    async def _poll_since(
+        self, known: int, wait_s: float
     ) -> Result[Changes[T], Fault] | None:
         """Poll; return None if a poll is requested while this one waits for changes.
 
@@ -197,3 +206,8 @@
     def _backoff(self, failures: int) -> float:
         longest = min(self._retry_max_s(), RETRY_BASE_S * 2 ** min(failures, 10))
         return self._rng.uniform(RETRY_BASE_S, longest)
+
+
+def _is_ahead(known: int, changes: Changes[Any]) -> bool:
+    """Return whether the store has not had the revision from which to continue."""
+    return not changes.is_complete and changes.version < known
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -12,8 +12,10 @@
 from mangoramp.control.reports import Confirmed, KnownState, Proof, Report
 from mangoramp.control.settings import Bounds
 from mangoramp.control.staleness_checks import StalenessChecks
+from mangoramp.decoding import MAX_INTEGER
 from mangoramp.errors import Code, Fault, Step
 from mangoramp.platform.client import Changes, Versioned
+from mangoramp.platform.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
 from mangoramp.platform.feed import Feed
 from mangoramp.platform.registry import REGISTRY_KIND, decode_endpoint
 from mangoramp.platform.watch import Watch
@@ -22,6 +24,7 @@
 from mangoramp.serving.servers import Servers
 
 from .virtual_time import run
+from .wire_world import configuration
 
 BOUND_S = 3.0
 KNOWN = KnownState(7, Revision(1, 40), evacuations=None)
@@ -334,6 +337,8 @@
             class Client:
                 """Lists a server as of revision 43, which leaves at 45."""
 
+                era = 0
+
                 async def fetch_changes(self, kind, type_, *, since, wait_s, era):
                     if kind != REGISTRY_KIND:
                         await asyncio.sleep(max(wait_s, 0.5))
@@ -383,3 +388,111 @@
             return state.server_ids
 
         assert not run(play())
+
+
+class TestOddProofs:
+    """Proofs that no instance has made; any host may send a report."""
+
+    def report(self, proof):
+        confirmed = Confirmed(proof, proof, proof)
+        return Report("odd", 1, 1, version=7, confirmed=confirmed)
+
+    @pytest.mark.parametrize("age_ms", [0, 10**9, MAX_INTEGER])
+    def test_leave_the_own_report_readable(self, age_ms):
+        """Guards against an instance whose reports all others drop."""
+        now = [10.0]
+        confirmations = Confirmations(lambda: now[0])
+        confirmations.apply_report(self.report(Proof(age_ms, 1, 1)), KNOWN)
+        now[0] = 1000.0
+        report = Report("p", 1, 1, confirmed=confirmations.to_report())
+        raw = msgspec.msgpack.encode(report)
+        assert msgspec.msgpack.decode(raw, type=Report) == report
+
+    @pytest.mark.parametrize("told", [Proof(0, 44, MAX_INTEGER), Proof(0, MAX_INTEGER)])
+    def test_stop_no_watch(self, told):
+        """Guards against a watch that continues from what the store never had."""
+
+        async def play():
+            loop, receiver = asyncio.get_running_loop(), Receiver()
+            confirmations, store = Confirmations(loop.time), WatchedStore()
+            feed = Feed(
+                store,
+                receiver,
+                Bounds(),
+                is_watcher=lambda: True,
+                is_preferred_watcher=lambda: True,
+                rng=random.Random(1),
+                clock=loop.time,
+                confirmations=confirmations,
+            )
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(1.0)
+            confirmations.apply_report(self.report(told), KNOWN)
+            await asyncio.sleep(10.0)
+            store.change()
+            calls = store.calls
+            await asyncio.sleep(10.0)
+            task.cancel()
+            return receiver.versions, store.calls, calls
+
+        versions, calls, before = run(play())
+        assert before <= 20  # calls in 11 s
+        assert versions == [1, 2]
+        assert calls <= 40
+
+
+class Receiver:
+    has_doubtful_entries = False
+    registry_revision = Revision()
+
+    def __init__(self):
+        self.has_deployment = asyncio.Event()
+        self.has_registry = asyncio.Event()
+        self.versions = []
+
+    def apply_deployment(self, deployment, revision):
+        if deployment.version not in self.versions:
+            self.versions.append(deployment.version)
+
+    def retain_endpoints(self, server_ids, revision):
+        self.has_registry.set()
+
+
+class WatchedStore:
+    """Holds a configuration and no servers; its era is 0.
+
+    Attributes:
+        calls: The number of calls.
+    """
+
+    era = 0
+
+    def __init__(self):
+        self.calls = 0
+        self._revision = 40
+        self._version = 1
+        self._changed = asyncio.Event()
+
+    def change(self):
+        self._revision += 1
+        self._version += 1
+        self._changed.set()
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        self.calls += 1
+        await asyncio.sleep(0.01)
+        if self.calls > 1000:
+            await asyncio.sleep(60.0)
+        is_complete = since <= 0 or era not in (None, 0)
+        if not is_complete and since >= self._revision:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return Success(Changes(self._revision, ()))
+        found = ()
+        if kind == CONFIGURATION_KIND and (is_complete or since < self._revision):
+            raw = msgspec.Raw(msgspec.json.encode(configuration(self._version)))
+            found = (Versioned(CONFIGURATION_NAME, self._revision, raw),)
+        return Success(Changes(self._revision, found, is_complete))
