List the evacuations once before they are watched

Cause: an evacuation that a restored store lacks is removed with the revision of a list, which does not count as new to the peers and may equal that of another evacuation. A peer then takes over the proof without the removal, and since the revision from which to continue. When it begins to watch, no event names the removal, and it asks no peer any more: the evacuation stays in force.

Change: evacuations are watched from the own list on. It holds a few names.

--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -236,6 +236,9 @@
     def _known_to(self, kind: str) -> Revision | None:
         """Return the revision from which to continue, which a peer may have told."""
         own = self._revisions[kind]
+        if kind == EVACUATION_KIND:
+            # Only a list shows which ones a restored store lacks; it is short.
+            return own
         told = self._confirmations.known_to(TOPICS[kind])
         # Any host may send a report: what the store does not confirm stops no watch.
         if told <= self._refuted[kind] or told.era != self._client.era:
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -9,6 +9,7 @@
 
 from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.confirmations import Confirmations, Topic
+from mangoramp.control.evacuations import Evacuations
 from mangoramp.control.reports import Confirmed, KnownState, Proof, Report
 from mangoramp.control.settings import Bounds
 from mangoramp.control.staleness_checks import StalenessChecks
@@ -16,7 +17,7 @@
 from mangoramp.errors import Code, Fault, Step
 from mangoramp.platform.client import Changes, Versioned
 from mangoramp.platform.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
-from mangoramp.platform.feed import Feed
+from mangoramp.platform.feed import EVACUATION_KIND, Feed
 from mangoramp.platform.registry import REGISTRY_KIND, decode_endpoint
 from mangoramp.platform.watch import Watch
 from mangoramp.policy.revision import Revision
@@ -496,3 +497,55 @@
             raw = msgspec.Raw(msgspec.json.encode(configuration(self._version)))
             found = (Versioned(CONFIGURATION_NAME, self._revision, raw),)
         return Success(Changes(self._revision, found, is_complete))
+
+
+class TestEvacuationThatARestoredStoreLacks:
+    """Guards against one that stays in force since no watch names its removal."""
+
+    class Store:
+        """Was restored from a copy without the evacuation of ``a``."""
+
+        era = 2
+        listed = (Versioned("c", 45, msgspec.Raw(b"{}"), 2),)
+
+        async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+            if since <= 0 or era not in (None, 2):
+                return await self.list_objects(kind, type_)
+            await asyncio.sleep(max(wait_s, 0.01))
+            return Success(Changes(45, (), era=2))
+
+        async def list_objects(self, kind, type_):
+            await asyncio.sleep(0.01)
+            listed = self.listed if kind == EVACUATION_KIND else ()
+            return Success(Changes(45, listed, True, 2))
+
+    def test_ends_at_an_instance_that_begins_to_watch(self):
+        async def play():
+            loop = asyncio.get_running_loop()
+            bound_s = 5.0
+            evacuations = Evacuations(Servers(None, loop.time), lambda: bound_s)
+            told = {"a": (Revision(1, 50), True), "c": (Revision(2, 45), True)}
+            evacuations.apply_news(told)
+            confirmations = Confirmations(loop.time)
+            feed = Feed(
+                self.Store(),
+                Receiver(),
+                Bounds(evacuation_s=bound_s),
+                is_watcher=lambda: loop.time() > 1.0,
+                is_preferred_watcher=lambda: loop.time() > 1.0,
+                rng=random.Random(1),
+                clock=loop.time,
+                evacuations=evacuations,
+                confirmations=confirmations,
+            )
+            # The peer has removed a, as of the list, whose revision is that of c.
+            confirmed = Confirmed(evacuations=Proof(100, 45, 2))
+            report = Report("p", 1, 1, evacuations_at=(2, 45), confirmed=confirmed)
+            known = KnownState(0, Revision(), 0, evacuations.latest, True)
+            confirmations.apply_report(report, known)
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(20.0)
+            task.cancel()
+            return evacuations.table.evacuated
+
+        assert run(play()) == {"c"}
