Prove with a list only what there was when it was asked for

Cause: an answer without objects that took as long as a watch waits counted as a watch that ended unchanged. A watch whose history is gone becomes a list; one of no evacuations that took longer than their wait (2 s with a bound of 5 s, where a list may take 3 s) proved 2 s too much.

--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -122,7 +122,8 @@
             changes = answer.unwrap()
             since = 0 if changes.is_complete else known
             self._on_changes(changes, since, asked_at)
-            has_waited = not changes.objects and self._clock() - asked_at >= wait_s
+            is_empty = not changes.objects and not changes.is_complete
+            has_waited = is_empty and self._clock() - asked_at >= wait_s
             as_of = asked_at + wait_s if has_waited else asked_at
             self._on_current(as_of, changes.revision)
             if known == 0 == changes.version:
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -115,6 +115,37 @@
         assert polls == [(0.0, 4.0), (1.0, 0.0), (1.0, 4.0)]
 
 
+class TestLongList:
+    def test_proves_what_there_was_when_it_was_asked_for(self):
+        """Guards against a slow list that counts as a watch that ended unchanged."""
+
+        class Client:
+            """Has no history, so that a watch becomes a list; holds nothing."""
+
+            async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                await asyncio.sleep(2.5)
+                return Success(Changes(7, (), is_complete=True))
+
+        async def play():
+            loop, proofs = asyncio.get_running_loop(), []
+            watch = Watch(
+                Client(),
+                "kind",
+                dict,
+                since=lambda: 7,
+                on_changes=lambda changes, since, asked_at: None,
+                clock=loop.time,
+                wait_s=lambda: 2.0,
+                on_current=lambda as_of, known_to: proofs.append((loop.time(), as_of)),
+            )
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(3.0)
+            task.cancel()
+            return proofs
+
+        assert run(play()) == [(2.5, 0.0)]
+
+
 class Poller:
     topics = (Topic.CONFIGURATION,)
 
