Take no proofs from reports that waited during a pause

Cause: the age of a proof in a report counts from the report's arrival. Reports that waited in the socket's buffer while this process was paused look as if they had just been sent, so that a hub that was paused for 6 s claims, and tells its followers, that it knew everything 0.1 s ago.

Change: after 0.6 s without any report, twice the interval of a peer, proofs are not taken over for 0.5 s.

Not covered: a process that runs for a part of the time only, whose buffer fills without such a gap.

--- a/mangoramp/control/confirmations.py
+++ b/mangoramp/control/confirmations.py
@@ -11,6 +11,8 @@
 from .reports import Confirmed, KnownState, Proof, Report
 
 MAX_HOPS = 3  # a watcher, its hub, a hub of another failure domain, a follower
+PAUSE_S = 0.6  # without any report, which arrive each 0.3 s; likely this process's
+CATCH_UP_S = 0.5  # in which the reports that waited meanwhile are read
 
 
 class Topic(Enum):
@@ -38,6 +40,8 @@
         self._confirmed_at = {
             topic: [float("-inf")] * (MAX_HOPS + 1) for topic in Topic
         }
+        self._heard_at = clock()
+        self._trusts_from = float("-inf")
         self._known_to = dict.fromkeys(Topic, NO_REVISION)
 
     def confirm(
@@ -66,13 +70,20 @@
     def apply_report(self, report: Report, known: KnownState) -> None:
         """Take over the proofs of a peer for what it knows no more of.
 
+        After a pause of this process, reports that waited look as if they had just
+        been sent, so that their proofs are not used.
+
         Args:
             report: The peer's report, which has just arrived.
             known: What is known here.
         """
-        if report.confirmed is None:
+        now = self._clock()
+        if now - self._heard_at > PAUSE_S:
+            self._trusts_from = now + CATCH_UP_S
+        self._heard_at = now
+        if report.confirmed is None or now < self._trusts_from:
             return
-        now, missing = self._clock(), known.missing(report)
+        missing = known.missing(report)
         for topic in Topic:
             proof: Proof | None = getattr(report.confirmed, topic.value)
             if proof is None or topic.value in missing or proof.hops >= MAX_HOPS:
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -65,6 +65,30 @@
         assert confirmations.to_report() == Confirmed(Proof(1000, 44, 1))
 
 
+class TestReportsThatWaited:
+    """Guards against a pause, after which reports are read long after their arrival."""
+
+    def test_prove_nothing(self):
+        now = [10.0]
+        confirmations = Confirmations(lambda: now[0])
+        confirmed = Confirmed(Proof(100, 44, 1))
+        report = Report("p", 1, 1, version=7, confirmed=confirmed)
+
+        def hear(at):
+            now[0] = at
+            confirmations.apply_report(report, KNOWN)
+            return confirmations.age_s(Topic.CONFIGURATION)
+
+        assert hear(10.1) == pytest.approx(0.1)
+        assert hear(10.4) == pytest.approx(0.1)
+        # It was paused until now; what waited is read within a moment.
+        assert hear(16.4) == pytest.approx(6.1)
+        assert hear(16.5) == pytest.approx(6.2)
+        for number in range(1, 5):
+            age_s = hear(16.5 + 0.3 * number)
+        assert age_s == pytest.approx(0.1)
+
+
 class Store:
     """Answers polls; counts them."""
 
