Give up a silent watch of the keys within the limit of a withdrawal

Cause: the HTTP interface watches the platform with polls of 20 s. If the connection of one falls silent, a relay notices after 21 s; its followers ask nobody else while it grants. The limit of a withdrawn key is 5 s.

Change: a poll for keys waits 2.5 s, and so ends after 3.5 s if it is silent. A relay and its stand-by call the platform for keys each 2.5 s, not each 20 s.

The other kinds still wait 20 s, so that an edit of the table, whose limit is 6 s, can be as late; and a follower polls one peer for 20 s: both not mended.

--- a/mangoramp/distribution.py
+++ b/mangoramp/distribution.py
@@ -14,12 +14,13 @@
 from .catalog import KIND_KEY, Catalog
 from .events import SOURCE_CHANGED, emit
 from .platform.client import Changes, PlatformClient
-from .platform.watch import Watch
+from .platform.watch import POLL_WAIT_S, Watch
 from .policy.cache import Delta, Item
 from .proxies.links import Links
 from .proxies.messages import Changed, Follow
 
 FOLLOW_WAIT_S = 20.0
+KEY_WAIT_S = 2.5  # a silent connection is given up 1 s later; a key is withdrawn in 5 s
 FOLLOW_TIMEOUT_MARGIN_S = 1.0
 FOLLOW_RETRY_S = 0.2
 MIN_STARTUP_SILENCE_S = 0.5
@@ -221,6 +222,7 @@
             on_changes=apply,
             rng=self._rng,
             clock=self._clock,
+            wait_s=lambda: KEY_WAIT_S if kind == KIND_KEY else POLL_WAIT_S,
         )
 
     def _silence_limit(self) -> float:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,27 +2,39 @@
 
 import asyncio
 import json
+import random
 import signal
 import time
+from collections import Counter
 from contextlib import asynccontextmanager
 from urllib.error import URLError
 from urllib.request import urlopen
 
+import msgspec
 import pytest
+from returns.result import Failure, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from mangoramp.catalog import KIND_GROUP, KIND_KEY
+from mangoramp.catalog import KIND_GROUP, KIND_KEY, Catalog
+from mangoramp.distribution import Distribution
+from mangoramp.errors import Code, Fault, Step
 from mangoramp.membership import Membership
 from mangoramp.objects import GroupObject
 from mangoramp.operators.keys import withdraw_key
 from mangoramp.operators.table import set_row
-from mangoramp.platform.client import PlatformClient
+from mangoramp.platform.client import (
+    WATCH_TIMEOUT_MARGIN_S,
+    Changes,
+    PlatformClient,
+    Versioned,
+)
 from mangoramp.policy.cache import Delta, ObjectCache
 from mangoramp.proxies.links import Links
 from mangoramp.standins.fleet import Fleet, FleetOptions
 
 from .caller import Caller
 from .processes import Processes
+from .virtual_time import run
 
 UNREACHABLE_URL = "http://127.0.0.1:9"
 KEY_WITHDRAWAL_LIMIT_S = 5.0
@@ -380,3 +392,57 @@
         return reply.status
     except (OSError, ValueError, HTTPClientError):
         return 599
+
+
+class SilentStore:
+    """Leaves the first watch of each kind without an answer, as a dead connection."""
+
+    def __init__(self):
+        self.keys = {"k1": 5}
+        self.revision = 5
+        self.waits = Counter()
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        await asyncio.sleep(0.01)
+        if since <= 0:
+            return Success(Changes(self.revision, self._items(kind), True))
+        self.waits[kind] += 1
+        if self.waits[kind] == 1:
+            await asyncio.sleep(wait_s + WATCH_TIMEOUT_MARGIN_S)
+            return Failure(Fault(Code.NO_SERVER, "timeout", Step.PLATFORM))
+        if kind == KIND_KEY and since < self.revision:
+            gone = Versioned("k1", self.revision, None, is_deleted=True)
+            return Success(Changes(self.revision, (gone,)))
+        await asyncio.sleep(wait_s)
+        return Success(Changes(self.revision, ()))
+
+    def _items(self, kind):
+        raw = msgspec.json.encode({"customer": "c", "salt": "00", "digest": "00"})
+        names = self.keys if kind == KIND_KEY else {}
+        return tuple(Versioned(n, at, msgspec.Raw(raw)) for n, at in names.items())
+
+
+class TestSilentPlatformConnection:
+    """Guards against a withdrawn key that a relay learns of only 20 s later."""
+
+    def test_is_replaced_within_the_limit(self):
+        async def play():
+            loop, store = asyncio.get_running_loop(), SilentStore()
+            catalog = Catalog(clock=loop.time)
+            distribution = Distribution(
+                "relay", catalog, store, None, rng=random.Random(1), clock=loop.time
+            )
+            distribution.assign(watch=True, sources=())
+            task = asyncio.ensure_future(distribution.run())
+            await asyncio.sleep(1.0)
+            knew = "k1" in catalog.keys
+            store.revision = 6
+            withdrawn_at = loop.time()
+            while "k1" in catalog.keys and loop.time() < 60.0:
+                await asyncio.sleep(0.05)
+            task.cancel()
+            return knew, loop.time() - withdrawn_at
+
+        knew, seconds = run(play())
+        assert knew
+        assert seconds <= KEY_WITHDRAWAL_LIMIT_S
