Leave a slow link to the attempts in progress

Cause: attempts side by side share the instance's link. When one ended after the whole limit of 4 s, the next began at once, so that three were always in progress and none had the link to itself. One request after the other, as before, had it.

Change: after an attempt that took the whole limit, the next one is asked when its interval has passed. One that fails sooner is followed at once as before.

--- a/mangoramp/control/news_fetcher.py
+++ b/mangoramp/control/news_fetcher.py
@@ -72,7 +72,7 @@
         self._fetched_registry = NO_REVISION
         self._packed: tuple[int, bytes] | None = None
         self._catch_up: CatchUp | None = None
-        self._attempts: dict[asyncio.Task[None], str] = {}
+        self._attempts: dict[asyncio.Task[bool], str] = {}
         self._next_check: asyncio.TimerHandle | None = None
 
     @property
@@ -240,7 +240,8 @@
             return replace(known, evacuations=None)
         return known
 
-    async def _fetch_from(self, peer: str) -> None:
+    async def _fetch_from(self, peer: str) -> bool:
+        """Ask a peer; return whether the attempt ended before its limit."""
         cluster_state = self._cluster_state
         registry = cluster_state.registry_revision
         req = AskNews(
@@ -265,7 +266,7 @@
                 version=cluster_state.version,
                 waited_s=waited_s,
             )
-            return
+            return waited_s < FETCH_TIMEOUT_S
         news: News = result.unwrap()
         emit(
             NEWS_APPLIED,
@@ -283,6 +284,7 @@
         # The revision of an entry that was deleted in between is known only from here.
         self._fetched_registry = max(self._fetched_registry, news.registry_at)
         self.on_fetched()
+        return True
 
     def _missing_from(self, name: str) -> tuple[str, ...]:
         """Return what a peer is known to have more of, for the log."""
@@ -330,7 +332,7 @@
                 deployment, Revision(news.era, news.revision), source=source
             )
 
-    def _on_attempt_done(self, task: asyncio.Task[None]) -> None:
+    def _on_attempt_done(self, task: asyncio.Task[bool]) -> None:
         peer = self._attempts.pop(task)
         if task.cancelled():
             return
@@ -342,6 +344,9 @@
                 other.cancel()
         elif self._catch_up is not None:
             newer, others = self._sources()
-            if self._catch_up.has_more((*newer, *others)):
+            # After the whole limit, it may be the link that is slow: another attempt
+            # would take its share from those in progress.
+            ended_early = task.exception() is not None or task.result()
+            if ended_early and self._catch_up.has_more((*newer, *others)):
                 self._catch_up.ask_next_at(self._peers.now)
             self._advance()
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 from returns.result import Failure, Success
 
 from mangoramp.control.cluster_state import ClusterState, VersionedEndpoint
@@ -216,3 +217,44 @@
             relay.close()
             server.close()
             await asyncio.wait({serving}, timeout=1)
+
+
+class SlowLink(Fleet):
+    """All answers come over one link, which those in progress share.
+
+    Attributes:
+        answer_s: Seconds that an answer takes if it has the link to itself.
+    """
+
+    def __init__(self, answer_s, *args):
+        super().__init__(*args)
+        self.answer_s = answer_s
+        self.in_progress = 0
+
+    async def fetch(self, peer, message, timeout_s):
+        self.asked.append((self.now, peer))
+        ends_at, left_s = self.now + timeout_s, self.answer_s
+        self.in_progress += 1
+        try:
+            while left_s > 0:
+                if self.now >= ends_at:
+                    return Failure(Fault(Code.TIMEOUT, "did not answer", Step.FORWARD))
+                await asyncio.sleep(0.01)
+                left_s -= 0.01 / self.in_progress
+        finally:
+            self.in_progress -= 1
+        return Success(news())
+
+
+class TestSlowLink:
+    """Guards against attempts side by side of which none is completed in time."""
+
+    @pytest.mark.parametrize("answer_s", [1.0, 2.0, 2.5, 3.0, 3.5])
+    def test_completes_an_answer_that_alone_is_within_the_limit(self, answer_s):
+        async def play():
+            fleet = SlowLink(answer_s, ["hub"], ["second", "third"])
+            return await fleet.play(60.0)
+
+        assert answer_s < FETCH_TIMEOUT_S
+        # The former limits one after the other add up to 7.5 s (0.5, 1, 2, 4 s).
+        assert run(play()) <= 3 * FETCH_TIMEOUT_S
