--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from returns.result import Result, Success
 
@@ -26,6 +26,7 @@
 ENABLED_CHECK_INTERVAL_S = 2.0  # while the watch is disabled
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 5.0
+MAX_POLLS = 2  # in progress at the same time, if one does not wait for changes
 
 
 class Watch(Generic[T]):
@@ -99,6 +100,7 @@
                 self._failures = 0
                 if not await self._wait_for_request(ENABLED_CHECK_INTERVAL_S):
                     continue
+                known = self._since()  # peers have told more meanwhile
             asked_at = self._clock()
             is_long = known > 0 and not self.is_failing
             wait_s = self._wait_s() if is_long else 0.0
@@ -120,7 +122,8 @@
             changes = answer.unwrap()
             since = 0 if changes.is_complete else known
             self._on_changes(changes, since, asked_at)
-            has_waited = not changes.objects and self._clock() - asked_at >= wait_s
+            is_empty = not changes.objects and not changes.is_complete
+            has_waited = is_empty and self._clock() - asked_at >= wait_s
             as_of = asked_at + wait_s if has_waited else asked_at
             self._on_current(as_of, changes.revision)
             if known == 0 == changes.version:
@@ -147,26 +150,65 @@
     async def _poll(
         self, known: int, wait_s: float
     ) -> Result[Changes[T], Fault] | None:
+        """Poll; list all objects if the store has not had the known revision."""
+        answer = await self._poll_since(known, wait_s)
+        if isinstance(answer, Success) and _is_ahead(known, answer.unwrap()):
+            return await self._poll_since(0, 0.0)
+        return answer
+
+    async def _poll_since(
+        self, known: int, wait_s: float
+    ) -> Result[Changes[T], Fault] | None:
+        """Poll; return None if a poll is requested while this one waits for changes.
+
+        A poll that does not wait goes on if another one is requested, or a slow store
+        or link would never complete any. The other one is made beside it.
+        """
+        era = self._era()
+        polls: set[asyncio.Future[Any]] = {self._start_poll(known, era, wait_s)}
+        requested: asyncio.Future[Any] = self._next_request()
+        try:
+            while True:
+                awaited = {*polls, requested} if len(polls) < MAX_POLLS else polls
+                done, _ = await asyncio.wait(
+                    awaited, return_when=asyncio.FIRST_COMPLETED
+                )
+                for poll in polls & done:
+                    polls.discard(poll)
+                    answer: Result[Changes[T], Fault] = poll.result()
+                    if isinstance(answer, Success) or not polls:
+                        return answer
+                if requested in done:
+                    if wait_s > 0:
+                        return None
+                    requested = self._next_request()
+                    polls.add(self._start_poll(known, era, wait_s))
+        finally:
+            for unused in (*polls, requested):
+                unused.cancel()
+
+    def _next_request(self) -> asyncio.Future[Any]:
         self._poll_requested.clear()
-        polling = asyncio.ensure_future(
+        return asyncio.ensure_future(self._poll_requested.wait())
+
+    def _start_poll(
+        self, known: int, era: int | None, wait_s: float
+    ) -> asyncio.Future[Result[Changes[T], Fault]]:
+        return asyncio.ensure_future(
             self._client.fetch_changes(
                 self._kind,
                 self._type,
                 since=max(0, known),
                 wait_s=wait_s,
-                era=self._era(),
+                era=era,
             )
         )
-        requested = asyncio.ensure_future(self._poll_requested.wait())
-        try:
-            await asyncio.wait(
-                (polling, requested), return_when=asyncio.FIRST_COMPLETED
-            )
-            return polling.result() if polling.done() else None
-        finally:
-            polling.cancel()
-            requested.cancel()
 
     def _backoff(self, failures: int) -> float:
         longest = min(self._retry_max_s(), RETRY_BASE_S * 2 ** min(failures, 10))
         return self._rng.uniform(RETRY_BASE_S, longest)
+
+
+def _is_ahead(known: int, changes: Changes[Any]) -> bool:
+    """Return whether the store has not had the revision from which to continue."""
+    return not changes.is_complete and changes.version < known
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -3,20 +3,29 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
+from mangoramp.control.cluster_state import ClusterState
 from mangoramp.control.confirmations import Confirmations, Topic
+from mangoramp.control.evacuations import Evacuations
 from mangoramp.control.reports import Confirmed, KnownState, Proof, Report
 from mangoramp.control.settings import Bounds
 from mangoramp.control.staleness_checks import StalenessChecks
+from mangoramp.decoding import MAX_INTEGER
 from mangoramp.errors import Code, Fault, Step
-from mangoramp.platform.client import Changes
+from mangoramp.platform.client import Changes, Versioned
+from mangoramp.platform.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
+from mangoramp.platform.feed import EVACUATION_KIND, Feed
+from mangoramp.platform.registry import REGISTRY_KIND, decode_endpoint
 from mangoramp.platform.watch import Watch
 from mangoramp.policy.revision import Revision
 from mangoramp.policy.staleness import StalenessLimit
+from mangoramp.serving.servers import Servers
 
 from .virtual_time import run
+from .wire_world import configuration
 
 BOUND_S = 3.0
 KNOWN = KnownState(7, Revision(1, 40), evacuations=None)
@@ -56,6 +65,30 @@
         assert confirmations.to_report() == Confirmed(Proof(1000, 44, 1))
 
 
+class TestReportsThatWaited:
+    """Guards against a pause, after which reports are read long after their arrival."""
+
+    def test_prove_nothing(self):
+        now = [10.0]
+        confirmations = Confirmations(lambda: now[0])
+        confirmed = Confirmed(Proof(100, 44, 1))
+        report = Report("p", 1, 1, version=7, confirmed=confirmed)
+
+        def hear(at):
+            now[0] = at
+            confirmations.apply_report(report, KNOWN)
+            return confirmations.age_s(Topic.CONFIGURATION)
+
+        assert hear(10.1) == pytest.approx(0.1)
+        assert hear(10.4) == pytest.approx(0.1)
+        # It was paused until now; what waited is read within a moment.
+        assert hear(16.4) == pytest.approx(6.1)
+        assert hear(16.5) == pytest.approx(6.2)
+        for number in range(1, 5):
+            age_s = hear(16.5 + 0.3 * number)
+        assert age_s == pytest.approx(0.1)
+
+
 class Store:
     """Answers polls; counts them."""
 
@@ -106,6 +139,37 @@
         assert polls == [(0.0, 4.0), (1.0, 0.0), (1.0, 4.0)]
 
 
+class TestLongList:
+    def test_proves_what_there_was_when_it_was_asked_for(self):
+        """Guards against a slow list that counts as a watch that ended unchanged."""
+
+        class Client:
+            """Has no history, so that a watch becomes a list; holds nothing."""
+
+            async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                await asyncio.sleep(2.5)
+                return Success(Changes(7, (), is_complete=True))
+
+        async def play():
+            loop, proofs = asyncio.get_running_loop(), []
+            watch = Watch(
+                Client(),
+                "kind",
+                dict,
+                since=lambda: 7,
+                on_changes=lambda changes, since, asked_at: None,
+                clock=loop.time,
+                wait_s=lambda: 2.0,
+                on_current=lambda as_of, known_to: proofs.append((loop.time(), as_of)),
+            )
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(3.0)
+            task.cancel()
+            return proofs
+
+        assert run(play()) == [(2.5, 0.0)]
+
+
 class Poller:
     topics = (Topic.CONFIGURATION,)
 
@@ -170,3 +234,373 @@
         fastest = StalenessLimit(0.0).limit_s(BOUND_S, is_watcher=False)
         report_s = 0.3
         assert slowest + report_s / 2 <= fastest
+
+
+class TestPassedOnProofs:
+    """Guards against proofs that stay young because instances pass them around."""
+
+    INTERVAL_S = 0.3
+    SECONDS = 6.0
+
+    def play(self, instances, latency_s):
+        """Return the youngest proof some seconds after the store's last answer."""
+
+        async def play():
+            loop = asyncio.get_running_loop()
+            found = [Confirmations(loop.time) for _ in range(instances)]
+            for confirmations in found:
+                confirmations.confirm(Topic.CONFIGURATION, 0.0, Revision(1, 44))
+
+            def deliver(sender, report):
+                for receiver in found:
+                    if receiver is not sender:
+                        receiver.apply_report(report, KNOWN)
+
+            def send(confirmations):
+                confirmed = confirmations.to_report()
+                report = Report("p", 1, 1, version=7, confirmed=confirmed)
+                loop.call_later(latency_s, deliver, confirmations, report)
+                loop.call_later(self.INTERVAL_S, send, confirmations)
+
+            for number, confirmations in enumerate(found):
+                loop.call_later(
+                    self.INTERVAL_S * number / instances, send, confirmations
+                )
+            await asyncio.sleep(self.SECONDS)
+            return min(c.age_s(Topic.CONFIGURATION) for c in found)
+
+        return run(play())
+
+    @pytest.mark.parametrize("instances", [2, 9, 30])
+    @pytest.mark.parametrize("latency_s", [0.005, 0.05, 0.2])
+    def test_grow_old_while_the_store_is_silent(self, instances, latency_s):
+        assert self.play(instances, latency_s) >= self.SECONDS - 4 * latency_s
+
+
+class SlowStore:
+    """Answers some time after each poll.
+
+    Args:
+        after_s: The seconds until each answer; the last one repeats.
+    """
+
+    def __init__(self, *after_s):
+        self._after_s = list(after_s)
+        self.polls = 0
+        self.in_progress = 0
+        self.most_in_progress = 0
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        after_s = self._after_s[min(self.polls, len(self._after_s) - 1)]
+        self.polls += 1
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        try:
+            await asyncio.sleep(after_s + wait_s)
+        finally:
+            self.in_progress -= 1
+        return Success(Changes(7, ()))
+
+
+class TestRepeatedRequests:
+    """Guards against polls that are cut short by the next request, and never end."""
+
+    def play(self, store, interval_s):
+        async def play():
+            loop, proofs = asyncio.get_running_loop(), []
+            watch = Watch(
+                store,
+                "kind",
+                dict,
+                since=lambda: 7,
+                on_changes=lambda changes, since, asked_at: None,
+                clock=loop.time,
+                is_enabled=lambda: False,
+                on_current=lambda as_of, known_to: proofs.append((loop.time(), as_of)),
+            )
+            task = asyncio.ensure_future(watch.run())
+            for _ in range(10):
+                watch.poll_now()
+                await asyncio.sleep(interval_s)
+            task.cancel()
+            return proofs
+
+        return run(play())
+
+    @pytest.mark.parametrize(("after_s", "interval_s"), [(0.6, 0.5), (4.5, 4.0)])
+    def test_leave_a_poll_that_does_not_wait_in_progress(self, after_s, interval_s):
+        store = SlowStore(after_s)
+        proofs = self.play(store, interval_s)
+        assert proofs
+        assert proofs[0] == (pytest.approx(after_s), 0.0)
+        assert store.polls <= 10
+        assert store.most_in_progress <= 2
+
+    def test_do_not_wait_for_a_poll_that_is_silent(self):
+        proofs = self.play(SlowStore(60.0, 0.01), 0.5)
+        assert proofs
+        assert proofs[0][0] == pytest.approx(0.51)
+
+
+class TestRevisionToContinueFrom:
+    def test_is_of_the_era_that_is_asked_for(self):
+        """Guards against a number of one era that is sent as one of another."""
+
+        async def play():
+            asked, known = [], [Revision(1, 100)]
+
+            class Client:
+                async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                    asked.append(Revision(era, since))
+                    return Success(Changes(since, (), era=era))
+
+            watch = Watch(
+                Client(),
+                "kind",
+                dict,
+                since=lambda: known[0].number,
+                era=lambda: known[0].era,
+                on_changes=lambda changes, since, asked_at: None,
+                is_enabled=lambda: False,
+            )
+            task = asyncio.ensure_future(watch.run())
+            await asyncio.sleep(0.1)
+            known[0] = Revision(2, 40)  # a peer told it after the store was restored
+            watch.poll_now()
+            await asyncio.sleep(0.1)
+            task.cancel()
+            return asked
+
+        assert run(play()) == [Revision(2, 40)]
+
+
+class TestLateList:
+    """Guards against a server that left while the store's answer was under way."""
+
+    ENTRY = (
+        b'{"service":"g","address":"10.0.0.1:1","zone":"z","slots":2,'
+        b'"state":"ready","db_role":"replica","sequence":1,"born":1000}'
+    )
+
+    @pytest.mark.parametrize("is_watcher", [True, False])
+    def test_does_not_bring_it_back(self, is_watcher):
+        async def play():
+            loop = asyncio.get_running_loop()
+            state = ClusterState(Servers(None, loop.time))
+            confirmations = Confirmations(loop.time)
+            entry = self.ENTRY
+
+            class Client:
+                """Lists a server as of revision 43, which leaves at 45."""
+
+                era = 0
+
+                async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+                    if kind != REGISTRY_KIND:
+                        await asyncio.sleep(max(wait_s, 0.5))
+                        return Success(Changes(46, (), is_complete=since <= 0))
+                    if since <= 0:
+                        await asyncio.sleep(0.5)
+                        listed = Versioned("s1", 10, msgspec.Raw(entry))
+                        return Success(Changes(43, (listed,), is_complete=True))
+                    if since < 45:
+                        gone = Versioned("s1", 45, None, is_deleted=True)
+                        return Success(Changes(46, (gone,)))
+                    await asyncio.sleep(max(wait_s, 0.5))
+                    return Success(Changes(46, ()))
+
+            feed = Feed(
+                Client(),
+                state,
+                Bounds(),
+                is_watcher=lambda: is_watcher,
+                is_preferred_watcher=lambda: is_watcher,
+                rng=random.Random(1),
+                clock=loop.time,
+                peers_first_s=0.0,
+                confirmations=confirmations,
+            )
+
+            def learn_from_peer():
+                endpoint = decode_endpoint("s1", entry)
+                state.apply_endpoint(endpoint, Revision(0, 10))
+                state.retain_endpoints(frozenset(), Revision(0, 45))
+                report = Report(
+                    "p",
+                    1,
+                    1,
+                    registry_revision=45,
+                    confirmed=Confirmed(registry=Proof(100, 46)),
+                )
+                known = KnownState(0, state.registry_revision)
+                loop.call_later(0.1, confirmations.apply_report, report, known)
+                loop.call_later(1.0, confirmations.apply_report, report, known)
+
+            loop.call_later(0.2, learn_from_peer)
+            loop.call_later(2.0, feed.poll_now)
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(20.0)
+            task.cancel()
+            return state.server_ids
+
+        assert not run(play())
+
+
+class TestOddProofs:
+    """Proofs that no instance has made; any host may send a report."""
+
+    def report(self, proof):
+        confirmed = Confirmed(proof, proof, proof)
+        return Report("odd", 1, 1, version=7, confirmed=confirmed)
+
+    @pytest.mark.parametrize("age_ms", [0, 10**9, MAX_INTEGER])
+    def test_leave_the_own_report_readable(self, age_ms):
+        """Guards against an instance whose reports all others drop."""
+        now = [10.0]
+        confirmations = Confirmations(lambda: now[0])
+        confirmations.apply_report(self.report(Proof(age_ms, 1, 1)), KNOWN)
+        now[0] = 1000.0
+        report = Report("p", 1, 1, confirmed=confirmations.to_report())
+        raw = msgspec.msgpack.encode(report)
+        assert msgspec.msgpack.decode(raw, type=Report) == report
+
+    @pytest.mark.parametrize("told", [Proof(0, 44, MAX_INTEGER), Proof(0, MAX_INTEGER)])
+    def test_stop_no_watch(self, told):
+        """Guards against a watch that continues from what the store never had."""
+
+        async def play():
+            loop, receiver = asyncio.get_running_loop(), Receiver()
+            confirmations, store = Confirmations(loop.time), WatchedStore()
+            feed = Feed(
+                store,
+                receiver,
+                Bounds(),
+                is_watcher=lambda: True,
+                is_preferred_watcher=lambda: True,
+                rng=random.Random(1),
+                clock=loop.time,
+                confirmations=confirmations,
+            )
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(1.0)
+            confirmations.apply_report(self.report(told), KNOWN)
+            await asyncio.sleep(10.0)
+            store.change()
+            calls = store.calls
+            await asyncio.sleep(10.0)
+            task.cancel()
+            return receiver.versions, store.calls, calls
+
+        versions, calls, before = run(play())
+        assert before <= 20  # calls in 11 s
+        assert versions == [1, 2]
+        assert calls <= 40
+
+
+class Receiver:
+    has_doubtful_entries = False
+    registry_revision = Revision()
+
+    def __init__(self):
+        self.has_deployment = asyncio.Event()
+        self.has_registry = asyncio.Event()
+        self.versions = []
+
+    def apply_deployment(self, deployment, revision):
+        if deployment.version not in self.versions:
+            self.versions.append(deployment.version)
+
+    def retain_endpoints(self, server_ids, revision):
+        self.has_registry.set()
+
+
+class WatchedStore:
+    """Holds a configuration and no servers; its era is 0.
+
+    Attributes:
+        calls: The number of calls.
+    """
+
+    era = 0
+
+    def __init__(self):
+        self.calls = 0
+        self._revision = 40
+        self._version = 1
+        self._changed = asyncio.Event()
+
+    def change(self):
+        self._revision += 1
+        self._version += 1
+        self._changed.set()
+
+    async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+        self.calls += 1
+        await asyncio.sleep(0.01)
+        if self.calls > 1000:
+            await asyncio.sleep(60.0)
+        is_complete = since <= 0 or era not in (None, 0)
+        if not is_complete and since >= self._revision:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return Success(Changes(self._revision, ()))
+        found = ()
+        if kind == CONFIGURATION_KIND and (is_complete or since < self._revision):
+            raw = msgspec.Raw(msgspec.json.encode(configuration(self._version)))
+            found = (Versioned(CONFIGURATION_NAME, self._revision, raw),)
+        return Success(Changes(self._revision, found, is_complete))
+
+
+class TestEvacuationThatARestoredStoreLacks:
+    """Guards against one that stays in force since no watch names its removal."""
+
+    class Store:
+        """Was restored from a copy without the evacuation of ``a``."""
+
+        era = 2
+        listed = (Versioned("c", 45, msgspec.Raw(b"{}"), 2),)
+
+        async def fetch_changes(self, kind, type_, *, since, wait_s, era):
+            if since <= 0 or era not in (None, 2):
+                return await self.list_objects(kind, type_)
+            await asyncio.sleep(max(wait_s, 0.01))
+            return Success(Changes(45, (), era=2))
+
+        async def list_objects(self, kind, type_):
+            await asyncio.sleep(0.01)
+            listed = self.listed if kind == EVACUATION_KIND else ()
+            return Success(Changes(45, listed, True, 2))
+
+    def test_ends_at_an_instance_that_begins_to_watch(self):
+        async def play():
+            loop = asyncio.get_running_loop()
+            bound_s = 5.0
+            evacuations = Evacuations(Servers(None, loop.time), lambda: bound_s)
+            told = {"a": (Revision(1, 50), True), "c": (Revision(2, 45), True)}
+            evacuations.apply_news(told)
+            confirmations = Confirmations(loop.time)
+            feed = Feed(
+                self.Store(),
+                Receiver(),
+                Bounds(evacuation_s=bound_s),
+                is_watcher=lambda: loop.time() > 1.0,
+                is_preferred_watcher=lambda: loop.time() > 1.0,
+                rng=random.Random(1),
+                clock=loop.time,
+                evacuations=evacuations,
+                confirmations=confirmations,
+            )
+            # The peer has removed a, as of the list, whose revision is that of c.
+            confirmed = Confirmed(evacuations=Proof(100, 45, 2))
+            report = Report("p", 1, 1, evacuations_at=(2, 45), confirmed=confirmed)
+            known = KnownState(0, Revision(), 0, evacuations.latest, True)
+            confirmations.apply_report(report, known)
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(20.0)
+            task.cancel()
+            return evacuations.table.evacuated
+
+        assert run(play()) == {"c"}
