--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -2,8 +2,8 @@
 
 ``python -m tests.soak_configuration --seeds 50`` runs fifty seeds and prints the
 violations of rule CONFIG. Most instances learn of a change from others, not from the
-store. Each instance is asked for routes that were added and removed; it has to serve
-an added one from the end of its bound on, and never to refuse what it has served.
+store. Each instance is asked for routes and keys that were added and removed; it has to
+serve an added one from the end of its bound on, and never to refuse what it has served.
 Beside the former build, only instances of this build are judged.
 """
 
@@ -44,6 +44,7 @@
 START_TIMEOUT_S = 30.0
 CHANGE_INTERVAL_S = (0.3, 2.0)
 KEPT_ROUTES = 8
+SILENCE_INTERVAL_S = 2 * (SETTLED_S + CONFIGURATION_S)
 MAX_LAG_S = 0.3  # of this process, which is the store and the network
 LINK_PORTS = 3  # of an instance, from its peer port on
 MAX_PRINTED = 12  # violations of one run
@@ -140,7 +141,7 @@
 
 @dataclass
 class RouteChange:
-    """A route that was added, and perhaps removed again.
+    """A route that was added with a key of its own, and perhaps removed again.
 
     Attributes:
         name: The name of its database.
@@ -154,6 +155,10 @@
     added_at: float
     removed_at: float = float("inf")
 
+    @property
+    def key(self):
+        return f"k-{self.name}"
+
 
 class ConfigurationSoak(World):
     """A run with one seed.
@@ -190,6 +195,7 @@
         self._numbers = itertools.count(1)
         self._served = {}
         self._is_over = False
+        self.silenced_at = float("-inf")
 
     async def __aenter__(self):
         _allow_files(MIN_FILES)
@@ -235,7 +241,13 @@
             }
             for route in self.current_routes
         ]
-        self.put("config", "main", configuration(self._version, routes=routes))
+        keys = [KEY, *(route.key for route in self.current_routes)]
+        tenants = [{"name": "alpha", "api_keys": keys, "rate_per_s": 1e4, "burst": 1e4}]
+        self.put(
+            "config",
+            "main",
+            configuration(self._version, routes=routes, tenants=tenants),
+        )
 
     @property
     def current_routes(self):
@@ -323,7 +335,7 @@
 
     async def _wait_until_served(self, process):
         async with asyncio.timeout(START_TIMEOUT_S):
-            while await self._ask(process, self._routes[0].name) != "READY":
+            while await self._ask(process, self._routes[0]) != "READY":
                 await asyncio.sleep(0.1)
 
     async def _ask_often(self, process):
@@ -343,7 +355,7 @@
     async def _ask_and_judge(self, process, route):
         life, sent_at = process.life, time.monotonic()
         was_settled = process.is_settled
-        answer = await self._ask(process, route.name)
+        answer = await self._ask(process, route)
         self.asked[answer] += 1
         if process.life != life:
             return
@@ -354,7 +366,7 @@
             self._record_served(process, route, served, sent_at, in_touch)
             if in_touch and sent_at - route.removed_at > CONFIGURATION_S:
                 self._note(process, route, "served though removed", sent_at)
-        elif answer == "NODB" and time.monotonic() < route.removed_at:
+        elif answer in ("NODB", "NOAUTH") and time.monotonic() < route.removed_at:
             seen_at = served.get(route.name, float("inf"))
             if sent_at - seen_at > ROLLBACK_S:
                 self._note(process, route, "refused after it was served", sent_at)
@@ -383,13 +395,13 @@
             f" at {time.time():.2f}"
         )
 
-    async def _ask(self, process, database):
+    async def _ask(self, process, route):
         """Return the first word, or the code, of the answer to a new session."""
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(HOST, process.ports[0])
                 try:
-                    writer.write(f"START {database} {KEY}\r\n".encode())
+                    writer.write(f"START {route.name} {route.key}\r\n".encode())
                     words = (await reader.readline()).decode().split()
                     return words[1 if words[:1] == ["ERR"] else 0] if words else ""
                 finally:
@@ -465,8 +477,14 @@
 
 
 async def silence_links(soak):
-    """Let the open connections to some instances carry nothing any more."""
-    silenced = soak.rng.choice((soak.pick_hubs(), [soak.pick_process()]))
+    """Let the open connections to all instances, or to hubs, carry nothing any more.
+
+    No instance is judged until it has settled, so that the next silence comes later.
+    """
+    if time.monotonic() - soak.silenced_at < SILENCE_INTERVAL_S:
+        return
+    soak.silenced_at = time.monotonic()
+    silenced = soak.rng.choice((soak.processes, soak.hubs(soak.rng.choice(ZONES))))
     with soak.disturbing(*soak.processes):
         for target in silenced:
             for process in soak.processes:
