Spread the ends of watches, and poll only for what is missing

Cause: a change ends the watches of all watchers at once, and their next ones too, so that for up to a whole wait nobody has a recent proof, and several instances poll beside one another. And catching up polled all topics, each instance of a fleet 1 s after it noticed.

Change: a watch waits 0.5 to 1 of its longest wait. Watchers check at 0.5 to 0.6 of the bound, the others at 0.7 to 0.8. Catching up polls only for the topics of which a peer knows more, after 1 to 1.5 s.

--- a/mangoramp/control/news_fetcher.py
+++ b/mangoramp/control/news_fetcher.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import replace
 
 from returns.result import Result, Success
@@ -38,10 +38,11 @@
     Args:
         cluster_state: The state that updates are applied to.
         peers: The other instances.
-        refresh_watches: Restarts the current polls of the store.
+        poll_store: Polls the store at once for the topics with the given names.
         fetch: Sends a request to a peer, with a timeout in seconds.
         evacuations: The evacuations that updates are applied to.
         renew: Lets the next request to a peer use a new connection.
+        jitter: A number from 0 to 1, which differs between instances.
 
     Attributes:
         is_catching_up: Whether this process has just started, so that a watcher does
@@ -53,17 +54,19 @@
         self,
         cluster_state: ClusterState,
         peers: Peers,
-        refresh_watches: Callable[[], None],
+        poll_store: Callable[[Collection[str]], None],
         fetch: FetchNews,
         evacuations: Evacuations,
         renew: Callable[[str], None] = lambda peer: None,
+        jitter: float = 0.0,
     ) -> None:
         self._cluster_state = cluster_state
         self._peers = peers
-        self._refresh_watches = refresh_watches
+        self._poll_store = poll_store
         self._fetch = fetch
         self._evacuations = evacuations
         self._renew = renew
+        self._jitter = jitter
         self._fetched_at = float("-inf")
         self._refreshed_from: set[str] = set()
         self.is_catching_up = True
@@ -162,10 +165,10 @@
         now = self._peers.now
         if self._catch_up is None:
             is_watcher = self._peers.is_watcher and not self.is_catching_up
-            self._catch_up = CatchUp(now, is_watcher=is_watcher)
+            self._catch_up = CatchUp(now, is_watcher=is_watcher, jitter=self._jitter)
         catch_up = self._catch_up
         if catch_up.must_ask_store(now):
-            self._refresh_watches()
+            self._poll_store(self._missing())
         if catch_up.must_ask_peer(now, in_progress=len(self._attempts)):
             sources = self._sources()
             peer = catch_up.choose(*sources)
@@ -286,10 +289,15 @@
         self.on_fetched()
         return True
 
+    def _missing(self) -> set[str]:
+        """Return the names of the topics of which peers know more."""
+        newer = self._peers.newer_peers(self._wanted())
+        return {topic for name in newer for topic in self._missing_from(name)}
+
     def _missing_from(self, name: str) -> tuple[str, ...]:
-        """Return what a peer is known to have more of, for the log."""
+        """Return the names of the topics of which a peer knows more."""
         peer = self._peers.peers.get(name)
-        return self.known.missing(peer.report) if peer is not None else ()
+        return self._wanted().missing(peer.report) if peer is not None else ()
 
     def _apply(self, news: News, source: str = "peer") -> None:
         self._cluster_state.record_departed(news.departed)
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -186,6 +186,7 @@
             self._request_news,
             self.evacuations,
             self._update_links.renew,
+            rng.random(),
         )
         self._admission = AdmissionControl(
             self.servers,
--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import partial
 from typing import Protocol
 
@@ -26,6 +26,7 @@
 RETRY_MAX_S = 0.5  # entries must be known again 2 s after an outage
 FALLBACK_RETRY_MAX_S = 4.0  # for instances that watch only while others cannot
 MIN_POLL_WAIT_S = 1.0
+MIN_WAIT_PART = 0.5  # of the longest wait
 PEERS_FIRST_S = 1.0  # peers usually answer a new instance within half of this time
 RECHECK_INTERVAL_S = 1.5  # a live server reports within this time after an outage
 EVACUATION_KIND = "evacuations"
@@ -37,6 +38,7 @@
     REGISTRY_KIND: Topic.REGISTRY,
     EVACUATION_KIND: Topic.EVACUATIONS,
 }
+ALL_TOPICS = frozenset(topic.value for topic in Topic)
 
 
 class FeedReceiver(Protocol):
@@ -151,7 +153,11 @@
                 on_changes=partial(self._on_changes, kind),
                 rng=rng,
                 clock=clock,
-                wait_s=lambda kind=kind: waits[kind],  # type: ignore[misc]
+                # A change ends all watches at once; their next ends are spread again,
+                # so that some proof is always recent.
+                wait_s=lambda kind=kind: (  # type: ignore[misc]
+                    waits[kind] * rng.uniform(MIN_WAIT_PART, 1.0)
+                ),
                 is_enabled=is_watcher,
                 is_needed=self._is_needed,
                 retry_max_s=lambda: (
@@ -167,10 +173,15 @@
         """Whether the last poll of any watch failed."""
         return any(watch.is_failing for watch in self._watches.values())
 
-    def poll_now(self) -> None:
-        """Poll the store at once, because peers know a newer revision."""
-        for watch in self._watches.values():
-            watch.poll_now()
+    def poll_now(self, topics: Collection[str] = ALL_TOPICS) -> None:
+        """Poll the store at once, because peers know a newer revision.
+
+        Args:
+            topics: The names of the topics to poll for.
+        """
+        for topic, watch in self._watches.items():
+            if topic.value in topics:
+                watch.poll_now()
 
     @property
     def topics(self) -> Iterable[Topic]:
--- a/mangoramp/policy/catch_up.py
+++ b/mangoramp/policy/catch_up.py
@@ -17,6 +17,7 @@
 OWN_WATCH_S = 1.0  # in which the watch of an instance usually has the change itself
 WATCHER_POLL_S = 0.5  # watches of all instances get a change within milliseconds
 STORE_AFTER_S = 1.0  # peers usually answer before
+STORE_JITTER_S = 0.5  # many instances notice the same change at the same time
 
 
 class CatchUp:
@@ -26,11 +27,13 @@
         now: The current time, in seconds.
         is_watcher: Whether the instance watches the store itself, and so probably gets
             the change without asking a peer.
+        jitter: A number from 0 to 1, which differs between instances.
     """
 
-    def __init__(self, now: float, *, is_watcher: bool) -> None:
+    def __init__(self, now: float, *, is_watcher: bool, jitter: float = 0.0) -> None:
+        store_after_s = STORE_AFTER_S + jitter * STORE_JITTER_S
         self._peer_at = now + (OWN_WATCH_S if is_watcher else 0.0)
-        self._store_at = now + (WATCHER_POLL_S if is_watcher else STORE_AFTER_S)
+        self._store_at = now + (WATCHER_POLL_S if is_watcher else store_after_s)
         self._interval_s = FIRST_INTERVAL_S
         self._store_interval_s = STORE_AFTER_S
         self._asked: set[str] = set()
--- a/mangoramp/policy/staleness.py
+++ b/mangoramp/policy/staleness.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-WATCHER_PART = 0.45  # of the bound
-FOLLOWER_PART = 0.65  # of the bound; leaves time to ask again after a refusal
-JITTER_PART = 0.15  # of the bound; one answer often reaches the others meanwhile
+WATCHER_PART = 0.5  # of the bound
+FOLLOWER_PART = 0.7  # of the bound; leaves time to ask again after a refusal
+JITTER_PART = 0.1  # of the bound; one answer often reaches the others meanwhile
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 4.0
 
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -1,6 +1,7 @@
 """How an instance gets a change that some sources do not answer for."""
 
 import asyncio
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from mangoramp.control.evacuations import Evacuations
 from mangoramp.control.news import AskNews, News, NewsMessage
 from mangoramp.control.news_fetcher import FETCH_TIMEOUT_S, NewsFetcher
+from mangoramp.control.reports import Report
 from mangoramp.decoding import msgpack_decoder
 from mangoramp.errors import Code, Fault, Step
 from mangoramp.policy.catch_up import MAX_ATTEMPTS, CatchUp
@@ -47,11 +49,12 @@
     """
 
     is_watcher = False
-    peers = {}
 
     def __init__(self, newer, others=(), silent=(), can_renew=True):
         self.newer, self.others = list(newer), list(others)
         self.silent = set(silent)
+        report = Report("hub", 1, 1, version=2)
+        self.peers = {name: SimpleNamespace(report=report) for name in newer}
         self.asked = []
         self.renewed = set()
         self.store_asked = []
@@ -60,7 +63,7 @@
         self.fetcher = NewsFetcher(
             self.state,
             self,
-            lambda: self.store_asked.append(self.now),
+            lambda topics: self.store_asked.append((self.now, topics)),
             self.fetch,
             Evacuations(servers, lambda: 5.0, is_enabled=False),
             self.renewed.add if can_renew else lambda peer: None,
@@ -121,8 +124,9 @@
 
     def test_lets_the_store_be_asked(self):
         _, fleet = self.play(["hub"], ["a", "b", "c"], silent=["hub", "a", "b", "c"])
-        assert fleet.store_asked
-        assert fleet.store_asked[0] <= BOUND_S / 2
+        asked_at, topics = fleet.store_asked[0]
+        assert asked_at <= BOUND_S / 2
+        assert topics == {"configuration"}
 
 
 class TestAttempts:
@@ -148,6 +152,13 @@
             catch_up.record_attempt(peer, float(now))
         assert chosen == ["a", "b", "c", "a"]
 
+    def test_of_many_instances_reach_the_store_at_different_times(self):
+        """Guards against a call of each instance of a large fleet at once."""
+        first, last = (CatchUp(0.0, is_watcher=False, jitter=j) for j in (0.0, 1.0))
+        assert first.must_ask_store(1.0)
+        assert not last.must_ask_store(1.4)
+        assert last.must_ask_store(1.5)
+
     def test_a_watcher_waits_for_the_store_first(self):
         catch_up = CatchUp(0.0, is_watcher=True)
         assert not catch_up.must_ask_peer(0.4, in_progress=0)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -341,7 +341,7 @@
         fetcher = NewsFetcher(
             ClusterState(deployment.servers),
             peers,
-            lambda: None,
+            lambda topics: None,
             fetch,
             deployment.evacuations,
         )
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -67,7 +67,9 @@
             servers = Servers(None, loop.time)
             state = ClusterState(servers)
             evacuations = Evacuations(servers, lambda: 5.0, is_enabled=False)
-            fetcher = NewsFetcher(state, Peers(), lambda: None, link.fetch, evacuations)
+            fetcher = NewsFetcher(
+                state, Peers(), lambda topics: None, link.fetch, evacuations
+            )
             while state.version < 2 and loop.time() < 60.0:
                 fetcher.check_peers()
                 await asyncio.sleep(CHECK_INTERVAL_S)
@@ -95,7 +97,7 @@
         fetcher = NewsFetcher(
             state,
             Peers(),
-            lambda: None,
+            lambda topics: None,
             None,
             Evacuations(servers, lambda: 5.0, is_enabled=False),
         )
