Keep a customer's limit while several homes admit its operations

Change: - Where customers have homes, each instance stands for an even part of the limit (EvenParts). It passes to the majority 3.5 s after an instance fell silent; a minority gives it up from 2 s on. Callers use all instances alike, so neither side needs to know what the other one admitted. Of two instances, the one left keeps 0.9, as before. - An instance that admits for a live home of another instance (a stand-in) has half of the limit at most, or what the tolerance covers of a small one, and reports what it admits to that home directly.

Ruled out: parts by the record of use of before the cut, as between instances without homes (a home reports a customer only near its limit, so that the sides' records differ); even parts that never pass on (a listed instance that has ended lowers the limit for 20 s).

--- a/mangoramp/control/limits.py
+++ b/mangoramp/control/limits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
 
 from ..events import RATE_REFUSED, emit
 from ..policy.quota import (
@@ -12,14 +13,24 @@
     SharedBucket,
     restart_fill,
 )
-from ..policy.quota_parts import Reach, ReachObserver
+from ..policy.quota_parts import EvenParts, Reach, ReachObserver
+from ..policy.token_bucket import TokenBucket
 from .deployment import Customer, Deployment
 from .peers import Peers
 
 REACH_REFRESH_S = 0.05  # half of the shortest interval of reports
+STAND_IN_PART = 0.5  # a customer that its home does not report has as much left there
+STAND_IN_S = 1.0  # for which a home is told what another instance admitted for it
 MAX_RETRY_AFTER_S = 60.0  # for a customer that may run nothing at all
 
 
+@dataclass(frozen=True, slots=True)
+class _StandIn:
+    home: str
+    tokens: TokenBucket
+    at: float
+
+
 class CustomerLimits:
     """This instance's copies of the customers' token buckets.
 
@@ -28,6 +39,10 @@
         peers: The other instances.
         is_first_start: Whether no operation was admitted before this process started.
         tolerance: By how much a customer may exceed its limit, None for not at all.
+
+    Attributes:
+        live_home_of: Returns a customer's home among all live instances, also those
+            that did not answer lately; empty if there are no homes.
     """
 
     def __init__(
@@ -39,6 +54,8 @@
         tolerance: RateTolerance | None = None,
     ) -> None:
         self.spent: dict[str, int] = {}
+        self.live_home_of: Callable[[str], str] = lambda customer: ""
+        self._stand_ins: dict[str, _StandIn] = {}
         self._name = name
         self._peers = peers
         self._is_first_start = is_first_start
@@ -47,6 +64,8 @@
         self._limits: dict[str, Customer] = {}
         self._started_at = peers.now
         self._observer = ReachObserver(self._started_at)
+        self._even_parts = EvenParts(self._started_at)
+        self._even_part = 1.0
         self._reached = Reach((name,), (name,), {})
         self._reached_counts = (0, 0)
         self._reached_at = float("-inf")
@@ -93,7 +112,13 @@
         bucket = self._buckets.get(customer)
         if bucket is not None:
             part = self._observe_part(bucket, now)
+            stand_in = self._find_stand_in(customer, bucket, now)
+            if stand_in is not None:
+                bucket.cap_level(stand_in.tokens.level(now), now, part)
             wait_s = bucket.try_acquire(self._name, now, part)
+            if wait_s == 0 and stand_in is not None:
+                stand_in.tokens.try_acquire(now)
+                self._stand_ins[customer] = replace(stand_in, at=now)
             if wait_s > 0:
                 limits = self._limits[customer]
                 emit(
@@ -121,8 +146,19 @@
         if bucket is None:
             return 0.0
         wait_s = bucket.wait_s(now, self._usable_part(bucket, now))
+        stand_in = self._find_stand_in(customer, bucket, now)
+        if stand_in is not None:
+            tokens = stand_in.tokens
+            missing = max(0.0, 1.0 - tokens.level(now))
+            wait_s = max(wait_s, missing / tokens.rate if tokens.rate > 0 else math.inf)
         return wait_s if math.isfinite(wait_s) else MAX_RETRY_AFTER_S
 
+    def stood_in_for(self) -> set[str]:
+        """Return the homes in whose place operations were admitted here lately."""
+        oldest = self._peers.now - STAND_IN_S
+        self._stand_ins = {c: s for c, s in self._stand_ins.items() if s.at > oldest}
+        return {stand_in.home for stand_in in self._stand_ins.values()}
+
     def may_hedge(self, customer: str, now: float) -> bool:
         """Return whether at least half of a customer's burst is left.
 
@@ -139,12 +175,20 @@
         return level >= NEAR_LIMIT_FRACTION * self._limits[customer].burst
 
     def spent_near_limit(self) -> dict[str, int]:
-        """Return the operations admitted here, by customer near its rate limit."""
+        """Return the operations admitted here, by customer near its rate limit.
+
+        Those admitted in place of a live home count as near, since it may be.
+        """
+        if not self._peers.is_direct():
+            self._observe_even_part(self._peers.now)  # also while no customer is active
         return {
             name: self.spent[name]
             for name, bucket in self._buckets.items()
             if name in self.spent
-            and bucket.level < NEAR_LIMIT_FRACTION * self._limits[name].burst
+            and (
+                name in self._stand_ins
+                or bucket.level < NEAR_LIMIT_FRACTION * self._limits[name].burst
+            )
         }
 
     def record_peer_spent(
@@ -168,6 +212,29 @@
         else:
             bucket.record_earlier_use(peer, count, now, part)
 
+    def _find_stand_in(
+        self, customer: str, bucket: SharedBucket, now: float
+    ) -> _StandIn | None:
+        """Return what this instance may admit in place of a live home, if it is none.
+
+        Callers that got no answer from the home use another one, while others still
+        use it. Until it is told, it counts on what is left of the limit for itself.
+        """
+        home = "" if self._peers.is_direct() else self.live_home_of(customer)
+        if not home or home == self._name:
+            self._stand_ins.pop(customer, None)
+            return None
+        known = self._stand_ins.get(customer)
+        if known is not None and known.home == home:
+            return known
+        limits = self._limits[customer]
+        rate, burst = limits.rate or 0.0, limits.burst
+        part = max(STAND_IN_PART, restart_fill(rate, burst, self._tolerance))
+        level = bucket.current_level(now, self._usable_part(bucket, now))
+        level = max(0.0, min(level, burst * part))
+        tokens = TokenBucket(rate * part, burst * part, now=now, level=level)
+        return _StandIn(home, tokens, now)
+
     def _observe_part(self, bucket: SharedBucket, now: float) -> float:
         """Return the usable part, and record which instances are in touch."""
         if self._peers.is_direct():
@@ -177,21 +244,31 @@
     def _usable_part(self, bucket: SharedBucket, now: float) -> float:
         if self._peers.is_direct():
             return bucket.usable_part(self._reached, now)
-        # Homes report a customer only while it is near its limit.
+        return self._observe_even_part(now)
+
+    def _observe_even_part(self, now: float) -> float:
         heard, everyone = self._peers.live_instances, self._peers.known_instances
-        reach = Reach(heard, everyone, {})
-        return bucket.usable_part(reach, now, is_use_reported=False)
+        if self._is_reach_due(heard, everyone, now):
+            self._even_part = self._even_parts.observe(heard, everyone, now)
+        return self._even_part
 
     def _observe_reach(self, now: float) -> Reach:
         heard, everyone = self._peers.live_instances, self._peers.known_instances
-        known = (len(heard), len(everyone))
-        if known != self._reached_counts or now - self._reached_at >= REACH_REFRESH_S:
-            self._reached_counts, self._reached_at = known, now
+        if self._is_reach_due(heard, everyone, now):
             self._reached = self._observer.observe(
                 heard, everyone, self._silences(heard, everyone, now), now
             )
         return self._reached
 
+    def _is_reach_due(
+        self, heard: Collection[str], everyone: Collection[str], now: float
+    ) -> bool:
+        known = (len(heard), len(everyone))
+        if known == self._reached_counts and now - self._reached_at < REACH_REFRESH_S:
+            return False
+        self._reached_counts, self._reached_at = known, now
+        return True
+
     def _silences(
         self, heard: Collection[str], everyone: Collection[str], now: float
     ) -> dict[str, float]:
--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -115,6 +115,8 @@
         on_report: Called with each report accepted.
         has_news: Whether new revisions have to be sent to nearby peers soon.
         is_direct: Returns whether every instance needs the counts of all others.
+        stood_in_for: Returns the homes whose customers' operations this instance
+            admits, though they are live.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         self.on_report: Callable[[Report], None] = lambda report: None
         self.has_news = False
         self.is_direct: Callable[[], bool] = lambda: False
+        self.stood_in_for: Callable[[], Collection[str]] = lambda: ()
         self._failure_domain = failure_domain
         self._urgent = urgent
         self._name = name
@@ -416,7 +419,8 @@
         while True:
             self.send()
             # A follower has nothing to send between its regular reports.
-            is_follower = not self.is_flat and not self._rosters.has_duties
+            is_idle = not self._rosters.has_duties and not self.stood_in_for()
+            is_follower = not self.is_flat and is_idle
             await asyncio.sleep(
                 hubs.REPORT_INTERVAL_S if is_follower else URGENT_INTERVAL_S
             )
@@ -450,21 +454,30 @@
         # Of those that admit operations, the others need only what may exceed a limit.
         report = msgspec.structs.replace(report, spent=self._urgent())
         for message in messages:
-            self._send_report(report, message)
+            self._send_report(report, message.to.name, message.fields)
+        self._send_to_homes(report, {message.to.name for message in messages})
+
+    def _send_to_homes(self, report: Report, told: Collection[str]) -> None:
+        """Tell homes, which may have other hubs, what is admitted in their place."""
+        if not report.spent:
+            return
+        for name in self.stood_in_for():
+            if name not in told:
+                self._send_report(report, name, self._rosters.fields_for(name))
 
     def _update_own(self, report: Report) -> None:
         self._rosters.update_own(_member(report, self._own_address))
 
-    def _send_report(self, report: Report, message: hubs.Message) -> None:
+    def _send_report(self, report: Report, to: str, fields: hubs.HubFields) -> None:
         self._number += 1
-        is_from_member = not message.fields.is_hub
+        is_from_member = not fields.is_hub
         report = msgspec.structs.replace(
             report,
             number=self._number,
             heard=None if is_from_member else report.heard,
-            hub=message.fields,
+            hub=fields,
         )
-        address = self.address_of(message.to.name)
+        address = self.address_of(to)
         if address is not None:
             self._send_datagrams(report, (address,))
 
@@ -591,9 +604,8 @@
     def _reply(self, name: str, now: float) -> None:
         message = self._rosters.reply_to(name, now)
         if message is not None:
-            self._send_report(
-                self._report(self._incarnation, self._number + 1), message
-            )
+            report = self._report(self._incarnation, self._number + 1)
+            self._send_report(report, message.to.name, message.fields)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; a peer that does not listen times out."""
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -195,6 +195,8 @@
             self.servers, self._load_reports, self._fellow_homes
         )
         self.peers.is_direct = self._needs_all_counts
+        self.peers.stood_in_for = self.limits.stood_in_for
+        self.limits.live_home_of = self.homes.live_home_of
         self.servers.connection_limit = self.homes.connection_limit
         self.servers.holders = lambda: self.homes.holders
         executor = Executor(
--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -418,6 +418,12 @@
             rosters=() if is_acked else (_roster(self._domain, self._direct),),
         )
 
+    def fields_for(self, name: str) -> HubFields:
+        """Return what a report carries to an instance beside the regular ones."""
+        if self._is_hub:
+            return self._fields_for_hub(name)
+        return HubFields(source=self._source, stamps=self._source_stamps.copy())
+
     def announce(self, now: float) -> list[Message]:
         """Return messages that tell the instances with this source of a change."""
         return [
--- a/mangoramp/policy/quota.py
+++ b/mangoramp/policy/quota.py
@@ -102,6 +102,17 @@
         self._rate, self._burst = rate, burst
         self._level = min(self._level, burst)
 
+    def cap_level(self, most: float, now: float, part: float) -> None:
+        """Remove what is left beyond a number of operations.
+
+        Args:
+            most: The most operations that may be left.
+            now: The current time, in seconds.
+            part: The part of the limits that the instances in touch may use.
+        """
+        self._refill(now, part)
+        self._level = min(self._level, most)
+
     def try_acquire(self, instance: str, now: float, part: float) -> float:
         """Admit one operation of this instance's callers if the limits allow it.
 
@@ -172,18 +183,13 @@
         """
         self._parts.observe(reach, now)
 
-    def usable_part(
-        self, reach: Reach, now: float, *, is_use_reported: bool = True
-    ) -> float:
+    def usable_part(self, reach: Reach, now: float) -> float:
         """Return the part of the limits that the reachable instances may use together.
 
         Args:
             reach: The instances in touch.
             now: The current time, in seconds.
-            is_use_reported: Whether all instances report all that they admit.
         """
-        if not is_use_reported:
-            return self._parts.estimate(reach)
         return self._parts.usable(reach, now)
 
     def _spend(self, instance: str, count: float, now: float) -> None:
--- a/mangoramp/policy/quota_parts.py
+++ b/mangoramp/policy/quota_parts.py
@@ -25,6 +25,9 @@
 COMPLETE_S = 10.0  # after which what was used before hardly counts
 MIN_USAGE = 0.01
 COPY_INTERVAL_S = 0.5
+PAIR = 2  # instances, of which one is no majority of both
+HOLD_S = 2.0  # in which even parts do not change; many cuts are hardly longer
+VIEWS_DIFFER_S = 1.5  # by which two sides may differ on the time, also through hubs
 MAX_COPIES = 6  # covers the time in which silence is noticed
 
 
@@ -117,6 +120,52 @@
         return now - self._alone_since
 
 
+class EvenParts:
+    """The parts of the sides of a cut where customers have homes, for one instance.
+
+    Callers use all instances alike, and what a home admits is not known to all others.
+    So each instance stands for an even part at first, whichever side the customer's
+    former home is on. As one that is silent may have ended, its part passes to the
+    majority after a while, and a minority gives it up ahead of that. Of two instances
+    none is a majority; there a silent one is taken to have ended.
+
+    Args:
+        now: The current time, in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._silent_since: dict[str, float] = {}
+        self._alone_since: float | None = now - HOLD_S  # others may have its part
+
+    def observe(
+        self, heard: Collection[str], everyone: Collection[str], now: float
+    ) -> float:
+        """Return the part of the limit that the instances in touch may use together.
+
+        Args:
+            heard: The instances in touch, including this one.
+            everyone: All instances; never empty.
+            now: The current time, in seconds.
+        """
+        silent = set(everyone).difference(heard)
+        self._silent_since = {n: self._silent_since.get(n, now) for n in silent}
+        if silent and len(everyone) == PAIR:
+            return 1.0 - EVEN_PART / PAIR
+        if has_majority(heard, everyone):
+            self._alone_since = None
+            hold_s = HOLD_S + VIEWS_DIFFER_S
+            left = sum(
+                _part(1 / len(everyone), now - since - hold_s, len(everyone))
+                for since in self._silent_since.values()
+            )
+            return max(0.0, 1.0 - left)
+        if self._alone_since is None:
+            self._alone_since = now
+        count = len(everyone) - len(silent)
+        alone_s = now - self._alone_since - HOLD_S
+        return _part(count / len(everyone), alone_s, len(everyone), members=count)
+
+
 class UsageParts:
     """How much of a customer's limit each instance used, and the parts that follow.
 
@@ -145,22 +194,6 @@
             }
         self._usage[instance] = self._usage.get(instance, 0.0) + count
 
-    def estimate(self, reach: Reach) -> float:
-        """Return the part by the use known here, if not all use is reported to all.
-
-        Args:
-            reach: The instances in touch.
-        """
-        if reach.is_whole:
-            return 1.0
-        even_part = len(reach.heard) / len(reach.everyone)
-        in_touch = set(reach.heard)
-        total = sum(self._usage.values())
-        if total <= 0:
-            return even_part
-        used = sum(count for name, count in self._usage.items() if name in in_touch)
-        return EVEN_PART * even_part + (1 - EVEN_PART) * used / total
-
     def observe(self, reach: Reach, now: float) -> None:
         """Record which instances are in touch.
 
--- a/mangoramp/serving/homes.py
+++ b/mangoramp/serving/homes.py
@@ -99,6 +99,7 @@
         self._chosen: dict[str, int] = {}
         self._rates: Mapping[str, float | None] = {}
         self._customer_homes = CustomerHomes({}, {})
+        self._live_homes: CustomerHomes | None = None
         self._home_by_customer: dict[str, str | None] = {}
         self._chosen_at = float("-inf")
         self.batches = HomeBatches(
@@ -130,6 +131,7 @@
         if now - self._chosen_at >= HOMES_REFRESH_S:
             self._chosen_at = now
             self._update(self._choose())
+            self._live_homes = None
             self._evict_unsuspected()
         return self._chosen
 
@@ -161,8 +163,11 @@
         return self._heard_at(name)
 
     def _choose(self) -> dict[str, int]:
+        return self._choose_among(self._candidates())
+
+    def _choose_among(self, candidates: Mapping[str, Candidate]) -> dict[str, int]:
         return choose_homes(
-            self._candidates(),
+            candidates,
             self._servers.min_connections,
             self._servers.min_slots,
             self._servers.failure_domains,
@@ -224,6 +229,21 @@
             home = self._assign(customer)
         return None if home == self._name else home
 
+    def live_home_of(self, customer: str) -> str:
+        """Return a customer's home among all live instances, suspected or not.
+
+        Returns:
+            The home's name; empty if there are no homes.
+        """
+        if self.is_direct or not self.strengths:
+            return ""
+        if not self._suspected_at:
+            return self._assign(customer) or ""
+        if self._live_homes is None:
+            chosen = self._choose_among(self._instances())
+            self._live_homes = CustomerHomes(chosen, self._rates)
+        return self._live_homes.home_of(customer) or ""
+
     def has_detour(self, customer: str, server_id: str) -> bool:
         """Return whether another home reaches a server for a customer."""
         return self._detours.find(customer, server_id, self._clock()) is not None
