--- a/tests/test_limits_of_homes.py
+++ b/tests/test_limits_of_homes.py
@@ -283,6 +283,21 @@
         fleet.run({stand_in: 0.75 * RATE}, hubs.REMOTE_TIMEOUT_S)
         assert not fleet.refused
 
+    def test_a_stand_in_that_hears_the_home_does_not_fall_behind(self):
+        """Guards against a copy that is charged with all, but refilled by a part."""
+        fleet = Fleet(1)
+        home, stand_in = (fleet.homes[name] for name in fleet.order[:2])
+        for step in range(1500):
+            fleet.steps += 1
+            fleet.now = round(fleet.steps * STEP_S, 6)
+            if step % REPORT_STEPS == 0:
+                fleet.exchange()
+            home.limits.admit("c", fleet.now, "q")  # 100 a second, 90 are admitted
+            if step % 2 == 0:
+                stand_in.limits.admit("c", fleet.now, "q")
+        fleet.run(0.0, 0.5)
+        assert stand_in.limits.admit("c", fleet.now, "q") == 0
+
     def test_a_home_is_told_only_while_it_is_stood_in_for(self, fleet):
         stand_in = fleet.followers[0]
         fleet.run({stand_in: 60}, 1.0)
--- a/tests/test_serving_homes.py
+++ b/tests/test_serving_homes.py
@@ -69,6 +69,15 @@
         world.homes.suspect(home)
         assert self.home_of(world, 11.0) == home
 
+    def test_a_suspected_home_is_known_as_the_live_one(self, world):
+        """Guards against stand-ins that take themselves for the home."""
+        home = self.home_of(world)
+        assert world.homes.live_home_of("customer") == home
+        world.homes.suspect(home)
+        for _ in range(10):
+            assert self.home_of(world, 0.3) != home
+            assert world.homes.live_home_of("customer") == home
+
 
 class TestChangeOfHomes:
     RATES = {f"c{n}": 10.0 for n in range(40)}
