Tell builds without hubs apart, and end reports to all in large fleets

Cause (class: what a message leaves out is taken for a statement): a report to all instances has no hub fields, and a receiver took its sender for a build that knows no hubs. It reported to it in the same way, and so on without end: each instance reports to all when it starts, before it has a list. In a large fleet the reports all to all, which hubs replaced, went on beside those of hubs. Such a report also took back what its sender had said as a hub or follower. Of two instances that sent a report to hubs and one to all each time, neither saw the other as a hub when it sent its own, so that a new hub got no rosters. If its list was of before the others had registered, it did not look for them either, and the list is renewed after a minute. This is the start that timed out in TestLargeFleet::test_a_primary_that_crashes_is_replaced: i0 a hub that misses i8.

Change: reports say whether their build knows hubs (`knows_hubs`, last, false by default); the production build is told by its record's failure domain or by its first report through hubs. A report to all says only that its sender is live: what it said as a hub or follower lasts as long as that of a silent one. Whoever knows that the fleet is large answers a report to all by one through hubs, so that a sender without a list learns of it; until now it learned so from the reports to all.

Other paths with this cause, looked at: - A hub whose reports to all went on kept its last roster in force at other hubs, and with it dead instances: mended here, with a test. - A source that reports to all and sends no rosters was kept by its followers: they now go by its hub fields, with a test. - A record without a failure domain counted as one of a build without hubs, also if its instance is heard: in a fleet without failure domains all reported to all. Now only until it is heard. - `heard` and `spent` are merged with the earlier report of the process: not affected. - is_flat goes by the latest report with hub fields, as before; a fleet that shrinks to 12 keeps its hubs, as before.

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -27,7 +27,7 @@
 )
 from ..policy import hubs
 from ..policy._rendezvous import rendezvous
-from ..policy.hubs import HubFields, HubMembership, Listed, Member
+from ..policy.hubs import HubMembership, Listed, Member
 from ..policy.isolation import has_majority, is_isolated
 from ..policy.revision import Revision
 from ..policy.watchers import WATCHERS_PER_DOMAIN, is_watcher
@@ -60,6 +60,7 @@
         heard_received_at: When its last report with ``heard`` arrived, in seconds.
         spent_received_at: When each customer's count last arrived, in seconds.
         is_silent: Whether it was logged as silent.
+        knows_hubs: Whether a report of its process showed that its build has hubs.
     """
 
     report: Report
@@ -68,6 +69,7 @@
     heard_received_at: float
     spent_received_at: dict[str, float] = field(default_factory=dict)
     is_silent: bool = False
+    knows_hubs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -344,7 +346,7 @@
             presumed = members
         else:
             if not self._rosters.has_own:
-                self._update_own(self._report(self._incarnation, self._number))
+                self._update_own(self._next_report())
             members = self._rosters.live_domains(now)
             presumed = self._rosters.presumed_domains(now)
         live = [self._name, *hubs.merge_members(members)]
@@ -441,7 +443,7 @@
         self._log_silent_peers(now)
 
     def _send_to_hubs(self, now: float, *, force: bool) -> None:
-        report = self._report(self._incarnation, self._number + 1)
+        report = self._next_report()
         self._update_own(report)
         messages = self._rosters.tick(now, force=force or self.has_news)
         if self.has_news:
@@ -452,6 +454,10 @@
         for message in messages:
             self._send_report(report, message)
 
+    def _next_report(self) -> Report:
+        report = self._report(self._incarnation, self._number + 1)
+        return msgspec.structs.replace(report, knows_hubs=True)
+
     def _update_own(self, report: Report) -> None:
         self._rosters.update_own(_member(report, self._own_address))
 
@@ -479,7 +485,7 @@
         # Other failure domains learn of a change from watchers of their own.
         is_nearby_only = not is_due and not is_urgent
         self.has_news = False
-        report = self._report(self._incarnation, self._number + 1)
+        report = self._next_report()
         if not is_due:
             # The rest is sent with the next regular report.
             report = msgspec.structs.replace(report, spent=urgent, heard=None)
@@ -507,13 +513,16 @@
 
     def _former_builds(self) -> set[Address]:
         """Return the addresses of instances whose build knows no hubs."""
+        listed = {n: i for n, i in self._listed.items() if n != self._name}
         heard = {
-            peer.address for peer in self.peers.values() if peer.report.hub is None
+            peer.address
+            for name, peer in self.peers.items()
+            if not peer.knows_hubs and not (name in listed and listed[name].domain)
         }
         unheard = {
             (i.member.host, i.member.port)
-            for i in self._listed.values()
-            if not i.domain and i.member.name != self._name
+            for name, i in listed.items()
+            if not i.domain and name not in self.peers
         }
         return heard | unheard
 
@@ -554,7 +563,7 @@
             return
         self._store_report(known if is_same_process else None, report, addr, now)
         if not self.is_flat:
-            self._reply(report.name, now)
+            self._reply(report, now)
         self.on_report(report)
 
     def _store_report(
@@ -568,9 +577,11 @@
             addr: The address of its sender.
             now: The current time, in seconds.
         """
+        knows_hubs = report.knows_hubs or report.hub is not None
         heard_received_at = now
         spent_received_at = dict.fromkeys(report.spent, now)
         if known is not None:
+            knows_hubs |= known.knows_hubs
             spent_received_at = known.spent_received_at | spent_received_at
             if report.heard is None:
                 heard_received_at = known.heard_received_at
@@ -579,21 +590,27 @@
             self._others_heard_at = now
         address = (addr[0], addr[1])
         self.peers[report.name] = Peer(
-            report, address, now, heard_received_at, spent_received_at
+            report,
+            address,
+            now,
+            heard_received_at,
+            spent_received_at,
+            knows_hubs=knows_hubs,
         )
         self._rosters.record_report(
             _member(report, address),
             report.failure_domain,
-            report.hub or HubFields(),
+            report.hub,
             now,
         )
 
-    def _reply(self, name: str, now: float) -> None:
-        message = self._rosters.reply_to(name, now)
+    def _reply(self, report: Report, now: float) -> None:
+        message = self._rosters.reply_to(report.name, now)
+        if message is None and report.hub is None:
+            # It takes the fleet for a small one until it gets a report like this.
+            message = self._rosters.introduce(report.name)
         if message is not None:
-            self._send_report(
-                self._report(self._incarnation, self._number + 1), message
-            )
+            self._send_report(self._next_report(), message)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; a peer that does not listen times out."""
--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -40,6 +40,8 @@
         is_isolated: Whether it hears no other failure domain any more.
         confirmed_ms: Milliseconds since its configuration was known to be the newest,
             None if it never was, and in reports of former builds.
+        knows_hubs: Whether its build reports through hubs in a large fleet. Former
+            builds that do say so only by ``hub``.
     """
 
     name: str
@@ -60,6 +62,7 @@
     evacuations_at: tuple[int, int] | None = None
     is_isolated: bool = False
     confirmed_ms: _Milliseconds | None = None
+    knows_hubs: bool = False
 
     @property
     def registry_at(self) -> Revision:
--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -105,6 +105,7 @@
     member: Member
     at: float
     fields: HubFields
+    fields_at: float  # when they arrived; some reports have none
 
 
 @dataclass(slots=True)
@@ -257,15 +258,26 @@
         return not own or own[0] in first
 
     def record_report(
-        self, member: Member, domain: str, fields: HubFields, now: float
+        self, member: Member, domain: str, fields: HubFields | None, now: float
     ) -> None:
-        """Apply a report received from another instance."""
+        """Apply a report received from another instance.
+
+        Args:
+            member: The sender.
+            domain: Its failure domain.
+            fields: What the report carries for the membership, None for one to all
+                instances, which says only that the sender is live.
+            now: The current time, in seconds.
+        """
         self._forgive_pause(now)
         known = self._heard.get(member.name)
         if known is not None and known.member.incarnation != member.incarnation:
             self._forget(member.name)
         self._suspected_at.pop(member.name, None)
-        self._heard[member.name] = _Heard(domain, member, now, fields)
+        if fields is None:
+            self._record_liveness(member, domain, now)
+            return
+        self._heard[member.name] = _Heard(domain, member, now, fields, now)
         if fields.source == self._name:
             self._followers[member.name] = fields.stamps
         else:
@@ -282,6 +294,17 @@
             for name in self._source_rosters.keys() - fields.stamps.keys():
                 del self._source_rosters[name]
 
+    def _record_liveness(self, member: Member, domain: str, now: float) -> None:
+        known = self._heard.get(member.name)
+        if known is None or now - known.fields_at >= self._timeout_s(domain):
+            # What it said as a hub or follower is as old as that of a silent one.
+            self._hub_rosters.pop(member.name, None)
+            self._followers.pop(member.name, None)
+            known = _Heard(domain, member, now, HubFields(), float("-inf"))
+        self._heard[member.name] = _Heard(
+            domain, member, now, known.fields, known.fields_at
+        )
+
     def record_departure(self, name: str, incarnation: int) -> None:
         """Apply the last report of an instance that is leaving."""
         self._departed[name] = incarnation
@@ -293,6 +316,14 @@
             return None
         return self._message_to_follower(name, now)
 
+    def introduce(self, name: str) -> Message | None:
+        """Return a report to an instance that does not know of the hubs yet."""
+        heard = self._heard.get(name)
+        if heard is None:
+            return None
+        fields = self._fields_for_hub(name) if self._is_hub else self._own_fields()
+        return Message(heard.member, fields)
+
     def tick(self, now: float, *, force: bool = False) -> list[Message]:
         """Return the messages to send now; call this several times a second.
 
@@ -326,7 +357,7 @@
         self._sent_stamp = self._direct.stamp
         if is_hub:
             return messages + self._reports_to_hubs(live, now)
-        fields = HubFields(source=self._source, stamps=self._source_stamps.copy())
+        fields = self._own_fields()
         return messages + [Message(m, fields) for m in hubs if m.name == self._source]
 
     def _hubs(self, domain: str, live: Domains, now: float) -> list[Member]:
@@ -367,7 +398,7 @@
         if is_hub:
             self._set_source("", now)
             return
-        if self._source and self._heard_at(self._source) < now - SOURCE_TIMEOUT_S:
+        if self._source and self._fields_at(self._source) < now - SOURCE_TIMEOUT_S:
             if now - self._source_since < SOURCE_TIMEOUT_S:
                 return
             self._suspected_at[self._source] = now
@@ -408,6 +439,9 @@
         name = missing[self._seek_count % len(missing)]
         return {name: self._listed[name].member}
 
+    def _own_fields(self) -> HubFields:
+        return HubFields(source=self._source, stamps=self._source_stamps.copy())
+
     def _fields_for_hub(self, name: str) -> HubFields:
         heard = self._heard.get(name)
         is_acked = heard is not None and heard.fields.ack == self._direct.stamp
@@ -471,6 +505,7 @@
             pause_s = now - self._seen_at
             for heard in self._heard.values():
                 heard.at = min(now, heard.at + pause_s)
+                heard.fields_at = min(now, heard.fields_at + pause_s)
             self._rosters_at = min(now, self._rosters_at + pause_s)
             self._source_since = min(now, self._source_since + pause_s)
         self._seen_at = now
@@ -481,9 +516,9 @@
             or self._departed.get(member.name) == member.incarnation
         )
 
-    def _heard_at(self, name: str) -> float:
+    def _fields_at(self, name: str) -> float:
         found = self._heard.get(name)
-        return found.at if found is not None else float("-inf")
+        return found.fields_at if found is not None else float("-inf")
 
     def _is_suspect(self, name: str, now: float) -> bool:
         return now - self._suspected_at.get(name, float("-inf")) < SUSPECT_S
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -195,6 +195,41 @@
         assert len(fleet.live("a-7")) == 49
 
 
+class TestReportsToAll:
+    """Reports of a build or fleet without hubs, which say nothing of these."""
+
+    def test_do_not_end_what_a_follower_gets_from_its_source(self, fleet):
+        member = fleet.instances["a-7"]
+        source = fleet.instances[member.rosters.source]
+        source.rosters.record_report(member.member, "a", None, fleet.now)
+        assert source.rosters.reply_to("a-7", fleet.now) is not None
+
+    def test_do_not_keep_the_last_roster_of_a_hub_in_force(self, fleet):
+        """Guards against a dead instance that one hub sees live without end."""
+        listener, sender = fleet.instances["a-0"], fleet.instances["b-0"]
+        fleet.cut_off = {"b"}
+        for name in ("b-5", "b-6"):
+            fleet.instances[name].is_running = False
+
+        def report():
+            listener.rosters.record_report(sender.member, "b", None, fleet.now)
+
+        fleet.run(3.0, report)
+        assert fleet.live("a-0") & {"b-0", "b-5", "b-6"} == {"b-0"}
+
+    def test_do_not_stand_for_those_of_a_source(self, fleet):
+        """Guards against a follower that gets no rosters and keeps its source."""
+        member = fleet.instances["a-7"]
+        source = fleet.instances[member.rosters.source]
+        source.is_running = False
+
+        def report():
+            member.rosters.record_report(source.member, "a", None, fleet.now)
+
+        fleet.run(3.0, report)
+        assert member.rosters.source not in ("", source.name)
+
+
 class TestDeath:
     """Targets: noticed within 1.5 s in its failure domain and 2.5 s elsewhere."""
 
