Let hubs look for instances that they heard and that no list names

A hub looked only for listed instances. Parts of one failure domain that both hear the hubs of other domains did not meet: a hub tells others only of those that it hears in its own domain. Seen in virtual time with reports to all gone: i7 the only hub of its part of domain b.

Change: a hub also looks for whom it heard within the last 10 s, one each time as before.

The test fails without the change.

--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -28,6 +28,7 @@
 SUSPECT_S = 20.0  # a source that did not answer is not asked again for this time
 TICK_TOLERANCE_S = 0.02  # ticks are a little early or late
 WARMUP_S = 1.6  # a hub that has just started has not heard its members yet
+SEEK_S = 10.0  # a hub renews its list of the instances sooner
 PAUSE_S = 0.6  # a longer gap between two ticks is a pause of this process
 
 
@@ -422,22 +423,28 @@
         for name, heard in self._heard.items():
             if heard.fields.is_hub and self.is_live(name, now):
                 targets[name] = heard.member
-        targets.update(self._seek(live))
+        targets.update(self._seek(live, now))
         targets.pop(self._name, None)
         return [Message(m, self._fields_for_hub(m.name)) for m in targets.values()]
 
-    def _seek(self, live: Domains) -> dict[str, Member]:
-        """Return one listed instance that is not live, a different one each time.
+    def _seek(self, live: Domains, now: float) -> dict[str, Member]:
+        """Return one known instance that is not live, a different one each time.
 
-        Parts of the fleet that lost all of each other's hubs find each other this way.
+        Parts of the fleet that lost all of each other's hubs find each other this way,
+        also those that started together, whose lists lack each other.
         """
-        known = merge_members(live)
-        missing = sorted(n for n in self._listed if n not in known)
+        known = {
+            name: heard.member
+            for name, heard in self._heard.items()
+            if now - heard.at < SEEK_S
+        }
+        known |= {name: listed.member for name, listed in self._listed.items()}
+        missing = sorted(known.keys() - merge_members(live))
         if not missing:
             return {}
         self._seek_count += 1
         name = missing[self._seek_count % len(missing)]
-        return {name: self._listed[name].member}
+        return {name: known[name]}
 
     def _own_fields(self) -> HubFields:
         return HubFields(source=self._source, stamps=self._source_stamps.copy())
--- a/tests/test_hubs.py
+++ b/tests/test_hubs.py
@@ -314,6 +314,32 @@
         assert all(view == names - {name} for name, view in fleet.views().items())
 
 
+class TestPartsOfADomain:
+    def test_that_no_list_joins_meet_again(self):
+        """Guards against parts that know the hubs of other domains alone.
+
+        Instances that start together list each other late, and a hub tells others only
+        of those that it hears in its own domain.
+        """
+        fleet = Fleet(4, "ab")
+        parts = ({"b-0", "b-1"}, {"b-2", "b-3"})
+        for part, other in (parts, parts[::-1]):
+            for name in part:
+                rosters = fleet.instances[name].rosters
+                rosters.update_listed(
+                    {n: i for n, i in rosters._listed.items() if n not in other}
+                )
+        fleet.instances["b-0"].rosters.record_report(
+            fleet.instances["b-2"].member, "b", None, fleet.now
+        )
+        for is_running in (False, True):
+            for name in parts[1]:
+                fleet.instances[name].is_running = is_running
+            fleet.run(4.0)
+        names = set(fleet.instances)
+        assert all(view == names - {name} for name, view in fleet.views().items())
+
+
 class TestCost:
     def rates(self, per_domain):
         """Return messages a second of an instance, and those between domains."""
