--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -76,6 +76,8 @@
         is_isolated: Whether it hears no other failure domain any more.
         confirmed: How long ago it knew all changes in the store; None in reports of
             former builds.
+        knows_hubs: Whether its build reports through hubs in a large fleet. Former
+            builds that do say so only by ``hub``.
     """
 
     name: str
@@ -96,6 +98,7 @@
     evacuations_at: tuple[int, int] | None = None
     is_isolated: bool = False
     confirmed: Confirmed | None = None
+    knows_hubs: bool = False
 
     @property
     def registry_at(self) -> Revision:
