Check with the store beside a watch, not in its place

Change: a requested poll is made beside a watch, which goes on; if nothing has changed, it is a proof. The ends are spread no more. Watchers check at 0.6 to 0.72 of the bound, the others at 0.78 to 0.9, and again after 0.25 s.

--- a/mangoramp/platform/feed.py
+++ b/mangoramp/platform/feed.py
@@ -26,7 +26,6 @@
 RETRY_MAX_S = 0.5  # entries must be known again 2 s after an outage
 FALLBACK_RETRY_MAX_S = 4.0  # for instances that watch only while others cannot
 MIN_POLL_WAIT_S = 1.0
-MIN_WAIT_PART = 0.5  # of the longest wait
 PEERS_FIRST_S = 1.0  # peers usually answer a new instance within half of this time
 RECHECK_INTERVAL_S = 1.5  # a live server reports within this time after an outage
 EVACUATION_KIND = "evacuations"
@@ -153,11 +152,7 @@
                 on_changes=partial(self._on_changes, kind),
                 rng=rng,
                 clock=clock,
-                # A change ends all watches at once; their next ends are spread again,
-                # so that some proof is always recent.
-                wait_s=lambda kind=kind: (  # type: ignore[misc]
-                    waits[kind] * rng.uniform(MIN_WAIT_PART, 1.0)
-                ),
+                wait_s=lambda kind=kind: waits[kind],  # type: ignore[misc]
                 is_enabled=is_watcher,
                 is_needed=self._is_needed,
                 retry_max_s=lambda: (
--- a/mangoramp/platform/watch.py
+++ b/mangoramp/platform/watch.py
@@ -107,8 +107,6 @@
             if self._poll_requested.is_set():
                 wait_s = 0.0
             answer = await self._poll(known, wait_s)
-            if answer is None:
-                continue
             if not isinstance(answer, Success):
                 self._failures += 1
                 reason = answer.failure().message
@@ -147,25 +145,22 @@
             return False
         return True
 
-    async def _poll(
-        self, known: int, wait_s: float
-    ) -> Result[Changes[T], Fault] | None:
+    async def _poll(self, known: int, wait_s: float) -> Result[Changes[T], Fault]:
         """Poll; list all objects if the store has not had the known revision."""
         answer = await self._poll_since(known, wait_s)
         if isinstance(answer, Success) and _is_ahead(known, answer.unwrap()):
             return await self._poll_since(0, 0.0)
         return answer
 
-    async def _poll_since(
-        self, known: int, wait_s: float
-    ) -> Result[Changes[T], Fault] | None:
-        """Poll; return None if a poll is requested while this one waits for changes.
+    async def _poll_since(self, known: int, wait_s: float) -> Result[Changes[T], Fault]:
+        """Poll, and make the polls that are requested meanwhile beside this one.
 
-        A poll that does not wait goes on if another one is requested, or a slow store
-        or link would never complete any. The other one is made beside it.
+        It goes on, or a slow store or link would never complete any, and a watch would
+        cost the store a second call. One that ends unchanged beside a watch is a proof.
         """
-        era = self._era()
-        polls: set[asyncio.Future[Any]] = {self._start_poll(known, era, wait_s)}
+        era, asked_at = self._era(), self._clock()
+        watch = self._start_poll(known, era, wait_s)
+        polls: set[asyncio.Future[Any]] = {watch}
         requested: asyncio.Future[Any] = self._next_request()
         try:
             while True:
@@ -176,17 +171,29 @@
                 for poll in polls & done:
                     polls.discard(poll)
                     answer: Result[Changes[T], Fault] = poll.result()
+                    is_beside = wait_s > 0 and watch in polls
+                    if is_beside and self._proves_no_change(answer, known, asked_at):
+                        continue
                     if isinstance(answer, Success) or not polls:
                         return answer
                 if requested in done:
-                    if wait_s > 0:
-                        return None
-                    requested = self._next_request()
-                    polls.add(self._start_poll(known, era, wait_s))
+                    requested, asked_at = self._next_request(), self._clock()
+                    polls.add(self._start_poll(known, era, 0.0))
         finally:
             for unused in (*polls, requested):
                 unused.cancel()
 
+    def _proves_no_change(
+        self, answer: Result[Changes[T], Fault], known: int, asked_at: float
+    ) -> bool:
+        if not isinstance(answer, Success):
+            return False
+        changes = answer.unwrap()
+        if changes.objects or changes.is_complete or _is_ahead(known, changes):
+            return False
+        self._on_current(asked_at, changes.revision)
+        return True
+
     def _next_request(self) -> asyncio.Future[Any]:
         self._poll_requested.clear()
         return asyncio.ensure_future(self._poll_requested.wait())
--- a/mangoramp/policy/staleness.py
+++ b/mangoramp/policy/staleness.py
@@ -9,10 +9,10 @@
 
 from __future__ import annotations
 
-WATCHER_PART = 0.5  # of the bound
-FOLLOWER_PART = 0.7  # of the bound; leaves time to ask again after a refusal
-JITTER_PART = 0.1  # of the bound; one answer often reaches the others meanwhile
-FIRST_RETRY_S = 0.5
+WATCHER_PART = 0.6  # of the bound
+FOLLOWER_PART = 0.78  # of the bound; leaves time to ask again after a refusal
+JITTER_PART = 0.12  # of the bound; one answer often reaches the others meanwhile
+FIRST_RETRY_S = 0.25
 MAX_RETRY_S = 4.0
 
 
