Send proofs to other hubs only at first hand, and let one watcher check first

Change: hubs hear each other, and in small fleets all hear all, so that a report to them carries proofs only for 0.7 s after the store's own answer; the receivers count on.

--- a/mangoramp/control/peers.py
+++ b/mangoramp/control/peers.py
@@ -97,6 +97,7 @@
     has_majority: bool
     is_watcher: bool
     is_preferred_watcher: bool
+    is_first_watcher: bool
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -155,7 +156,7 @@
         self._others_heard_at: float | None = None
         self._was_isolated = False
         self._cached_snapshot = _Snapshot(
-            float("-inf"), [], [], {}, {}, True, True, True
+            float("-inf"), [], [], {}, {}, True, True, True, True
         )
         self._listed: dict[str, Listed] = {}
         self._rosters = HubMembership(
@@ -319,6 +320,11 @@
         """Whether it would watch the store if the store answered every instance."""
         return self._snapshot.is_preferred_watcher
 
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether it checks first, of its failure domain, that nothing is newer."""
+        return self._snapshot.is_first_watcher
+
     def address_of(self, name: str) -> Address | None:
         """Return the address of an instance, None if unknown."""
         peer = self.peers.get(name)
@@ -395,6 +401,7 @@
             has_majority(live, known_instances),
             self._is_among_watchers(answered, len(known_instances)),
             self._is_among_watchers(nearby, len(known_instances)),
+            self.is_flat or self._rosters.ranks_among(1, answered.values()),
         )
 
     def _is_among_watchers(self, nearby: Mapping[str, Member], instances: int) -> bool:
@@ -495,8 +502,9 @@
     def _send_report(self, report: Report, to: str, fields: hubs.HubFields) -> None:
         self._number += 1
         is_from_member = not fields.is_hub
+        is_to_hub = fields.is_hub and not fields.stamps
         report = msgspec.structs.replace(
-            report,
+            report.with_own_proofs() if is_to_hub else report,
             number=self._number,
             heard=None if is_from_member else report.heard,
             hub=fields,
@@ -516,7 +524,7 @@
         # Other failure domains learn of a change from watchers of their own.
         is_nearby_only = not is_due and not is_urgent
         self.has_news = False
-        report = self._next_report()
+        report = self._next_report().with_own_proofs()
         if not is_due:
             # The rest is sent with the next regular report.
             report = msgspec.structs.replace(report, spent=urgent, heard=None)
--- a/mangoramp/control/reports.py
+++ b/mangoramp/control/reports.py
@@ -11,6 +11,7 @@
 from ..policy.hubs import HubFields
 from ..policy.revision import Revision
 
+NEW_PROOF_MS = 700  # two reports; receivers add the time since then themselves
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
@@ -35,6 +36,11 @@
         """The revision up to which all changes were known."""
         return Revision(self.era, self.revision)
 
+    @property
+    def is_own_and_new(self) -> bool:
+        """Whether the store has just answered the sender itself."""
+        return self.hops == 0 and self.age_ms <= NEW_PROOF_MS
+
 
 class Confirmed(msgspec.Struct, frozen=True, array_like=True):
     """The latest proofs of what the sender of a report follows in the store.
@@ -50,6 +56,10 @@
     evacuations: Proof | None = None
 
 
+def _own_and_new(proof: Proof | None) -> Proof | None:
+    return proof if proof is not None and proof.is_own_and_new else None
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """The status of one instance.
 
@@ -105,6 +115,18 @@
         """The latest registry revision that the instance knows."""
         return Revision(self.era, self.registry_revision)
 
+    def with_own_proofs(self) -> Report:
+        """Return a report for instances that hear all who have proofs themselves."""
+        if self.confirmed is None:
+            return self
+        proofs = (
+            _own_and_new(self.confirmed.configuration),
+            _own_and_new(self.confirmed.registry),
+            _own_and_new(self.confirmed.evacuations),
+        )
+        confirmed = Confirmed(*proofs) if any(proofs) else None
+        return msgspec.structs.replace(self, confirmed=confirmed)
+
 
 @dataclass(frozen=True, slots=True)
 class KnownState:
--- a/mangoramp/control/staleness_checks.py
+++ b/mangoramp/control/staleness_checks.py
@@ -33,7 +33,8 @@
         confirmations: The proofs.
         poller: Polls the store.
         bounds: Returns the time limits to keep.
-        is_watcher: Returns whether this instance watches the store.
+        is_watcher: Returns whether this instance checks first, as a watcher of the
+            store whose proofs the others take over.
         rng: Source of the jitter.
         clock: Returns the time in seconds.
         peers_first_s: Seconds after the start for which peers are expected to tell what
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -151,7 +151,7 @@
             self.confirmations,
             self._feed,
             lambda: self.cfg.bounds,
-            is_watcher=lambda: self.peers.is_watcher,
+            is_watcher=lambda: self.peers.is_first_watcher,
             rng=rng,
             clock=boot_time,
             peers_first_s=peers_first_s,
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -57,6 +57,14 @@
         ages = self.apply(Report("p", 1, 1, version=7))
         assert set(ages.values()) == {float("inf")}
 
+    def test_go_to_other_hubs_only_new_and_at_first_hand(self):
+        """Guards against bytes between failure domains for what all hubs know."""
+        new, old, passed_on = Proof(100, 44), Proof(900, 44), Proof(100, 44, hops=1)
+        report = Report("p", 1, 1, confirmed=Confirmed(new, old, passed_on))
+        assert report.with_own_proofs().confirmed == Confirmed(new)
+        report = Report("p", 1, 1, confirmed=Confirmed(old, passed_on))
+        assert report.with_own_proofs().confirmed is None
+
     def test_are_passed_on_with_their_age(self):
         now = 10.0
         confirmations = Confirmations(lambda: now)
