Let some of the concurrent requests wait until a connection is open

Cause (class: a test's bound covers its set-up): the pool is cold, and all 60 requests time out after 5 to 45 ms, which has to cover the opening of a connection. Then none is answered.

Change: 60 requests with these timeouts as before, and 20 between them that wait for 10 s. Each of the 20 has to be answered, where one of 60 was enough; what is answered is still compared, so it is no less strict.

Other paths with this cause, in the same file: time_out_one times out after 0.05 s, but then the late answer is meant to time out; `lost` of TestSilence is warm.

--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -13,6 +13,7 @@
 from .servers import CREATE, ISSUE, running, write
 
 IDLE_S = connection.PROBE_AFTER_IDLE_S
+PATIENT_S = 10.0  # longer than a busy machine takes to open a connection
 
 
 @pytest.fixture
@@ -66,15 +67,17 @@
             pool = Pool(servers.spec.servers[0], size=4)
             servers.primary().set_faults(Faults(late_s=0.005))
 
+            timeouts_s = (0.005, 0.025, 0.045, PATIENT_S)
+
             async def query(number):
                 try:
-                    return await ask(pool, str(number), 0.005 + 0.02 * (number % 3))
+                    return await ask(pool, str(number), timeouts_s[number % 4])
                 except FaultError:
                     return None
 
-            found = await asyncio.gather(*(query(number) for number in range(60)))
+            found = await asyncio.gather(*(query(number) for number in range(80)))
             answered = [n for n, rows in enumerate(found) if rows is not None]
-            assert answered
+            assert set(answered) >= set(range(3, 80, 4))
             assert all(found[n] == b'[["%d"]]' % n for n in answered)
             pool.close()
 
