Build a report's hub fields in one place, and name a wait by what it is for

CATCH_UP_S in confirmations.py was no part of CatchUp.

Change: introduce calls fields_for, which calls _own_fields; the constant is READ_WAITING_S. Behaviour is the same.

--- a/mangoramp/control/confirmations.py
+++ b/mangoramp/control/confirmations.py
@@ -12,7 +12,7 @@
 
 MAX_HOPS = 3  # a watcher, its hub, a hub of another failure domain, a follower
 PAUSE_S = 0.6  # without any report, which arrive each 0.3 s; likely this process's
-CATCH_UP_S = 0.5  # in which the reports that waited meanwhile are read
+READ_WAITING_S = 0.5  # in which the reports that waited meanwhile are read
 
 
 class Topic(Enum):
@@ -79,7 +79,7 @@
         """
         now = self._clock()
         if now - self._heard_at > PAUSE_S:
-            self._trusts_from = now + CATCH_UP_S
+            self._trusts_from = now + READ_WAITING_S
         self._heard_at = now
         if report.confirmed is None or now < self._trusts_from:
             return
--- a/mangoramp/policy/hubs.py
+++ b/mangoramp/policy/hubs.py
@@ -322,8 +322,7 @@
         heard = self._heard.get(name)
         if heard is None:
             return None
-        fields = self._fields_for_hub(name) if self._is_hub else self._own_fields()
-        return Message(heard.member, fields)
+        return Message(heard.member, self.fields_for(name))
 
     def tick(self, now: float, *, force: bool = False) -> list[Message]:
         """Return the messages to send now; call this several times a second.
@@ -463,7 +462,7 @@
         """Return what a report carries to an instance beside the regular ones."""
         if self._is_hub:
             return self._fields_for_hub(name)
-        return HubFields(source=self._source, stamps=self._source_stamps.copy())
+        return self._own_fields()
 
     def announce(self, now: float) -> list[Message]:
         """Return messages that tell the instances with this source of a change."""
