Parse the options of the three soaks by one function

Cause: soak_configuration.py repeated the options and the loop over seeds of soak_restarts.py, and both the options of soak.py.

Change: seed_parser and play_seeds in soak_instance.py; options, defaults, output and exit codes are the same.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,7 +7,6 @@
 their answers are checked against the statements that the servers executed.
 """
 
-import argparse
 import asyncio
 import contextlib
 import random
@@ -27,7 +26,7 @@
 from .soak_cold import COLD_S, NOTICE_S, SERVICE, SETTLE_S, ColdSpell, Disturbances
 from .soak_configuration import play_configuration
 from .soak_faults import FAULTS, ZONES
-from .soak_instance import InstanceProcess, keep_logs
+from .soak_instance import InstanceProcess, keep_logs, seed_parser
 from .soak_restarts import play_restarts
 from .wire_world import GROUP, SERVERS, Caller, World, configuration
 
@@ -348,14 +347,7 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(prog="python -m tests.soak")
-    parser.add_argument("--seeds", type=int, default=5)
-    parser.add_argument("--first", type=int, default=None)
-    parser.add_argument("--seconds", type=float, default=12.0)
-    parser.add_argument(
-        "--keep", type=Path, help="directory for the logs of failed seeds"
-    )
-    args = parser.parse_args()
+    args = seed_parser("python -m tests.soak", first=None).parse_args()
     first = args.first if args.first is not None else random.randrange(10**6)
     failed = 0
     for seed in range(first, first + args.seeds):
--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -7,7 +7,6 @@
 Beside the former build, only instances of this build are judged.
 """
 
-import argparse
 import asyncio
 import contextlib
 import itertools
@@ -31,7 +30,7 @@
 from .former_build import ROOT, unpack_former_build
 from .linked_instance import LINKS_VARIABLE
 from .relay import Relay
-from .soak_instance import InstanceProcess, keep_logs
+from .soak_instance import InstanceProcess, keep_logs, play_seeds, seed_parser
 from .wire_world import GROUP, KEY, World, configuration
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -608,30 +607,22 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(prog="python -m tests.soak_configuration")
-    parser.add_argument("--seeds", type=int, default=5)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser = seed_parser("python -m tests.soak_configuration", seconds=20.0)
     parser.add_argument("--instances", type=int, default=INSTANCES)
     parser.add_argument("--build", default="new", help="new, mixed or a commit")
     parser.add_argument("--faults", nargs="+", default=(), help="only these faults")
-    parser.add_argument(
-        "--keep", type=Path, help="directory for the logs of failed seeds"
-    )
     args = parser.parse_args()
-    passed = sum(
-        play_configuration(
+    return play_seeds(
+        args,
+        lambda seed: play_configuration(
             seed,
             args.seconds,
             args.keep,
             instances=args.instances,
             build=args.build,
             kinds=args.faults,
-        )
-        for seed in range(args.first, args.first + args.seeds)
+        ),
     )
-    print(f"{passed} passed, {args.seeds - passed} failed")
-    return 0 if passed == args.seeds else 1
 
 
 if __name__ == "__main__":
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -1,5 +1,6 @@
 """An instance of the soak test, which runs as a process."""
 
+import argparse
 import asyncio
 import os
 import signal
@@ -36,6 +37,31 @@
 """
 
 
+def seed_parser(prog, *, seeds=5, first=1, seconds=12.0):
+    """Return a parser for the options of all soaks, with their defaults."""
+    parser = argparse.ArgumentParser(prog=prog)
+    parser.add_argument("--seeds", type=int, default=seeds)
+    parser.add_argument("--first", type=int, default=first)
+    parser.add_argument("--seconds", type=float, default=seconds)
+    parser.add_argument(
+        "--keep", type=Path, help="directory for the logs of failed seeds"
+    )
+    return parser
+
+
+def play_seeds(args, play):
+    """Play each seed, print how many passed, and return the exit code.
+
+    Args:
+        args: The parsed options.
+        play: Plays one seed; returns whether it passed.
+    """
+    seeds = range(args.first, args.first + args.seeds)
+    failed = sum(not play(seed) for seed in seeds)
+    print(f"{args.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
 def keep_logs(folder, keep, name):
     """Copy the logs of a run to a directory below ``keep``, if one is given."""
     if not keep:
--- a/tests/soak_restarts.py
+++ b/tests/soak_restarts.py
@@ -9,7 +9,6 @@
 others.
 """
 
-import argparse
 import asyncio
 import contextlib
 import json
@@ -28,7 +27,7 @@
 
 from .former_build import unpack_former_build
 from .soak_attempts import Attempt, AttemptChecker
-from .soak_instance import InstanceProcess, keep_logs
+from .soak_instance import InstanceProcess, keep_logs, play_seeds, seed_parser
 from .wire_world import GROUP, Caller, World, configuration
 
 ARCHIVE = "archive"
@@ -477,24 +476,18 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(prog="python -m tests.soak_restarts")
-    parser.add_argument("--seeds", type=int, default=5)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=12.0)
+    parser = seed_parser("python -m tests.soak_restarts")
     parser.add_argument(
         "--build", default="new", help="new, mixed, mixed:COMMIT or a commit"
     )
     parser.add_argument("--faults", nargs="+", default=(), help="only these faults")
-    parser.add_argument(
-        "--keep", type=Path, help="directory for the logs of failed seeds"
-    )
     args = parser.parse_args()
-    passed = sum(
-        play_restarts(seed, args.seconds, args.build, args.faults, args.keep)
-        for seed in range(args.first, args.first + args.seeds)
+    return play_seeds(
+        args,
+        lambda seed: play_restarts(
+            seed, args.seconds, args.build, args.faults, args.keep
+        ),
     )
-    print(f"{passed} passed, {args.seeds - passed} failed")
-    return 0 if passed == args.seeds else 1
 
 
 if __name__ == "__main__":
