--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -394,6 +394,8 @@
         folder: The folder of the case.
         requires_fencing: Whether the platform checks fencing tokens.
     """
+    # Ended from outside, a run ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(pathlib.Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {has_trouble}")
