--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,144 +1,98 @@
-"""A replica that is too busy to answer is passed over, and its commits are lost."""
+"""One planned release of a primary is carried out by two holders."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
-import time
-
-from fleet import Caller, Fleet, configuration, run_case
-from servers import Profile, Service
-
-# Figures of the page on the shops' deployment, with sync_replicas.
-PROFILE = Profile(
-    slots=3,
-    queue=24,
-    connections=34,
-    handshake_s=0.027,
-    work_s=0.04,
-    max_work_s=0.3,
-    receive_s=0.001,
-    apply_s=0.02,
-    promote_s=0.6,
-    sync_replicas=1,
-)
-INSTANCES = 6
-READERS = 60
-WRITERS = 6
-DEAF_S = 6.0
-CRASH_AFTER_S = 2.0
-WAIT_S = 20.0
-
-
-async def read_on(caller: Caller, counts: dict[str, int]) -> None:
-    """Read without a pause until the connection ends."""
-    number = 0
-    while True:
-        number += 1
-        answer = await caller.ask(f"READ r{number % 50}")
-        counts[answer.code or "served"] = counts.get(answer.code or "served", 0) + 1
-        if not answer.state:
-            return
-        if answer.code:
-            await asyncio.sleep(0.05)
-
-
-async def write_on(
-    fleet: Fleet, caller: Caller, number: int, acked: dict[str, float]
-) -> None:
-    """Write until the connection ends, and note what is acknowledged."""
-    for count in range(100_000):
-        request_id = f"{number:04x}{count:012x}"
-        answer = await caller.ask(f"WRITE w{number} v{count}", request_id)
-        if not answer.state:
-            return
-        if not answer.code:
-            acked[request_id] = time.monotonic()
-            fleet.record.note(f"write {request_id} acknowledged")
-        await asyncio.sleep(0.05)
-
-
-async def open_sessions(
-    fleet: Fleet, acked: dict[str, float], counts: dict[str, int]
-) -> list[asyncio.Task[None]]:
-    """Start the readers and the writers."""
-    tasks = []
-    for number in range(READERS + WRITERS):
-        instance = fleet.instances[number % INSTANCES]
-        is_reader = number < READERS
-        caller = await fleet.caller(instance, "lists" if is_reader else "orders", "k1")
-        if caller is None:
-            raise RuntimeError("a session was refused")
-        coro = (
-            read_on(caller, counts)
-            if is_reader
-            else write_on(fleet, caller, number, acked)
-        )
-        tasks.append(asyncio.ensure_future(coro))
-    return tasks
-
-
-async def wait_for_promotion(service: Service, timeout_s: float) -> None:
-    """Wait for another primary; the deaf replica receives again in time."""
-    primary, deaf = service.servers[:2]
-    until = time.monotonic() + timeout_s
-    healed_at = time.monotonic() + DEAF_S - CRASH_AFTER_S
-    while time.monotonic() < until and service.primary is primary:
-        await asyncio.sleep(0.05)
-        if time.monotonic() > healed_at:
-            deaf.is_deaf = False
+
+from fleet import Fleet, configuration, run_case
+from platform_api import Promotion
+from servers import Profile, Server, Service
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+SERVICES = ("first", "second", "third")
+INSTANCES = 9
+PROFILE = Profile(work_s=0.004, apply_s=0.008, promote_s=0.3)
+RELEASES = 16  # of each service
+GAPS_S = (0.9, 1.4)  # from the end of one to the start of the next one
+START_S = 1.0  # the new server starts first
+DRAIN_S = 7.5  # then the one that leaves ends
+LEASE_S = 3.0  # what the bench's verdict on this rule names
+
+
+async def release_all(service: Service, fleet: Fleet) -> None:
+    """Replace the primary of a service several times."""
+    for _ in range(RELEASES):
+        await release(service, fleet)
+        await asyncio.sleep(service.rng.uniform(*GAPS_S))
+
+
+async def release(service: Service, fleet: Fleet) -> None:
+    """Replace the primary: a new server starts, the old one drains and ends."""
+    service.add_server(service.primary.zone, fleet.store)
+    await asyncio.sleep(START_S)
+    leaving = service.primary
+    fleet.record.note(f"{leaving.id} reports draining")
+    leaving.is_draining = True
+    leaving.register()
+    service.spawn(end_later(leaving, fleet))
+
+
+async def end_later(leaving: Server, fleet: Fleet) -> None:
+    """End a server that leaves, after the time for which it has to serve on."""
+    await asyncio.sleep(DRAIN_S)
+    leaving.crash()
+    fleet.store.delete("servers", leaving.id)
 
 
 async def play(fleet: Fleet) -> bool:
-    """Crash a primary while one replica receives nothing and the other one is busy."""
-    service = Service("ledger", ("zone-a", "zone-b", "zone-c"), PROFILE, lambda _: None)
-    bounded = {"type": "bounded_staleness", "max_staleness_ms": 1500}
+    """Release the primaries of three services again and again."""
+    services = [Service(name, ZONES, PROFILE, fleet.record.note) for name in SERVICES]
     routes = [
-        {"database_name": "orders", "type": "primary", "timeout_ms": 1000},
-        {"database_name": "lists", "timeout_ms": 2000, **bounded},
+        {
+            "database_name": f"db-{name}",
+            "service": name,
+            "type": "primary",
+            "timeout_ms": 800,
+        }
+        for name in SERVICES
     ]
-    routes = [{**r, "service": "ledger"} for r in routes]
-    services = [{"name": "ledger", "max_connections": 34, "sync_replicas": 1}]
-    await fleet.start([service], configuration(1, routes, services), INSTANCES)
-    acked: dict[str, float] = {}
-    counts: dict[str, int] = {}
-    tasks = await open_sessions(fleet, acked, counts)
-    await asyncio.sleep(5)
-    primary, deaf, current = service.servers
-    if fleet.has_trouble:
-        fleet.record.note(f"{deaf.id} receives nothing from now on")
-        deaf.is_deaf = True
-    await asyncio.sleep(CRASH_AFTER_S)
+    groups = [
+        {"name": name, "max_connections": 16, "sync_replicas": 0} for name in SERVICES
+    ]
+    await fleet.start(services, configuration(1, routes, groups), INSTANCES)
+    await asyncio.sleep(5.0)
     if fleet.has_trouble:
-        fleet.record.note(f"{primary.id} crashes; {current.id} has all that was acked")
-        primary.crash()
-    await wait_for_promotion(service, WAIT_S if fleet.has_trouble else 5.0)
-    for task in tasks:
-        task.cancel()
-    fleet.record.note(f"reads: {counts}; writes acknowledged: {len(acked)}")
-    if not acked or (fleet.has_trouble and service.primary is primary):
-        raise RuntimeError("nothing was acknowledged, or no server was promoted")
-    return judge(fleet, service, acked)
-
-
-def judge(fleet: Fleet, service: Service, acked: dict[str, float]) -> bool:
-    """Return whether the server that was promoted had all that was acknowledged."""
-    note = fleet.record.note
-    for call in fleet.cloud.calls:
-        at = fleet.record.at(call.at)
-        note(f"promotion of {call.server} asked for at {at}: {call.code}")
-    for server in service.servers[1:]:
-        note(
-            f"{server.id}: STATUS answered {server.answered_status} times, "
-            f"refused as busy {server.refused_status} times"
-        )
-    for line in fleet.log_lines("promotion claimed", "to a database server refused"):
-        note(f"log: {line[:400]}")
-    kept = {entry.request_id for entry in service.primary.log}
-    discarded = {entry.request_id for entry in service.discarded}
-    lost = sorted(acked.keys() & discarded - kept)
-    note(f"{service.primary.id} leads; {len(lost)} acknowledged and lost: {lost}")
-    return not lost
+        await asyncio.gather(*(release_all(service, fleet) for service in services))
+    await asyncio.sleep(3.0)
+    return judge(fleet)
+
+
+def judge(fleet: Fleet) -> bool:
+    """Return whether no two holders took turns inside the lease."""
+    turns = 0
+    for name in SERVICES:
+        calls = [c for c in fleet.cloud.calls if c.service == name]
+        for number, call in enumerate(calls):
+            other = _turn(calls[:number], call)
+            fleet.record.note(
+                f"{name} at {fleet.record.at(call.at)}: {call.holder} promotes "
+                f"{call.server} with token {call.token}: {call.code}"
+                + (f" (in turn with {other})" if other else "")
+            )
+            turns += bool(other)
+    for line in fleet.log_lines("promotion claimed"):
+        fleet.record.note(f"log: {line[:400]}")
+    fleet.record.note(f"{turns} times, two holders took turns")
+    return not turns
+
+
+def _turn(earlier: list[Promotion], call: Promotion) -> str:
+    """Return who acted between two calls of a holder inside the lease, if any."""
+    recent = [c for c in earlier if call.at - c.at < LEASE_S]
+    own = [n for n, c in enumerate(recent) if c.holder == call.holder]
+    others = [c.holder for c in recent[own[0] :]] if own else []
+    return next((holder for holder in others if holder != call.holder), "")
 
 
 if __name__ == "__main__":
