Keep a primary's replacement with one instance

Callers saw: a planned release cost them two changes of primary.

Cause: `Promoter._replace` read since when the former primary led only after it had read the claim. If the registry's change arrived during that read, the claim that had just been carried out counted as one for another change. No later step looked again. And whoever was 0.2 s late lost the duty to the next in rank and took it back at the next release.

Class of fault: an act for the whole deployment is decided on a view and carried out some awaits later, without a check that the view holds.

Change: the decision is one frozen value, taken before the first await; `policy/duty.py` says after each await why it must not go on. The last holder keeps a group's duty for a lease unless it is silent or stopping, and writes into its claim when no more calls follow. Claims are dated by the revisions of the store that an instance has known since. A successor that has restarted without its log, left or begun to drain since it was chosen is not promoted. A stopping instance begins no replacement.

Other paths with the same cause: the term's record in the claim (written only over the same claim: holds); records of silent instances (removed under the version listed, looked up again for each: holds, but for a removal right after a pause, which is open); evacuations (no act for others; a promotion checks its successor: now at each step); keys and homes (no instance acts for all). HTTP interface: the group object is changed under its version, commands carry a term that servers check; holds.

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -7,10 +7,6 @@
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 
-import msgspec
-from returns.result import Success
-
-from ..decoding import decode_json, log_unreadable
 from ..events import (
     CONNECTION_REFUSED,
     PROMOTION_CLAIMED,
@@ -19,16 +15,17 @@
     TERM_UNKNOWN,
     emit,
 )
-from ..platform.client import PlatformClient, Versioned
+from ..platform.client import PlatformClient
 from ..platform.promotion import PromotionClient, PromotionOutcome
 from ..policy._rendezvous import rendezvous_order
-from ..policy.authority import (
-    Knowledge,
-    PauseDetector,
-    is_claim_unseen,
-    reason_to_wait,
+from ..policy.authority import Knowledge, PauseDetector, reason_to_wait
+from ..policy.duty import (
+    LEASE_S,
+    TENURE_S,
+    Replacement,
+    Situation,
+    reason_to_stop,
 )
-from ..policy.fencing import fencing_token
 from ..policy.isolation import Reachability, is_unreachable_here
 from ..policy.position import Position
 from ..policy.revision import NO_REVISION, Revision
@@ -43,58 +40,28 @@
 from .deployment import Deployment
 from .group import GroupState, Server
 from .peers import Peers
+from .promotion_claims import Claim, PromotionClaims
 
-CLAIM_KIND = "mangoramp-promotion"
 CHECK_INTERVAL_S = 0.1  # a tenth of the shortest outage that triggers a failover
 FOLLOWER_CHECK_INTERVAL_S = 1.0  # to become a controller
 RANK_DELAY_S = 0.2  # one round trip; lower ranks wait for claims of higher ones
-CLAIM_TTL_S = 3.0  # covers the request, its retries and the server's role change
 MAX_REQUESTS = 3  # a request is idempotent and repeated if its answer is lost
+RECHECK_INTERVAL_S = 0.25  # of another instance's claim, which may end early
 SETTLE_S = 1.0  # after a request, until the server reports its new role
 MAX_HEARD_AGE_S = 30.0  # peers have no use for an older answer
-EVACUATED_SUCCESSOR = "the successor's failure domain is being evacuated"
 PROBE_INTERVAL_S = 0.4  # for a failing primary without traffic from callers
 
 
-class Claim(msgspec.Struct, frozen=True):
-    """An instance's claim, kept in the store, to replace a group's primary.
-
-    Attributes:
-        holder: The instance that made the claim.
-        token: Its fencing token, which increases with each claim.
-        former: The server to replace, empty if there was no primary.
-        former_since: The registry revision at which that server became primary.
-        successor: The server to promote.
-        former_era: The era of ``former_since``.
-        terms: The lowest known position of each term of the group's log, as term and
-            number; a former build leaves them out.
-    """
-
-    holder: str
-    token: int
-    former: str
-    former_since: int
-    successor: str
-    former_era: int = 0
-    terms: tuple[tuple[int, int], ...] = ()
-
-    @property
-    def primary_since(self) -> Revision:
-        """The registry revision at which the former primary became primary."""
-        return Revision(self.former_era, self.former_since)
-
-
 @dataclass(slots=True)
 class _GroupWatch:
     """Progress of the failover of one group."""
 
     vacant_since: float | None = None
     reason_since: float | None = None
-    seen_claim: tuple[Revision, float] = (NO_REVISION, float("-inf"))
     hold_until: float = float("-inf")
     probed_at: float = float("-inf")
     is_replacing: bool = False
-    failed_token: int = 0  # of an own claim whose promotion was not done
+    priority_until: float = float("-inf")  # while others wait for an own claim
 
 
 class Promoter:
@@ -109,6 +76,7 @@
         deployment: Returns the configuration in force.
         registry_at: Returns the newest revision of the registry that is known here.
         peers_know_more: Returns whether a peer has reported a newer registry.
+        is_stopping: Returns whether this instance is about to end.
         judges_statements: Whether a primary that accepts connections but fails all
             statements is replaced.
     """
@@ -124,16 +92,23 @@
         *,
         registry_at: Callable[[], Revision] = lambda: NO_REVISION,
         peers_know_more: Callable[[], bool] = lambda: False,
+        is_stopping: Callable[[], bool] = lambda: False,
         judges_statements: bool = False,
     ) -> None:
         self._name = name
         self._servers = servers
         self._peers = peers
-        self._client = client
+        self._claims = PromotionClaims(
+            name,
+            client,
+            servers.clock,
+            registry_at=registry_at,
+            is_away=self._is_away,
+        )
         self._promotion_client = promotion_client
         self._deployment = deployment
-        self._registry_at = registry_at
         self._peers_know_more = peers_know_more
+        self._is_stopping = is_stopping
         self._pauses = PauseDetector()
         self._judges_statements = judges_statements
         self._watches: dict[str, _GroupWatch] = {}
@@ -203,6 +178,9 @@
         known = self._deployment()
         if known is None:
             return
+        self._claims.record_registry()
+        if self._is_stopping() and self._peers.serving:
+            return
         must_wait = is_controller and bool(self._reason_to_wait())
         for name in known.groups:
             group = self._servers.group(name)
@@ -231,7 +209,8 @@
             return
         if watch.reason_since is None:
             watch.reason_since = now
-        wait_s = RANK_DELAY_S * self._rank(group.name)
+        has_priority = now < watch.priority_until
+        wait_s = 0.0 if has_priority else RANK_DELAY_S * self._rank(group.name)
         if now < watch.hold_until or now - watch.reason_since < wait_s:
             return
         if primary is not None and primary.is_evacuated and not group.replicas(now):
@@ -239,7 +218,7 @@
             watch.hold_until = now + SETTLE_S
             return
         watch.is_replacing = True
-        self._spawn(self._replace(group, watch, primary, reason), watch)
+        self._spawn(self._replace(group, watch, _replacement(primary), reason), watch)
 
     def _reason_to_wait(self) -> str:
         now = self._servers.clock()
@@ -307,6 +286,13 @@
             if age_ms is not None:
                 yield name, now - peer.heard_received_at + age_ms / 1000
 
+    def _is_away(self, instance: str) -> bool:
+        """Whether an instance is silent or stopping, so that others do its duties."""
+        if instance == self._name:
+            return False
+        is_live = instance in self._peers.live_instances
+        return not is_live or instance not in self._peers.serving
+
     def _rank(self, group: str) -> int:
         order = rendezvous_order(group, self._peers.controllers)
         return order.index(self._name) if self._name in order else len(order)
@@ -345,117 +331,108 @@
         return next(iter(known.customers), "-") if known is not None else "-"
 
     async def _replace(
-        self,
-        group: GroupState,
-        watch: _GroupWatch,
-        former: Server | None,
-        reason: str,
+        self, group: GroupState, watch: _GroupWatch, decided: Replacement, reason: str
     ) -> None:
-        found = await self._client.get(CLAIM_KIND, group.name, msgspec.Raw)
-        if not isinstance(found, Success):
-            reason = found.failure().message
-            emit(PROMOTION_SKIPPED, group=group.name, reason=reason)
+        """Claim the replacement of a primary and have the platform carry it out.
+
+        Each step may take seconds, in which another instance acts, the primary returns
+        or this process is paused; so the decision is checked after each.
+        """
+        stored = await self._claims.read(group.name)
+        if stored is None:
             return
-        known = found.unwrap()
-        now = self._servers.clock()
-        since = former.primary_since if former is not None else NO_REVISION
-        former_id = former.id if former is not None else ""
-        claim = _decode_claim(known)
-        if claim is not None:
-            group.history.merge(Position(*pair) for pair in claim.terms)
-        if (
-            claim is not None
-            and self._is_claim_active(
-                claim, known.revision, watch, former_id, since, now
-            )
-            and not self._is_evacuated(group, claim.successor)
-        ):
-            emit(PROMOTION_SKIPPED, group=group.name, holder=claim.holder)
+        if stored.claim is not None:
+            group.history.merge(Position(*pair) for pair in stored.claim.terms)
+        wait_s = self._claims.wait_s(stored, decided)
+        if stored.claim is not None and wait_s > 0:
+            holder = stored.claim.holder
+            emit(PROMOTION_SKIPPED, group=group.name, holder=holder, wait_s=wait_s)
+            watch.hold_until = self._servers.clock() + min(wait_s, RECHECK_INTERVAL_S)
             return
-        successor = await self._choose_successor(group, former)
-        wait_reason = self._reason_to_wait()
-        if wait_reason:
-            emit(PROMOTION_SKIPPED, group=group.name, reason=wait_reason)
+        successor = await self._choose_successor(group, decided.former)
+        stop_reason = self._reason_to_stop(group, watch, decided)
+        if successor is None:
+            stop_reason = stop_reason or "no server is eligible"
+            watch.hold_until = self._servers.clock() + SETTLE_S
+        if stop_reason or successor is None:
+            emit(PROMOTION_SKIPPED, group=group.name, reason=stop_reason)
             return
-        if successor is not None and successor.is_primary:
+        if successor.is_primary:
             # Another instance was quicker, or the registry comes from an old copy.
             emit(
                 PROMOTION_SKIPPED,
                 group=group.name,
                 reason=f"{successor.id} is the primary already",
             )
-            group.record_promotion(successor.id, since.next())
-            watch.hold_until = self._servers.clock() + SETTLE_S
-            return
-        if successor is None:
-            emit(PROMOTION_SKIPPED, group=group.name, reason="no server is eligible")
+            group.record_promotion(successor.id, decided.since.next())
             watch.hold_until = self._servers.clock() + SETTLE_S
             return
-        own_claim = Claim(
-            holder=self._name,
-            token=fencing_token(known.revision),
-            former=former_id,
-            former_since=since.number,
-            successor=successor.id,
-            former_era=since.era,
-            terms=_term_pairs(group),
-        )
-        put = await self._client.put(
-            CLAIM_KIND,
-            group.name,
-            own_claim,
-            version=known.version,
-            era=known.era,
+        claim = await self._claims.make(
+            stored, decided, successor.id, _term_pairs(group)
         )
-        if not isinstance(put, Success) or not put.unwrap():
-            # If only the answer was lost, the next read of the claim shows it.
-            emit(PROMOTION_SKIPPED, group=group.name, reason="the claim was not made")
+        if claim is None:
             return
         emit(
             PROMOTION_CLAIMED,
             group=group.name,
             reason=reason,
-            former=former_id,
+            former=decided.former,
             successor=successor.id,
             received=f"{successor.received.term}.{successor.received.offset}",
-            token=own_claim.token,
+            token=claim.token,
         )
-        await self._request_promotion(group, watch, own_claim)
+        watch.priority_until = self._servers.clock() + TENURE_S + LEASE_S
+        await self._request_promotion(group, watch, claim, successor.started_ms)
 
-    def _is_evacuated(self, group: GroupState, server_id: str) -> bool:
-        server = group.servers.get(server_id)
-        return server is not None and server.is_evacuated
-
-    def _is_claim_active(
+    def _reason_to_stop(
         self,
-        claim: Claim,
-        stored_at: Revision,
+        group: GroupState,
         watch: _GroupWatch,
-        former: str,
-        since: Revision,
-        now: float,
-    ) -> bool:
-        if claim.holder == self._name and claim.token == watch.failed_token:
-            return False
-        is_same = (claim.former, claim.primary_since) == (former, since)
-        is_seen = claim.successor == former or not is_claim_unseen(
-            stored_at, self._registry_at()
+        decided: Replacement,
+        successor: str = "",
+        started_ms: int = 0,
+    ) -> str:
+        """Return why a replacement must not go on, empty if it may.
+
+        Args:
+            group: The group.
+            watch: The progress of its failover.
+            decided: The replacement.
+            successor: The id of the server to promote, empty if none is chosen yet.
+            started_ms: When that server had started when it was chosen.
+        """
+        found = _replacement(group.find_primary(self._servers.clock()))
+        return reason_to_stop(
+            decided,
+            Situation(
+                primary=found.former,
+                since=found.since,
+                is_due=self._is_due(group, watch),
+                wait_reason=self._reason_to_wait(),
+                successor_fault=(
+                    _successor_fault(group, successor, started_ms) if successor else ""
+                ),
+            ),
         )
-        if not is_same and is_seen:
+
+    def _is_due(self, group: GroupState, watch: _GroupWatch) -> bool:
+        now = self._servers.clock()
+        primary = group.primary(now)
+        if primary is not None and self._is_healthy(primary):
             return False
-        if watch.seen_claim[0] != stored_at:
-            watch.seen_claim = (stored_at, now)
-        watch.hold_until = now + CHECK_INTERVAL_S
-        return now - watch.seen_claim[1] < CLAIM_TTL_S
+        return bool(reason_to_promote(self._evidence(group, watch, now)))
 
     async def _request_promotion(
-        self, group: GroupState, watch: _GroupWatch, claim: Claim
+        self, group: GroupState, watch: _GroupWatch, claim: Claim, started_ms: int
     ) -> None:
-        outcome = PromotionOutcome.UNKNOWN
+        outcome, is_called, stop_reason = PromotionOutcome.UNKNOWN, False, ""
         for _ in range(MAX_REQUESTS):
-            if self._is_evacuated(group, claim.successor):
-                emit(PROMOTION_SKIPPED, group=group.name, reason=EVACUATED_SUCCESSOR)
-                return
+            stop_reason = self._reason_to_stop(
+                group, watch, claim.replacement, claim.successor, started_ms
+            )
+            if stop_reason:
+                break
+            is_called = True
             outcome = await self._promotion_client.promote(
                 group.name, claim.successor, holder=self._name, token=claim.token
             )
@@ -468,13 +445,15 @@
             successor=claim.successor,
             token=claim.token,
             outcome=outcome,
+            reason=stop_reason,
         )
-        if outcome is PromotionOutcome.NOT_DONE:
-            watch.failed_token = claim.token
         if outcome is PromotionOutcome.ACCEPTED:
             group.record_promotion(claim.successor, claim.primary_since.next())
             watch.hold_until = self._servers.clock() + SETTLE_S
             self._spawn(self._record_term(group, claim), None)
+        elif not is_called:
+            terms = _term_pairs(group)
+            await self._claims.end(group.name, claim, terms, is_unused=False)
 
     async def _record_term(self, group: GroupState, claim: Claim) -> None:
         """Keep in the store at which position the new primary's term has begun.
@@ -482,32 +461,28 @@
         An instance that starts later needs it to recognize a discarded log.
         """
         server = group.servers.get(claim.successor)
-        if server is None:
-            return
-        status = await self._fetch_status(server)
+        status = await self._fetch_status(server) if server is not None else None
         if status is None or not status.is_primary:
             emit(TERM_UNKNOWN, group=group.name, successor=claim.successor)
-            return
-        group.history.record_start(status.term, status.received)
-        found = await self._client.get(CLAIM_KIND, group.name, msgspec.Raw)
-        stored = found.unwrap() if isinstance(found, Success) else None
-        if stored is None or _decode_claim(stored) != claim:
-            return  # a newer claim has the terms that its holder knows
-        changed = msgspec.structs.replace(claim, terms=_term_pairs(group))
-        await self._client.put(
-            CLAIM_KIND, group.name, changed, version=stored.version, era=stored.era
-        )
+        else:
+            group.history.record_start(status.term, status.received)
+        await self._claims.end(group.name, claim, _term_pairs(group), is_unused=False)
 
     async def _choose_successor(
-        self, group: GroupState, former: Server | None
+        self, group: GroupState, former_id: str
     ) -> Successor | None:
         now = self._servers.clock()
+        former = group.servers.get(former_id)
         servers = [s for s in group.replicas(now) if s is not former]
         found = await asyncio.gather(
             *(self._query_candidate(s, former) for s in servers)
         )
         return choose_successor(
-            (s for s in found if s is not None and not self._is_evacuated(group, s.id)),
+            (
+                s
+                for s in found
+                if s is not None and not _successor_fault(group, s.id, s.started_ms)
+            ),
             group.history,
         )
 
@@ -522,7 +497,13 @@
             former is not None
             and former.endpoint.failure_domain == endpoint.failure_domain
         )
-        return Successor(server.id, status.received, is_same_domain, status.is_primary)
+        return Successor(
+            server.id,
+            status.received,
+            is_same_domain,
+            status.is_primary,
+            endpoint.started_ms,
+        )
 
     async def _fetch_status(self, server: Server) -> ServerStatus | None:
         endpoint = server.endpoint
@@ -553,15 +534,22 @@
         task.add_done_callback(done)
 
 
-def _decode_claim(found: Versioned[msgspec.Raw]) -> Claim | None:
-    """Return a claim, None if there is none or another writer has replaced it."""
-    if found.value is None:
-        return None
-    try:
-        return decode_json(found.value, Claim)
-    except ValueError as exc:
-        log_unreadable(CLAIM_KIND, found.name, found.version, exc)
-        return None
+def _replacement(primary: Server | None) -> Replacement:
+    if primary is None:
+        return Replacement("")
+    return Replacement(primary.id, primary.primary_since)
+
+
+def _successor_fault(group: GroupState, server_id: str, started_ms: int) -> str:
+    """Return why a chosen server cannot be promoted any more, empty if it can."""
+    server = group.servers.get(server_id)
+    if server is None or server.unlisted_at is not None:
+        return f"{server_id} has left"
+    if server.endpoint.started_ms != started_ms:
+        return f"{server_id} has restarted without its log"
+    if server.is_evacuated:
+        return f"the failure domain of {server_id} is being evacuated"
+    return f"{server_id} is about to leave" if server.endpoint.is_draining else ""
 
 
 def _term_pairs(group: GroupState) -> tuple[tuple[int, int], ...]:
--- /dev/null
+++ b/mangoramp/policy/duty.py
@@ -0,0 +1,138 @@
+"""Decides which instance carries out a promotion, and until when it may send it.
+
+Answers holders of the duty that are late, paused, cut off or ended between any two
+steps. A promotion that is sent on an old decision deposes a healthy primary, and two
+holders in turn undo each other's promotions. A claim in the store names the holder. The
+others count from when they first knew that the claim existed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from .lease import MAX_CLOCK_DRIFT
+from .revision import NO_REVISION, Revision
+
+LEASE_S = 3.0  # in which no second holder acts while the first is in touch
+TENURE_S = 6.5  # three requests of up to 2 s
+UNSEEN_S = 3.0  # until the effect of a claim is known here or never comes
+MAX_REVISION_AGE_S = 30.0  # longer than any wait for a claim
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimView:
+    """What an instance knows of the latest claim to a group.
+
+    Attributes:
+        age_s: Seconds for which it has existed at least.
+        tenure_s: Seconds after its writing in which its holder may call.
+        is_own: Whether this process made it or tried to.
+        is_own_name: Whether an instance of this name made it.
+        is_over: Whether its holder will make no call under it any more.
+        is_unused: Whether its holder made no call at all.
+        is_away: Whether its holder is silent or stopping.
+        is_unseen: Whether it may have changed the registry since that was last seen.
+        is_settled: Whether the registry shows that it was for an earlier change.
+    """
+
+    age_s: float
+    tenure_s: float
+    is_own: bool = False
+    is_own_name: bool = False
+    is_over: bool = False
+    is_unused: bool = False
+    is_away: bool = False
+    is_unseen: bool = False
+    is_settled: bool = False
+
+
+def wait_to_claim_s(claim: ClaimView) -> float:
+    """Return the seconds until a claim may be replaced by one of this instance."""
+    if claim.is_own:
+        return 0.0
+    wait_s = UNSEEN_S if claim.is_unseen else 0.0
+    if not claim.is_own_name and not claim.is_unused:
+        lease_s = 0.0 if claim.is_away else LEASE_S
+        wait_s = max(wait_s, _calls_end_s(claim) + lease_s)
+    return max(0.0, wait_s - claim.age_s)
+
+
+def _calls_end_s(claim: ClaimView) -> float:
+    """Return the age of a claim after which its holder surely sends no call."""
+    # A call of an absent holder that arrives after the next one is refused.
+    is_harmless = claim.is_away and claim.is_settled
+    if claim.is_over or is_harmless:
+        return 0.0
+    return claim.tenure_s * (1 + MAX_CLOCK_DRIFT)
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """The decision to replace a group's primary.
+
+    Attributes:
+        former: The id of the primary, empty if there is none.
+        since: The registry revision at which it became the primary.
+    """
+
+    former: str
+    since: Revision = NO_REVISION
+
+
+@dataclass(frozen=True, slots=True)
+class Situation:
+    """What is known of a group between two steps of a replacement.
+
+    Attributes:
+        primary: The id of the primary, empty if there is none.
+        since: The registry revision at which it became the primary.
+        is_due: Whether there is still a reason to replace it.
+        wait_reason: Why this instance must not act now, empty if it may.
+        successor_fault: Why the successor cannot be promoted, empty if it can.
+    """
+
+    primary: str
+    since: Revision = NO_REVISION
+    is_due: bool = True
+    wait_reason: str = ""
+    successor_fault: str = ""
+
+
+def reason_to_stop(decided: Replacement, found: Situation) -> str:
+    """Return why a replacement must not go on, empty if it may.
+
+    A group that has lost its primary since still needs the successor.
+    """
+    if found.wait_reason:
+        return found.wait_reason
+    if found.primary and found.primary != decided.former:
+        return f"{found.primary} is the primary now"
+    if found.primary and found.since != decided.since:
+        return f"{found.primary} has become the primary again"
+    if found.primary and not found.is_due:
+        return f"{found.primary} need not be replaced any more"
+    return found.successor_fault
+
+
+class RevisionAges:
+    """Tells how long a revision of the store has existed at least.
+
+    Objects of the store carry no time that instances could compare with their clocks.
+    An object existed by the time when its revision, or a higher one, was known here.
+    """
+
+    def __init__(self) -> None:
+        self._known: deque[tuple[float, Revision]] = deque()
+
+    def record(self, now: float, revision: Revision) -> None:
+        """Record that a revision is known, with the time in seconds."""
+        if not self._known or revision > self._known[-1][1]:
+            self._known.append((now, revision))
+        while len(self._known) > 1 and now - self._known[1][0] > MAX_REVISION_AGE_S:
+            self._known.popleft()
+
+    def age_s(self, revision: Revision, now: float) -> float:
+        """Return the least age of a revision in seconds, 0 if it was never known."""
+        found = (now - at for at, known in self._known if known >= revision)
+        return next(found, 0.0)
--- a/mangoramp/policy/succession.py
+++ b/mangoramp/policy/succession.py
@@ -78,12 +78,14 @@
         received: The position of the last entry in its log.
         is_near: Whether it runs in the former primary's failure domain.
         is_primary: Whether it is the primary already.
+        started_ms: When its process started, in Unix milliseconds.
     """
 
     id: str
     received: Position
     is_near: bool = False
     is_primary: bool = False
+    started_ms: int = 0
 
 
 def choose_successor(
