End a promotion's calls before another instance may call

Cause: the holder of a claim called up to three times in 6.2 s, while others took its claim over after 3 s. Neither the claim's age nor its being the newest was looked at between the calls, and a connection that took two seconds to open sent late what was decided early.

Class of fault: a right that ends is checked at the start of an act and outlived by its retries and slow connections.

Change: a claim gives a tenure of 2.6 s, counted from before it is sent to the store by the clock that counts suspensions. Each call connects, confirms the decision and the tenure, then sends, and its connection is reset if there is no answer in time. Others wait until the tenure has surely ended. A holder that could send nothing says so in its claim and another takes over at once; after three claims without an answer it lets the others try. `require_fencing` is read: only where fences are checked the settled claim of an absent holder is not waited for.

Ruled out: that a higher token alone protects; the platform keeps the last order it gets where it checks no fences.

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -20,7 +20,9 @@
 from ..policy._rendezvous import rendezvous_order
 from ..policy.authority import Knowledge, PauseDetector, reason_to_wait
 from ..policy.duty import (
+    HAND_OVER_S,
     LEASE_S,
+    MAX_CLAIMS_IN_A_ROW,
     TENURE_S,
     Replacement,
     Situation,
@@ -40,12 +42,11 @@
 from .deployment import Deployment
 from .group import GroupState, Server
 from .peers import Peers
-from .promotion_claims import Claim, PromotionClaims
+from .promotion_claims import Claim, HeldClaim, PromotionClaims
 
 CHECK_INTERVAL_S = 0.1  # a tenth of the shortest outage that triggers a failover
 FOLLOWER_CHECK_INTERVAL_S = 1.0  # to become a controller
 RANK_DELAY_S = 0.2  # one round trip; lower ranks wait for claims of higher ones
-MAX_REQUESTS = 3  # a request is idempotent and repeated if its answer is lost
 RECHECK_INTERVAL_S = 0.25  # of another instance's claim, which may end early
 SETTLE_S = 1.0  # after a request, until the server reports its new role
 MAX_HEARD_AGE_S = 30.0  # peers have no use for an older answer
@@ -61,7 +62,30 @@
     hold_until: float = float("-inf")
     probed_at: float = float("-inf")
     is_replacing: bool = False
+    called_at: float = float("-inf")  # when the last own call may have been sent
     priority_until: float = float("-inf")  # while others wait for an own claim
+    claimed: Replacement | None = None
+    claims_in_a_row: int = 0  # own ones for that replacement
+
+
+@dataclass(frozen=True, slots=True)
+class _CallResult:
+    """What came of the calls under one claim.
+
+    Attributes:
+        outcome: The outcome of the last call.
+        is_unsent: Whether no call was sent at all.
+        stop_reason: Why no further call was made, empty if the time was over.
+    """
+
+    outcome: PromotionOutcome
+    is_unsent: bool
+    stop_reason: str
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the platform has decided on the promotion."""
+        return self.outcome in (PromotionOutcome.ACCEPTED, PromotionOutcome.REFUSED)
 
 
 class Promoter:
@@ -77,6 +101,7 @@
         registry_at: Returns the newest revision of the registry that is known here.
         peers_know_more: Returns whether a peer has reported a newer registry.
         is_stopping: Returns whether this instance is about to end.
+        is_fenced: Returns whether the platform refuses a promotion with an older token.
         judges_statements: Whether a primary that accepts connections but fails all
             statements is replaced.
     """
@@ -93,6 +118,7 @@
         registry_at: Callable[[], Revision] = lambda: NO_REVISION,
         peers_know_more: Callable[[], bool] = lambda: False,
         is_stopping: Callable[[], bool] = lambda: False,
+        is_fenced: Callable[[], bool] = lambda: True,
         judges_statements: bool = False,
     ) -> None:
         self._name = name
@@ -104,6 +130,7 @@
             servers.clock,
             registry_at=registry_at,
             is_away=self._is_away,
+            is_fenced=is_fenced,
         )
         self._promotion_client = promotion_client
         self._deployment = deployment
@@ -367,10 +394,10 @@
             group.record_promotion(successor.id, decided.since.next())
             watch.hold_until = self._servers.clock() + SETTLE_S
             return
-        claim = await self._claims.make(
+        held = await self._claims.make(
             stored, decided, successor.id, _term_pairs(group)
         )
-        if claim is None:
+        if held is None:
             return
         emit(
             PROMOTION_CLAIMED,
@@ -379,10 +406,10 @@
             former=decided.former,
             successor=successor.id,
             received=f"{successor.received.term}.{successor.received.offset}",
-            token=claim.token,
+            token=held.claim.token,
         )
-        watch.priority_until = self._servers.clock() + TENURE_S + LEASE_S
-        await self._request_promotion(group, watch, claim, successor.started_ms)
+        _record_claim(watch, decided, held)
+        await self._request_promotion(group, watch, held, successor.started_ms)
 
     def _reason_to_stop(
         self,
@@ -423,37 +450,78 @@
         return bool(reason_to_promote(self._evidence(group, watch, now)))
 
     async def _request_promotion(
-        self, group: GroupState, watch: _GroupWatch, claim: Claim, started_ms: int
+        self, group: GroupState, watch: _GroupWatch, held: HeldClaim, started_ms: int
     ) -> None:
-        outcome, is_called, stop_reason = PromotionOutcome.UNKNOWN, False, ""
-        for _ in range(MAX_REQUESTS):
-            stop_reason = self._reason_to_stop(
-                group, watch, claim.replacement, claim.successor, started_ms
-            )
-            if stop_reason:
-                break
-            is_called = True
-            outcome = await self._promotion_client.promote(
-                group.name, claim.successor, holder=self._name, token=claim.token
-            )
-            if outcome in (PromotionOutcome.ACCEPTED, PromotionOutcome.REFUSED):
-                break
-            await asyncio.sleep(CHECK_INTERVAL_S)
+        claim = held.claim
+        result = await self._call_platform(group, watch, held, started_ms)
         emit(
             PROMOTION_ENDED,
             group=group.name,
             successor=claim.successor,
             token=claim.token,
-            outcome=outcome,
-            reason=stop_reason,
+            outcome=result.outcome,
+            reason=result.stop_reason,
         )
-        if outcome is PromotionOutcome.ACCEPTED:
+        now = self._servers.clock()
+        primary = group.find_primary(now)
+        if result.outcome is PromotionOutcome.ACCEPTED:
             group.record_promotion(claim.successor, claim.primary_since.next())
-            watch.hold_until = self._servers.clock() + SETTLE_S
+            watch.hold_until = now + SETTLE_S
+            self._spawn(self._record_term(group, claim), None)
+        elif primary is not None and primary.id == claim.successor:
+            # The answer was lost, but the registry shows the promotion.
             self._spawn(self._record_term(group, claim), None)
-        elif not is_called:
+        elif result.is_unsent:
+            # Others wait for the lease's length after an earlier call of this instance.
+            is_unused = now - watch.called_at >= LEASE_S
             terms = _term_pairs(group)
-            await self._claims.end(group.name, claim, terms, is_unused=False)
+            await self._claims.end(group.name, claim, terms, is_unused=is_unused)
+            if is_unused and not result.stop_reason:
+                self._let_others_try(watch, HAND_OVER_S)
+        elif not result.is_answered and watch.claims_in_a_row >= MAX_CLAIMS_IN_A_ROW:
+            watch.claims_in_a_row = 0
+            self._let_others_try(watch, LEASE_S + HAND_OVER_S)
+
+    def _let_others_try(self, watch: _GroupWatch, hold_s: float) -> None:
+        if len(self._peers.controllers) > 1:
+            watch.hold_until = self._servers.clock() + hold_s
+
+    async def _call_platform(
+        self, group: GroupState, watch: _GroupWatch, held: HeldClaim, started_ms: int
+    ) -> _CallResult:
+        """Request a promotion until there is an answer or the right to it ends."""
+        claim, clock = held.claim, self._servers.clock
+        stop_reason = ""
+
+        def time_left() -> float:
+            nonlocal stop_reason
+            stop_reason = self._reason_to_stop(
+                group, watch, claim.replacement, claim.successor, started_ms
+            )
+            now = clock()
+            may_call = not stop_reason and held.tenure.may_call(now)
+            return held.tenure.left_s(now) if may_call else 0.0
+
+        began_at = clock()
+        is_unsent = True
+        while True:
+            outcome = await self._promotion_client.promote(
+                group.name,
+                claim.successor,
+                holder=self._name,
+                token=claim.token,
+                time_left=time_left,
+            )
+            if outcome is not PromotionOutcome.NOT_SENT:
+                is_unsent = False
+                watch.called_at = clock()
+            result = _CallResult(outcome, is_unsent, stop_reason)
+            if result.is_answered:
+                return result
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            is_handing_over = is_unsent and clock() - began_at >= HAND_OVER_S
+            if is_handing_over or time_left() <= 0:
+                return _CallResult(outcome, is_unsent, stop_reason)
 
     async def _record_term(self, group: GroupState, claim: Claim) -> None:
         """Keep in the store at which position the new primary's term has begun.
@@ -540,6 +608,14 @@
     return Replacement(primary.id, primary.primary_since)
 
 
+def _record_claim(watch: _GroupWatch, decided: Replacement, held: HeldClaim) -> None:
+    """Record an own claim, for which the others wait."""
+    is_next = watch.claimed == decided
+    watch.claims_in_a_row = watch.claims_in_a_row + 1 if is_next else 1
+    watch.claimed = decided
+    watch.priority_until = held.tenure.began_at + TENURE_S + LEASE_S
+
+
 def _successor_fault(group: GroupState, server_id: str, started_ms: int) -> str:
     """Return why a chosen server cannot be promoted any more, empty if it can."""
     server = group.servers.get(server_id)
--- a/mangoramp/control/promotion_claims.py
+++ b/mangoramp/control/promotion_claims.py
@@ -14,10 +14,12 @@
 from ..platform.client import PlatformClient
 from ..policy.authority import is_claim_unseen
 from ..policy.duty import (
+    FORMER_TENURE_S,
     TENURE_S,
     ClaimView,
     Replacement,
     RevisionAges,
+    Tenure,
     wait_to_claim_s,
 )
 from ..policy.fencing import fencing_token
@@ -55,7 +57,7 @@
     former_era: int = 0
     terms: tuple[tuple[int, int], ...] = ()
     tenure_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TENURE_MS)] = round(
-        TENURE_S * 1000
+        FORMER_TENURE_S * 1000
     )
     is_over: bool = False
     is_unused: bool = False
@@ -101,6 +103,19 @@
         return self.revision if self.version else NO_REVISION
 
 
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """A claim of this instance that is in force.
+
+    Attributes:
+        claim: The claim.
+        tenure: The time in which it allows calls.
+    """
+
+    claim: Claim
+    tenure: Tenure
+
+
 class PromotionClaims:
     """Reads the claims to the groups, and makes and ends those of this instance.
 
@@ -110,6 +125,7 @@
         clock: Returns the time in seconds; counts pauses.
         registry_at: Returns the newest revision of the registry that is known here.
         is_away: Returns whether an instance is silent or stopping.
+        is_fenced: Returns whether the platform refuses a call with an older token.
     """
 
     def __init__(
@@ -120,12 +136,14 @@
         *,
         registry_at: Callable[[], Revision],
         is_away: Callable[[str], bool],
+        is_fenced: Callable[[], bool],
     ) -> None:
         self._name = name
         self._client = client
         self._clock = clock
         self._registry_at = registry_at
         self._is_away = is_away
+        self._is_fenced = is_fenced
         self._ages = RevisionAges()
         self._own_tokens: dict[str, int] = {}  # the last one of each group
 
@@ -170,7 +188,7 @@
             is_unseen=is_unseen,
             is_settled=claim.replacement != decided and not is_unseen,
         )
-        return wait_to_claim_s(view)
+        return wait_to_claim_s(view, is_fenced=self._is_fenced())
 
     async def make(
         self,
@@ -178,7 +196,7 @@
         decided: Replacement,
         successor: str,
         terms: tuple[tuple[int, int], ...],
-    ) -> Claim | None:
+    ) -> HeldClaim | None:
         """Replace a claim by one of this instance.
 
         Args:
@@ -200,11 +218,13 @@
             successor=successor,
             former_era=decided.since.era,
             terms=terms,
+            tenure_ms=round(TENURE_S * 1000),
             used_at=(used_at.era, used_at.number),
         )
+        tenure = Tenure(self._clock())
         self._own_tokens[stored.group] = claim.token
         if await self._put(stored, claim):
-            return claim
+            return HeldClaim(claim, tenure)
         emit(PROMOTION_SKIPPED, group=stored.group, reason="the claim was not made")
         return None
 
--- a/mangoramp/control/settings.py
+++ b/mangoramp/control/settings.py
@@ -73,6 +73,7 @@
         strength: Relative capacity, compared with that of other instances.
         features: The parts that are switched on.
         memory_bytes: The memory that the process may take, in bytes.
+        is_fenced: Whether the platform refuses a promotion with an older token.
     """
 
     name: str
@@ -89,3 +90,4 @@
     strength: int = 1
     features: Features = Features()
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    is_fenced: bool = True
--- a/mangoramp/instance.py
+++ b/mangoramp/instance.py
@@ -166,6 +166,7 @@
             registry_at=lambda: self._news_fetcher.registry_at,
             peers_know_more=lambda: self._news_fetcher.is_behind_on_registry,
             is_stopping=lambda: self._is_stopping,
+            is_fenced=lambda: self.cfg.is_fenced,
             judges_statements=cfg.features.server_health,
         )
         self._path_prober = PathProber(
--- a/mangoramp/platform/settings.py
+++ b/mangoramp/platform/settings.py
@@ -40,6 +40,7 @@
     evacuate_ms: float = 0  # 0 or absent: evacuations are not supported
     cold_overage: float = 0
     cold_slack: float = 0
+    require_fencing: bool = False
 
 
 class _Limits(msgspec.Struct):
@@ -108,6 +109,7 @@
         strength=_statements_per_s(raw.limits),
         features=_features(raw),
         memory_bytes=_memory_bytes(raw.limits),
+        is_fenced=raw.bounds.require_fencing,
     )
 
 
--- a/mangoramp/policy/duty.py
+++ b/mangoramp/policy/duty.py
@@ -2,8 +2,9 @@
 
 Answers holders of the duty that are late, paused, cut off or ended between any two
 steps. A promotion that is sent on an old decision deposes a healthy primary, and two
-holders in turn undo each other's promotions. A claim in the store names the holder. The
-others count from when they first knew that the claim existed.
+holders in turn undo each other's promotions. A claim in the store names the holder. Its
+calls end with its tenure, which it counts from before the claim was written. The others
+count from when they first knew that the claim existed, so that their wait ends later.
 """
 
 from __future__ import annotations
@@ -15,8 +16,12 @@
 from .revision import NO_REVISION, Revision
 
 LEASE_S = 3.0  # in which no second holder acts while the first is in touch
-TENURE_S = 6.5  # three requests of up to 2 s
+TENURE_S = 2.6  # a former build takes a claim over after 3 s
+FORMER_TENURE_S = 6.5  # a former build sends three requests of up to 2 s
+MIN_CALL_S = 0.5  # of the tenure left at the start of a call; most answers take less
 UNSEEN_S = 3.0  # until the effect of a claim is known here or never comes
+MAX_CLAIMS_IN_A_ROW = 3  # without an answer; then another instance gets its turn
+HAND_OVER_S = 1.0  # for others to claim after a holder that could not call
 MAX_REVISION_AGE_S = 30.0  # longer than any wait for a claim
 
 
@@ -47,26 +52,51 @@
     is_settled: bool = False
 
 
-def wait_to_claim_s(claim: ClaimView) -> float:
-    """Return the seconds until a claim may be replaced by one of this instance."""
+def wait_to_claim_s(claim: ClaimView, *, is_fenced: bool) -> float:
+    """Return the seconds until a claim may be replaced by one of this instance.
+
+    Args:
+        claim: The latest claim.
+        is_fenced: Whether the platform refuses a call with an older token.
+    """
     if claim.is_own:
         return 0.0
     wait_s = UNSEEN_S if claim.is_unseen else 0.0
     if not claim.is_own_name and not claim.is_unused:
         lease_s = 0.0 if claim.is_away else LEASE_S
-        wait_s = max(wait_s, _calls_end_s(claim) + lease_s)
+        wait_s = max(wait_s, _calls_end_s(claim, is_fenced=is_fenced) + lease_s)
     return max(0.0, wait_s - claim.age_s)
 
 
-def _calls_end_s(claim: ClaimView) -> float:
+def _calls_end_s(claim: ClaimView, *, is_fenced: bool) -> float:
     """Return the age of a claim after which its holder surely sends no call."""
     # A call of an absent holder that arrives after the next one is refused.
-    is_harmless = claim.is_away and claim.is_settled
+    is_harmless = is_fenced and claim.is_away and claim.is_settled
     if claim.is_over or is_harmless:
         return 0.0
     return claim.tenure_s * (1 + MAX_CLOCK_DRIFT)
 
 
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """The time in which the holder of a claim may call.
+
+    Attributes:
+        began_at: When the claim was made, before it was sent to the store, in seconds
+            of a clock that counts pauses.
+    """
+
+    began_at: float
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until all calls must have ended."""
+        return self.began_at + TENURE_S - now
+
+    def may_call(self, now: float) -> bool:
+        """Return whether there is time for a call and its answer."""
+        return self.left_s(now) >= MIN_CALL_S
+
+
 @dataclass(frozen=True, slots=True)
 class Replacement:
     """The decision to replace a group's primary.
--- a/tests/promotion_world.py
+++ b/tests/promotion_world.py
@@ -14,6 +14,7 @@
 from mangoramp.errors import Code, Fault, Outcome, Step
 from mangoramp.platform.client import Versioned
 from mangoramp.platform.promotion import (
+    CONNECT_TIMEOUT_S,
     REQUEST_TIMEOUT_S,
     PromotionOutcome,
 )
@@ -22,7 +23,6 @@
 from mangoramp.serving.command import OpenRefusedError, ServerStatus
 from mangoramp.serving.servers import Servers
 
-CONNECT_TIMEOUT_S = 2.0
 GROUP = "register"
 STABLE_S = 4.0  # an instance is in touch after this time without a disturbance
 
@@ -124,18 +124,18 @@
         connect_s = min(time_left(), CONNECT_TIMEOUT_S)
         opened_at = loop.time()
         if connect_s <= 0:
-            return PromotionOutcome.UNKNOWN
+            return PromotionOutcome.NOT_SENT
         delay_s = world.rng.choice((0.002, 0.002, world.rng.uniform(0.0, 2.0)))
         await world.travel(self.machine, min(delay_s, connect_s))
         is_cut = loop.time() < self.machine.cut_until
         if is_cut or delay_s > connect_s:
             await world.travel(self.machine, opened_at + connect_s - loop.time())
-            return PromotionOutcome.UNKNOWN
+            return PromotionOutcome.NOT_SENT
         world.after_step("connect")
         await world.wake(self.machine)
         left_s = min(time_left(), REQUEST_TIMEOUT_S)
         if left_s <= 0:
-            return PromotionOutcome.UNKNOWN
+            return PromotionOutcome.NOT_SENT
         in_touch = self.machine.is_in_touch(loop.time())
         world.calls.append(Call(loop.time(), holder, token, server_id, in_touch))
         if world.rng.random() < world.lost_part:
@@ -208,9 +208,10 @@
         seed: The seed of all that is random.
         instances: The number of instances.
         lost_part: The part of calls that are lost, late or refused.
+        is_fenced: What the instances know of the platform.
     """
 
-    def __init__(self, seed, *, instances=5, lost_part=0.0):
+    def __init__(self, seed, *, instances=5, lost_part=0.0, is_fenced=False):
         self.rng = random.Random(seed)
         self.lost_part = lost_part
         self.promote_s = self.rng.choice((0.3, 0.6, 1.0))
@@ -221,6 +222,7 @@
         self.promotions = []  # which server led, and when
         self.endpoints = {}
         self._count = instances
+        self._is_fenced = is_fenced
         self._next_server = 0
         self.machines = []
         self.after_step = lambda step: None  # called after each await of a promoter
@@ -263,6 +265,7 @@
             PromotionApi(self, machine),
             lambda: deployment,
             registry_at=lambda: machine.registry_at,
+            is_fenced=lambda: self._is_fenced,
         )
         check = machine.promoter._check_groups
 
--- a/tests/test_evacuation_instances.py
+++ b/tests/test_evacuation_instances.py
@@ -7,7 +7,7 @@
 
 from mangoramp.control import peers
 from mangoramp.control.settings import Bounds, Features
-from mangoramp.policy.duty import UNSEEN_S
+from mangoramp.policy.duty import TENURE_S
 
 from .relay import Relay
 from .wire_world import GROUP, HOST, KEY, SERVERS, World, configuration
@@ -145,7 +145,7 @@
             await world.wait_until(lambda: claimed)
             (last,) = set(SERVERS) - {"s1", claimed[0]}
             # The claim for the evacuated successor must not hold the next one up.
-            await world.wait_until(lambda: world.group.primary == last, UNSEEN_S - 0.5)
+            await world.wait_until(lambda: world.group.primary == last, TENURE_S - 0.5)
             assert {server for _, _, server in world.promotion_requests} == {last}
 
     async def test_one_withdrawn_at_once_causes_no_promotion(self):
