Record what an answer shows for the group of the server that gave it

Cause: the position in the COMMIT's answer was recorded for the group to which the route led now. There it proved a freshness that nobody had shown, and entered the history of that group's terms, where replicas could count as discarded for good. A session kept one commit for all groups.

Class of fault: what an answer shows is attributed by the configuration of now, not by the server that gave it.

Change: commits, begins and writes record positions for the server's group; a session keeps its last commit for each group.

Other paths: reads and hedged reads choose their server by the route with which they began (hold); batches through homes carry the server's group (hold); samples that homes report name their group (hold). HTTP interface: a transaction keeps its group (holds).

--- a/mangoramp/serving/replica_choice.py
+++ b/mangoramp/serving/replica_choice.py
@@ -226,11 +226,11 @@
             return None
         now = self._clock()
         need = ReadNeed(sample.position, now - sample.asked_at)
-        committed_position = (
-            session.committed_position if route.rule is ReadRule.OWN_WRITES else None
-        )
-        if committed_position is not None and committed_position > need.position:
-            return ReadNeed(committed_position, now - session.committed_at)
+        own = session.commits.get(group.name)
+        if route.rule is not ReadRule.OWN_WRITES or own is None:
+            return need
+        if own.position > need.position:
+            return ReadNeed(own.position, now - own.acknowledged_at)
         return need
 
     def _candidate(
--- a/mangoramp/serving/transactions.py
+++ b/mangoramp/serving/transactions.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..control.group import Server
 from ..errors import Code
 from ..events import (
     COMMIT_OUTCOME_UNKNOWN,
@@ -17,7 +18,7 @@
 from ..policy.position import Position
 from ..policy.statement_backoff import FIRST_PAUSE_S
 from ..sessions.reply import SessionState
-from ..sessions.session import Session
+from ..sessions.session import Commit, Session
 from ..sessions.statement import Execute, Read, Write
 from .command import (
     Answer,
@@ -133,7 +134,7 @@
             lease.discard()
         self._release(tx, lease)
         if answer.refusal is None and answer.signature:
-            self._record_commit(op, tx, answer.position, asked_at)
+            self._record_commit(op, tx, lease.server, answer.position, asked_at)
             return answer
         if answer.refusal in RETRYABLE_REFUSALS or not tx.has_written:
             raise aborted_error(answer.detail, peer=lease.server.id)
@@ -154,12 +155,18 @@
         task.add_done_callback(self._rollbacks.discard)
 
     def _record_commit(
-        self, op: Operation, tx: Transaction, position: Position | None, asked_at: float
+        self,
+        op: Operation,
+        tx: Transaction,
+        server: Server,
+        position: Position | None,
+        asked_at: float,
     ) -> None:
         if not tx.has_written or position is None:
             return
-        op.session.committed_position, op.session.committed_at = position, self._clock()
-        self._executor.servers.group(op.route.group).record_position(asked_at, position)
+        group = server.endpoint.group  # the route may have moved since the begin
+        op.session.commits[group] = Commit(position, self._clock())
+        self._executor.servers.group(group).record_position(asked_at, position)
 
     async def _roll_back(self, lease: Lease) -> None:
         if not self._executor.may_send(lease):
@@ -307,7 +314,7 @@
                 after=str(command.after or "-"),
             )
             if not command.read_only:
-                group = self._executor.servers.group(op.route.group)
+                group = self._executor.servers.group(server.endpoint.group)
                 group.record_position(asked_at, answer.position)
             elif need is not None:
                 server.record_applied(need.age_s)
--- a/mangoramp/serving/writing.py
+++ b/mangoramp/serving/writing.py
@@ -5,6 +5,7 @@
 from ..control.group import Server
 from ..errors import Code
 from ..events import WRITE_OUTCOME_UNKNOWN, WRITE_RETRIED, WRITE_ROUTED, emit
+from ..sessions.session import Commit
 from ..sessions.statement import Execute, Write
 from .command import Answer, ConnectionLostError, NotSentError, Refusal, RunFor
 from .executor import RETRYABLE_REFUSALS, Executor
@@ -28,19 +29,17 @@
         Raises:
             FaultError: The write did not run, or the outcome is unknown.
         """
-        group = self._executor.servers.group(op.route.group)
         while True:
             server = await self._executor.primary(op)
             asked_at = self._clock()
             answer = await self._attempt(op, statement, server)
             if answer is not None:
-                session = op.session
+                group = server.endpoint.group
                 if answer.position is not None:
-                    session.committed_position, session.committed_at = (
-                        answer.position,
-                        self._clock(),
-                    )
-                group.record_position(asked_at, answer.position)
+                    op.session.commits[group] = Commit(answer.position, self._clock())
+                self._executor.servers.group(group).record_position(
+                    asked_at, answer.position
+                )
                 return answer
 
     async def _attempt(
--- a/mangoramp/sessions/session.py
+++ b/mangoramp/sessions/session.py
@@ -10,6 +10,19 @@
 from .statement import Shape
 
 
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """A session's last commit in one database group.
+
+    Attributes:
+        position: Its position in the group's log.
+        acknowledged_at: When it was acknowledged, in seconds.
+    """
+
+    position: Position
+    acknowledged_at: float
+
+
 @dataclass(slots=True, eq=False)
 class Session:
     """The state of one caller's session.
@@ -19,8 +32,8 @@
         key: The caller's key; never forwarded or logged.
         values: The session variables by name, as acknowledged to the caller.
         shapes: The shapes of the prepared statements by name.
-        committed_position: The log position of the last commit, None before the first.
-        committed_at: When that commit was acknowledged, in seconds.
+        commits: The last commit in each group; the database's route may move from one
+            group to another, whose logs have nothing to do with each other.
         state: The transaction state between two statements.
         transaction: The open transaction, None if there is none or it has failed.
         abort_reason: Why the transaction was aborted, until reported to the caller.
@@ -31,8 +44,7 @@
     key: str = field(repr=False)
     values: dict[str, str] = field(default_factory=dict)
     shapes: dict[str, Shape] = field(default_factory=dict)
-    committed_position: Position | None = None
-    committed_at: float = 0.0
+    commits: dict[str, Commit] = field(default_factory=dict)
     state: SessionState = SessionState.IDLE
     transaction: Any = None
     abort_reason: str = ""
