Record the start of a term once the promoted server leads

Cause: the holder of a promotion asked the new primary where its term begins right after the platform's answer. The server leads some hundred ms later, was still a replica, and the start was never recorded.

Class of fault: what has been ordered is asked for once, and taken as unknown if it isn't there yet.

Change: the holder asks until the server leads, every 50 ms on one connection, for up to 3 s, and then writes the start into its claim.

Other paths: the effect of a promotion on routing comes from the registry and from positions in answers (hold). HTTP interface: the start of a term is written into the group object before the candidate is promoted (holds).

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -37,7 +37,7 @@
     choose_successor,
     reason_to_promote,
 )
-from ..serving.command import OpenRefusedError, ServerStatus
+from ..serving.command import OpenRefusedError, ServerConnection, ServerStatus
 from ..serving.servers import Servers
 from .deployment import Deployment
 from .group import GroupState, Server
@@ -50,6 +50,8 @@
 RECHECK_INTERVAL_S = 0.25  # of another instance's claim, which may end early
 SETTLE_S = 1.0  # after a request, until the server reports its new role
 MAX_HEARD_AGE_S = 30.0  # peers have no use for an older answer
+TERM_WAIT_S = 3.0  # for a promoted server to lead; most take some hundred ms
+TERM_CHECK_INTERVAL_S = 0.05  # few commits are made meanwhile
 PROBE_INTERVAL_S = 0.4  # for a failing primary without traffic from callers
 
 
@@ -529,13 +531,35 @@
         An instance that starts later needs it to recognize a discarded log.
         """
         server = group.servers.get(claim.successor)
-        status = await self._fetch_status(server) if server is not None else None
-        if status is None or not status.is_primary:
+        status = await self._await_leader(server) if server is not None else None
+        if status is None:
             emit(TERM_UNKNOWN, group=group.name, successor=claim.successor)
         else:
             group.history.record_start(status.term, status.received)
         await self._claims.end(group.name, claim, _term_pairs(group), is_unused=False)
 
+    async def _await_leader(self, server: Server) -> ServerStatus | None:
+        """Query a promoted server until it leads; None if it does not in time.
+
+        The platform answers before that, and the first commits follow at once.
+        """
+        until = self._servers.clock() + TERM_WAIT_S
+        while self._servers.clock() < until:
+            conn = await self._open(server)
+            try:
+                while conn is not None and self._servers.clock() < until:
+                    status = await self._servers.connector.fetch_status(conn)
+                    if status is None:
+                        break
+                    if status.is_primary:
+                        return status
+                    await asyncio.sleep(TERM_CHECK_INTERVAL_S)
+            finally:
+                if conn is not None:
+                    conn.close()
+            await asyncio.sleep(TERM_CHECK_INTERVAL_S)
+        return None
+
     async def _choose_successor(
         self, group: GroupState, former_id: str
     ) -> Successor | None:
@@ -574,6 +598,15 @@
         )
 
     async def _fetch_status(self, server: Server) -> ServerStatus | None:
+        conn = await self._open(server)
+        if conn is None:
+            return None
+        try:
+            return await self._servers.connector.fetch_status(conn)
+        finally:
+            conn.close()
+
+    async def _open(self, server: Server) -> ServerConnection | None:
         endpoint = server.endpoint
         try:
             conn = await self._servers.connector.open(
@@ -585,10 +618,7 @@
         if server.is_evacuated:
             conn.close()
             return None
-        try:
-            return await self._servers.connector.fetch_status(conn)
-        finally:
-            conn.close()
+        return conn
 
     def _spawn(self, coro: object, watch: _GroupWatch | None) -> None:
         task = asyncio.ensure_future(coro)  # type: ignore[call-overload]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -186,6 +186,40 @@
             world.instances.pop(0).close()
             await asyncio.sleep(0)
 
+    @pytest.mark.parametrize("lead_s", [0.3, 1.0])
+    async def test_holds_it_where_the_server_leads_after_the_answer(self, lead_s):
+        """Guards against review/6: the start of a term that is never recorded."""
+        async with World(instances=2) as world:
+            world.lead_s = lead_s
+            caller = await world.caller()
+            for number in range(3):
+                await caller.ask(f"WRITE a {number}")
+            world.list_server("s1", state="draining")
+            await world.wait_until(lambda: world.group.primary != "s1")
+            writing = asyncio.ensure_future(caller.ask("WRITE a 9"))
+
+            def terms():
+                found = world.platform.get("mangoramp-promotion", GROUP)
+                return msgspec.json.decode(found.value, type=Claim).terms
+
+            await world.wait_until(lambda: dict(terms()).get(world.group.term) == 4)
+            await writing
+            for number in range(2):  # as after a restart of all
+                world.instances.pop(0).close()
+                await world.start_instance(f"i{number}", is_first_start=False)
+            world.list_server(world.group.primary, state="draining")
+
+            def histories():
+                return [i.servers.group(GROUP).history for i in world.instances]
+
+            def is_known():
+                return any(Position(2, 4) in h.positions for h in histories())
+
+            await world.wait_until(is_known, 10.0)
+            (history, *_) = [h for h in histories() if Position(2, 4) in h.positions]
+            assert history.is_discarded(Position(1, 9))
+            assert not history.is_discarded(Position(1, 3))
+
     @pytest.mark.parametrize("terms", [(), ((1, 1), (2, 25))])
     def test_claims_are_read_by_the_former_build_and_back(self, terms):
         """Guards against a rollout in which one build cannot read a claim."""
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -110,6 +110,7 @@
         self.instances = []
         self.promotion_requests = []
         self.is_promotion_enabled = True
+        self.lead_s = 0.0  # from the answer until the server leads
         self._count = instances
         self._seed = seed
         self._features = features or Features()
@@ -227,6 +228,10 @@
             self.send_error(409)
             return
         if world.is_promotion_enabled and promotion["id"] != group.primary:
-            world.promote(promotion["id"])
+            if world.lead_s:
+                loop = asyncio.get_running_loop()
+                loop.call_later(world.lead_s, world.promote, promotion["id"])
+            else:
+                world.promote(promotion["id"])
         with contextlib.suppress(RuntimeError):
             self.set_status(200)
