Keep the lease of a holder until it has been silent for as long

Callers saw: nothing yet; a soak of planned releases in series with real processes showed another instance ordering a promotion within the lease of a holder that had just fallen silent.

Cause: a holder that was silent or stopping lost its lease at once, so that the next instance could act a second after its last call.

Change: for a holder that falls silent the lease counts from when it was last heard; instances remember this also of those that have left. One that was never heard has no lease.

Evidence: tests/soak_promotions.py (new): six processes, three groups released in series without fences, the last holder cut off from the promotion API, paused, slowed down, stopped or killed.

--- a/mangoramp/control/promoter.py
+++ b/mangoramp/control/promoter.py
@@ -132,6 +132,7 @@
             servers.clock,
             registry_at=registry_at,
             is_away=self._is_away,
+            heard=self._heard_at,
             is_fenced=is_fenced,
         )
         self._promotion_client = promotion_client
@@ -207,7 +208,7 @@
         known = self._deployment()
         if known is None:
             return
-        self._claims.record_registry()
+        self._claims.observe()
         if self._is_stopping() and self._peers.serving:
             return
         must_wait = is_controller and bool(self._reason_to_wait())
@@ -322,6 +323,10 @@
         is_live = instance in self._peers.live_instances
         return not is_live or instance not in self._peers.serving
 
+    def _heard_at(self) -> dict[str, float]:
+        live = self._peers.live_instances
+        return {name: self._peers.last_report_at(name) for name in live}
+
     def _rank(self, group: str) -> int:
         order = rendezvous_order(group, self._peers.controllers)
         return order.index(self._name) if self._name in order else len(order)
--- a/mangoramp/control/promotion_claims.py
+++ b/mangoramp/control/promotion_claims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -125,6 +125,7 @@
         clock: Returns the time in seconds; counts pauses.
         registry_at: Returns the newest revision of the registry that is known here.
         is_away: Returns whether an instance is silent or stopping.
+        heard: Returns when each instance in touch was last heard, in seconds.
         is_fenced: Returns whether the platform refuses a call with an older token.
     """
 
@@ -136,6 +137,7 @@
         *,
         registry_at: Callable[[], Revision],
         is_away: Callable[[str], bool],
+        heard: Callable[[], Mapping[str, float]],
         is_fenced: Callable[[], bool],
     ) -> None:
         self._name = name
@@ -143,13 +145,16 @@
         self._clock = clock
         self._registry_at = registry_at
         self._is_away = is_away
+        self._heard = heard
         self._is_fenced = is_fenced
         self._ages = RevisionAges()
         self._own_tokens: dict[str, int] = {}  # the last one of each group
+        self._heard_at: dict[str, float] = {}  # also of instances that have left
 
-    def record_registry(self) -> None:
-        """Record which revisions are known now, to date claims."""
+    def observe(self) -> None:
+        """Record which revisions are known now, and who is in touch, to date calls."""
         self._ages.record(self._clock(), self._registry_at())
+        self._heard_at.update(self._heard())
 
     async def read(self, group: str) -> StoredClaim | None:
         """Read the latest claim to a group; None if the store does not answer."""
@@ -173,18 +178,21 @@
         claim = stored.claim
         if claim is None:
             return 0.0
+        now = self._clock()
+        self.observe()
         is_unseen = claim.successor != decided.former and is_claim_unseen(
             stored.used_at, self._registry_at()
         )
         is_own_name = claim.holder == self._name
         view = ClaimView(
-            age_s=self._ages.age_s(stored.revision, self._clock()),
+            age_s=self._ages.age_s(stored.revision, now),
             tenure_s=claim.tenure_ms / 1000,
             is_own=is_own_name and claim.token == self._own_tokens.get(stored.group),
             is_own_name=is_own_name,
             is_over=claim.is_over,
             is_unused=claim.is_unused,
             is_away=self._is_away(claim.holder),
+            silent_s=now - self._heard_at.get(claim.holder, float("-inf")),
             is_unseen=is_unseen,
             is_settled=claim.replacement != decided and not is_unseen,
         )
--- a/mangoramp/policy/duty.py
+++ b/mangoramp/policy/duty.py
@@ -19,6 +19,7 @@
 TENURE_S = 2.6  # a former build takes a claim over after 3 s
 FORMER_TENURE_S = 6.5  # a former build sends three requests of up to 2 s
 MIN_CALL_S = 0.5  # of the tenure left at the start of a call; most answers take less
+MAX_HEARD_GAP_S = 0.5  # between two reports of an instance, one of them lost
 UNSEEN_S = 3.0  # until the effect of a claim is known here or never comes
 MAX_CLAIMS_IN_A_ROW = 3  # without an answer; then another instance gets its turn
 HAND_OVER_S = 1.0  # for others to claim after a holder that could not call
@@ -37,6 +38,7 @@
         is_over: Whether its holder will make no call under it any more.
         is_unused: Whether its holder made no call at all.
         is_away: Whether its holder is silent or stopping.
+        silent_s: Seconds since its holder was last heard, 0 if it is in touch.
         is_unseen: Whether it may have changed the registry since that was last seen.
         is_settled: Whether the registry shows that it was for an earlier change.
     """
@@ -48,6 +50,7 @@
     is_over: bool = False
     is_unused: bool = False
     is_away: bool = False
+    silent_s: float = 0.0
     is_unseen: bool = False
     is_settled: bool = False
 
@@ -61,11 +64,15 @@
     """
     if claim.is_own:
         return 0.0
-    wait_s = UNSEEN_S if claim.is_unseen else 0.0
+    wait_s = UNSEEN_S - claim.age_s if claim.is_unseen else 0.0
     if not claim.is_own_name and not claim.is_unused:
-        lease_s = 0.0 if claim.is_away else LEASE_S
-        wait_s = max(wait_s, _calls_end_s(claim, is_fenced=is_fenced) + lease_s)
-    return max(0.0, wait_s - claim.age_s)
+        calls_end_s = _calls_end_s(claim, is_fenced=is_fenced)
+        last_call_s = claim.age_s - calls_end_s
+        if claim.silent_s > MAX_HEARD_GAP_S:
+            # A call of a holder that is not in touch any more takes no turn.
+            last_call_s = max(last_call_s, claim.silent_s - MAX_HEARD_GAP_S)
+        wait_s = max(wait_s, calls_end_s - claim.age_s, LEASE_S - last_call_s)
+    return max(0.0, wait_s)
 
 
 def _calls_end_s(claim: ClaimView, *, is_fenced: bool) -> float:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from .soak import soak_once
 from .soak_configuration import soak_configuration_once
+from .soak_promotions import soak_promotions_once
 from .soak_restarts import soak_restarts_once
 
 SECONDS = 5.0
@@ -49,3 +50,14 @@
         soak = await soak_configuration_once(5, 2 * SECONDS, tmp_path, build=build)
         assert not soak.violations
         assert soak.delays
+
+
+class TestReleasesInSeries:
+    """Guards against review/7 and review/10: two holders of one duty, old tokens."""
+
+    @pytest.mark.timeout(120)
+    @pytest.mark.parametrize("seed", [1, 2])
+    async def test_are_carried_out_by_one_holder(self, seed, tmp_path):
+        soak = await soak_promotions_once(seed, 2 * SECONDS, tmp_path)
+        assert not soak.violations
+        assert soak.durations
