Count a holder that was never heard as in touch at first

Callers saw: nothing yet.

Cause, by the logs: two instances that start together may not know each other for up to 6 s, until the list of instances is refreshed (i4 first heard i0 6 s after its start). A holder that was never heard counted as silent for ever, so that its lease was not kept.

Change: it counts as silent only since this process has started.

test_authority.py sets the start of its instance back, as its claim's holder is gone for good; its assertions are unchanged.

Evidence: test_promotion_turns.py::TestUnknownHolder, which fails before.

--- a/mangoramp/control/promotion_claims.py
+++ b/mangoramp/control/promotion_claims.py
@@ -150,6 +150,7 @@
         self._ages = RevisionAges()
         self._own_tokens: dict[str, int] = {}  # the last one of each group
         self._heard_at: dict[str, float] = {}  # also of instances that have left
+        self._started_at = clock()
 
     def observe(self) -> None:
         """Record which revisions are known now, and who is in touch, to date calls."""
@@ -192,7 +193,7 @@
             is_over=claim.is_over,
             is_unused=claim.is_unused,
             is_away=self._is_away(claim.holder),
-            silent_s=now - self._heard_at.get(claim.holder, float("-inf")),
+            silent_s=now - self._heard_at.get(claim.holder, self._started_at),
             is_unseen=is_unseen,
             is_settled=claim.replacement != decided and not is_unseen,
         )
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -142,6 +142,8 @@
             former = await self.make_due(promoter, group, monkeypatch)
             await promoter._replace(group, watch, former, "it is silent")
             assert not world.promotion_requests
+            # The holder is gone for longer than any lease.
+            promoter._claims._started_at = float("-inf")
             world.list_server("s3", version="v2")  # the registry has changed since
             at = world.platform.get("servers", "s3").version
             fetcher = world.instances[0]._news_fetcher
--- a/tests/test_promotion_turns.py
+++ b/tests/test_promotion_turns.py
@@ -6,7 +6,11 @@
 import msgspec
 import pytest
 
-from mangoramp.control.promotion_claims import Claim
+from mangoramp.control.promotion_claims import (
+    Claim,
+    PromotionClaims,
+    StoredClaim,
+)
 from mangoramp.platform.promotion import PromotionClient, PromotionOutcome
 from mangoramp.platform.settings import load_instance_settings
 from mangoramp.policy.duty import (
@@ -195,6 +199,27 @@
         assert self.wait(is_own_name=True) == 0.0
 
 
+class TestUnknownHolder:
+    def test_counts_as_in_touch_until_it_could_be_known(self):
+        """Guards against turns of two instances that have not heard each other yet."""
+        now = [100.0]
+        claims = PromotionClaims(
+            "i1",
+            None,
+            lambda: now[0],
+            registry_at=lambda: Revision(1, 9),
+            is_away=lambda name: True,
+            heard=dict,
+            is_fenced=lambda: True,
+        )
+        ended = Claim("i0", 7, "s0", 2, "s1", 1, tenure_ms=2600, is_over=True)
+        stored = StoredClaim(GROUP, 8, 1, ended)
+        decided = Replacement("s1", Revision(1, 9))
+        assert claims.wait_s(stored, decided) > 0.9 * LEASE_S
+        now[0] += LEASE_S + 1.0
+        assert claims.wait_s(stored, decided) == 0.0
+
+
 class TestTenure:
     def test_leaves_time_for_an_answer(self):
         tenure = Tenure(10.0)
