--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -66,6 +66,8 @@
             known_instances=self.names,
             now=0.0,
             is_direct=lambda: True,
+            last_report_at=lambda name: self.now,
+            report_interval_s=0.25,
         )
         self.limits = CustomerLimits("a", peers, is_first_start=True)
         self.limits.apply_deployment(self.deployment, self.now)
