Share the soaks' report of a run and their cut of links

Found by reading the change again: three soaks printed a run and kept its logs by the same lines, links were cut for a time in three places, and the platform's call stood in two test modules. `report_run`, `cut_links` and one `Call` serve them; what the soak of limits never read is gone. Checks, bounds and the order of random draws are unchanged; the soak of limits prints the number of violations now, as the others do, instead of "broken".

--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -30,7 +30,7 @@
 from .former_build import ROOT, unpack_former_build
 from .linked_instance import LINKS_VARIABLE
 from .relay import Relay
-from .soak_instance import InstanceProcess, keep_logs, play_seeds, seed_parser
+from .soak_instance import InstanceProcess, play_seeds, report_run, seed_parser
 from .wire_world import GROUP, KEY, World, configuration
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -46,7 +46,6 @@
 SILENCE_INTERVAL_S = 2 * (SETTLED_S + CONFIGURATION_S)
 MAX_LAG_S = 0.3  # of this process, which is the store and the network
 LINK_PORTS = 3  # of an instance, from its peer port on
-MAX_PRINTED = 12  # violations of one run
 MIN_FILES = 8192
 
 
@@ -508,15 +507,19 @@
     pairs = [(target, other) for other in others if outward]
     pairs += [(other, target) for other in others if inward]
     with soak.disturbing(target, *others):
-        for source, aim in pairs:
-            cut_link(source, aim, True)
-        await asyncio.sleep(soak.rng.uniform(0.5, 6.0))
-        for source, aim in pairs:
-            cut_link(source, aim, False)
+        await cut_links(pairs, soak.rng.uniform(0.5, 6.0))
 
 
-def cut_link(source, aim, is_cut, *, datagrams_only=False):
-    """Cut or restore the link from one instance to another."""
+async def cut_links(pairs, seconds, *, datagrams_only=False):
+    """Cut the links from some instances to others for a time."""
+    for source, aim in pairs:
+        _set_cut(source, aim, True, datagrams_only=datagrams_only)
+    await asyncio.sleep(seconds)
+    for source, aim in pairs:
+        _set_cut(source, aim, False)
+
+
+def _set_cut(source, aim, is_cut, *, datagrams_only=False):
     port, relay = source.relays[aim.name]
     is_silent = is_cut and not datagrams_only
     relay.is_holding_connections = is_silent
@@ -599,17 +602,9 @@
     """Run one seed and print what was found; return whether no rule was broken."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         soak = asyncio.run(soak_configuration_once(seed, seconds, folder, **options))
-        found = soak.violations
-        print(
-            f"seed {seed}, configuration, {soak.summary()}:"
-            f" {dict(soak.faults)}, {f'{len(found)} violations' if found else 'ok'}",
-            flush=True,
-        )
-        for violation in found[:MAX_PRINTED]:
-            print(f"  {violation}")
-        if found:
-            keep_logs(folder, keep, f"{seed}-configuration")
-    return not found
+        text = f"seed {seed}, configuration, {soak.summary()}: {dict(soak.faults)}"
+        name = f"{seed}-configuration"
+        return report_run(folder, keep, name, text, soak.violations)
 
 
 def main():
--- a/tests/soak_instance.py
+++ b/tests/soak_instance.py
@@ -10,6 +10,7 @@
 
 from mangoramp.standins._ports import HOST, free_ports
 
+MAX_PRINTED = 12  # violations of one run
 SETTINGS = """
 node_name = "{name}"
 ip = "{host}"
@@ -73,6 +74,28 @@
         (target / log.name).write_bytes(log.read_bytes())
 
 
+def report_run(folder, keep, name, text, violations):
+    """Print a run and its violations, and keep its logs if there are any.
+
+    Args:
+        folder: The folder with the run's logs.
+        keep: The directory to keep them in, None for none.
+        name: The name of the run below it.
+        text: What is said of the run.
+        violations: The violations found.
+
+    Returns:
+        Whether there are none.
+    """
+    verdict = f"{len(violations)} violations" if violations else "ok"
+    print(f"{text}, {verdict}", flush=True)
+    for violation in violations[:MAX_PRINTED]:
+        print(f"  {violation}")
+    if violations:
+        keep_logs(folder, keep, name)
+    return not violations
+
+
 class InstanceProcess:
     """An instance that runs as a separate process.
 
--- a/tests/soak_limits.py
+++ b/tests/soak_limits.py
@@ -21,12 +21,11 @@
 from mangoramp.standins._ports import HOST
 
 from .soak_configuration import (
-    ConfigurationSoak,
     LinkedProcess,
-    cut_link,
+    cut_links,
     slow_down,
 )
-from .soak_instance import keep_logs, play_seeds, seed_parser
+from .soak_instance import play_seeds, report_run, seed_parser
 from .wire_world import GROUP, World, configuration
 
 INSTANCES = 6
@@ -41,7 +40,6 @@
 HOT_AFTER_S = 6.0  # from the cut on
 HOT_S = 6.5
 ANSWER_TIMEOUT_S = 3.0
-MAX_PRINTED = 8
 LIMITS = f"""
 quota_window_s = {WINDOW_S:g}
 quota_overage = {OVERAGE}
@@ -93,7 +91,6 @@
     """A session of a caller."""
 
     def __init__(self, process, reader, writer):
-        self.process = process
         self.life = process.life
         self._reader = reader
         self._writer = writer
@@ -135,12 +132,10 @@
         super().__init__(instances=0, seed=seed)
         self.rng = random.Random(seed)
         self.group.runs = TimedRuns()
-        self.faults = Counter()
         self.answers = Counter()
         self.sent_at = {}
         self.processes = []
         self.most = {}
-        self.disturbed = {}
         self._folder = Path(folder)
         self._instances = instances
         self.story = story or self.rng.choice(sorted(STORIES))
@@ -183,8 +178,6 @@
             process.close()
         await super().__aexit__(*exc)
 
-    disturbing = ConfigurationSoak.disturbing
-
     def _configuration(self):
         tenants = [
             {
@@ -401,12 +394,8 @@
     for target in targets:
         pairs += [(target, other) for other in others if "out" in directions]
         pairs += [(other, target) for other in others if "in" in directions]
-    for source, aim in pairs:
-        cut_link(source, aim, True, datagrams_only=datagrams_only)
     heat = asyncio.ensure_future(_heat_later(soak))
-    await asyncio.sleep(seconds)
-    for source, aim in pairs:
-        cut_link(source, aim, False)
+    await cut_links(pairs, seconds, datagrams_only=datagrams_only)
     await heat
 
 
@@ -419,11 +408,7 @@
     await asyncio.sleep(delay_s)
     others = [p for p in soak.processes if p is not target]
     pairs = [(target, o) for o in others] + [(o, target) for o in others]
-    for source, aim in pairs:
-        cut_link(source, aim, True)
-    await asyncio.sleep(seconds)
-    for source, aim in pairs:
-        cut_link(source, aim, False)
+    await cut_links(pairs, seconds)
 
 
 async def _pause_in_turn(soak, processes):
@@ -469,16 +454,9 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         soak, found = asyncio.run(soak_limits_once(seed, folder, **options))
         most = ", ".join(f"{n} {m} of {a:.0f}" for n, (m, a) in soak.most.items())
-        print(
-            f"seed {seed}, limits, {soak.story}: most {most}; {dict(soak.answers)},"
-            f" {'broken' if found else 'ok'}",
-            flush=True,
-        )
-        for violation in found[:MAX_PRINTED]:
-            print(f"  {violation}")
-        if found:
-            keep_logs(folder, keep, f"{seed}-limits")
-    return not found
+        served = dict(soak.answers)
+        text = f"seed {seed}, limits, {soak.story}: most {most}; {served}"
+        return report_run(folder, keep, f"{seed}-limits", text, found)
 
 
 def main():
--- a/tests/soak_promotions.py
+++ b/tests/soak_promotions.py
@@ -13,11 +13,11 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 
 from mangoramp.standins.wire_group import WireGroup
 
+from .promotion_world import Call
 from .relay import Relay
 from .soak_configuration import (
     SETTLED_S,
@@ -25,7 +25,7 @@
     LinkedProcess,
     slow_down,
 )
-from .soak_instance import keep_logs, play_seeds, seed_parser
+from .soak_instance import play_seeds, report_run, seed_parser
 from .wire_world import GROUP, World, configuration
 
 INSTANCES = 6
@@ -37,18 +37,6 @@
 LEAD_S = 0.3
 GAPS_S = (0.3, 1.5)
 START_TIMEOUT_S = 30.0
-MAX_PRINTED = 8
-
-
-@dataclass(frozen=True)
-class Call:
-    """A call that the platform got."""
-
-    at: float
-    holder: str
-    token: int
-    server: str
-    in_touch: bool
 
 
 class Calls(list):
@@ -264,17 +252,8 @@
     """Run one seed and print what was found; return whether no rule was broken."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         soak = asyncio.run(soak_promotions_once(seed, seconds, folder, **options))
-        found = soak.violations
-        print(
-            f"seed {seed}, promotions, {soak.summary()}: {dict(soak.faults)},"
-            f" {f'{len(found)} violations' if found else 'ok'}",
-            flush=True,
-        )
-        for violation in found[:MAX_PRINTED]:
-            print(f"  {violation}")
-        if found:
-            keep_logs(folder, keep, f"{seed}-promotions")
-    return not found
+        text = f"seed {seed}, promotions, {soak.summary()}: {dict(soak.faults)}"
+        return report_run(folder, keep, f"{seed}-promotions", text, soak.violations)
 
 
 def main():
