--- a/review/fleet3/world.py
+++ b/review/fleet3/world.py
@@ -19,7 +19,12 @@
 import tornado.web
 from tornado.httpserver import HTTPServer
 
-from mangoramp.standins.platform import Platform
+from mangoramp.standins.platform import (
+    KindHandler,
+    Listing,
+    ObjectHandler,
+    Platform,
+)
 
 from .servers import Group, Server
 
@@ -89,6 +94,66 @@
 """
 
 
+class _StaleKindHandler(KindHandler):
+    """Answers lists that may be stale with data that is some time old."""
+
+    def _list(self, kind: str, after: str) -> None:
+        platform = self.platform
+        if self.get_query_argument("allow_stale", "") != "1" or not platform.stale_s:
+            super()._list(kind, after)
+            return
+        objects = platform.listed_before(kind)
+        found = sorted(objects, key=lambda o: o.name)
+        platform.stale_answer = Listing(platform.fetch_changes(kind, 0).version, found)
+        current, platform.fetch_changes = (
+            platform.fetch_changes,
+            lambda kind, version: platform.stale_answer,
+        )
+        try:
+            super()._list(kind, after)
+        finally:
+            platform.fetch_changes = current
+
+
+class StalePlatform(Platform):
+    """The project's stand-in of the store; reads that may be stale are.
+
+    Attributes:
+        stale_s: By how many seconds.
+    """
+
+    def __init__(self, stale_s: float) -> None:
+        super().__init__()
+        self.stale_s = stale_s
+        self.stale_answer = Listing(0, ())
+        self._copies: list[tuple[float, dict[str, dict[str, object]]]] = []
+
+    def application(self) -> tornado.web.Application:
+        """Create the HTTP application."""
+        args = {"platform": self}
+        return tornado.web.Application(
+            [
+                (r"/objects/([^/]+)", _StaleKindHandler, args),
+                (r"/objects/([^/]+)/([^/]+)", ObjectHandler, args),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    def copy(self) -> None:
+        """Keep a copy of the contents for stale reads."""
+        now = time.monotonic()
+        self._copies.append((now, self.take_copy().objects))
+        while len(self._copies) > 1 and self._copies[1][0] < now - self.stale_s:
+            del self._copies[0]
+
+    def listed_before(self, kind: str) -> list[object]:
+        """Return the objects of a kind as they were some time ago."""
+        if not self._copies:
+            return []
+        found = self._copies[0][1].get(kind, {}).values()
+        return [o for o in found if o.value is not None]
+
+
 class Record:
     """Writes ``record.txt``: what was sent, answered and run, with the time."""
 
@@ -270,9 +335,10 @@
         zones: tuple[str, ...] = ("a", "b", "c"),
         is_fenced: bool = True,
         bounds: str = "",
+        stale_s: float = 0.0,
     ) -> None:
         self.record = Record(case / "record.txt")
-        self.platform = Platform()
+        self.platform = StalePlatform(stale_s)
         self.is_fenced = is_fenced
         self.bounds = bounds
         self.cloud_is_down = False
@@ -281,14 +347,15 @@
         self.zones = zones
         self.ports: dict[str, int] = {}
         self.version = 0
+        self._numbers = itertools.count(1)
         self._tasks: list[asyncio.Task[None]] = []
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.fronts = [Front(self, n + 1, zones[n % len(zones)]) for n in range(fronts)]
 
     async def __aenter__(self) -> World:
-        ips = ["127.0.0.1", *(f.ip for f in self.fronts)]
-        ips += [f"127.0.2.{n}" for n in range(1, 10)]
+        ips = ["127.0.0.1", *(f"127.0.1.{n}" for n in range(1, 40))]
+        ips += [f"127.0.2.{n}" for n in range(1, 100)]
         base = _free_block(ips)
         names = ("store", "cloud", "front", "ready", "servers", "peers")
         self.ports = {name: base + i for i, name in enumerate(names)}
@@ -302,6 +369,7 @@
         )
         cloud.listen(self.ports["cloud"], "127.0.0.1")
         self._http = (store, cloud)
+        self.spawn(self._copy_store())
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -316,21 +384,34 @@
                 await server.crash()
         self._folder.cleanup()
 
+    async def _copy_store(self) -> None:
+        while self.platform.stale_s:
+            self.platform.copy()
+            await asyncio.sleep(0.1)
+
     async def add_group(self, group: Group, count: int = 3) -> Group:
         """Start the servers of a service, one in each zone."""
         self.groups[group.name] = group
         for n in range(count):
-            number = sum(len(g.servers) for g in self.groups.values()) + 1
-            server = group.add(
-                f"i-{group.name}-{n + 1}",
-                f"127.0.2.{number}",
-                self.zones[n % len(self.zones)],
-                self.ports["servers"],
-            )
-            await server.start()
-            self._tasks.append(asyncio.ensure_future(self._beat(server)))
+            await self.add_server(group, self.zones[n % len(self.zones)])
         return group
 
+    async def add_server(self, group: Group, zone: str) -> Server:
+        """Start one more server of a service; it has the primary's log."""
+        primary = group.primary
+        number = next(self._numbers)
+        server = group.add(
+            f"i-{group.name}-{number}",
+            f"127.0.2.{number}",
+            zone,
+            self.ports["servers"],
+        )
+        if primary is not None:
+            server.follow(primary)
+        await server.start()
+        self._tasks.append(asyncio.ensure_future(self._beat(server)))
+        return server
+
     async def _beat(self, server: Server) -> None:
         """Write the server's entry as it does; remove it after three missed beats."""
         told: object = None
