--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,11 +3,10 @@
 import asyncio
 import os
 import random
-import sys
 from pathlib import Path
 
 from ..fleet3.servers import Group
-from ..fleet3.world import KEY, Client, World
+from ..fleet3.world import KEY, Client, World, run
 
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 READERS = 6
@@ -130,4 +129,4 @@
         return judge(world, acknowledged)
 
 
-sys.exit(asyncio.run(play()))
+run(play)
--- a/review/fleet3/world.py
+++ b/review/fleet3/world.py
@@ -13,7 +13,10 @@
 import sys
 import tempfile
 import time
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any, NoReturn
 
 import msgspec
 import tornado.web
@@ -369,6 +372,10 @@
         )
         cloud.listen(self.ports["cloud"], "127.0.0.1")
         self._http = (store, cloud)
+        # The processes end also if the case is stopped.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         self.spawn(self._copy_store())
         return self
 
@@ -523,6 +530,16 @@
             self.finish()
 
 
+def run(play: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Play a case and exit with its code, 2 if it could not run."""
+    try:
+        code = asyncio.run(play())
+    except BaseException:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
+
+
 def _free_block(ips: list[str]) -> int:
     """Return the first of 30 ports that are free on some addresses."""
     rng = random.Random()
